Kernel, schemas and decision packages in the chosen shape

Cause: nothing existed. The shape asked for is a kernel with plug-ins that register themselves, one loop, types from schemas, behaviour as functions. Ruled out: copying state for each decision (columns are too large).

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,85 @@
+import {defineConfig} from 'eslint/config';
+import google from 'gts';
+
+/** Packages that hold decisions: they may not know any encoding or transport. */
+const DECISION_PACKAGES = [
+  'kernel',
+  'model',
+  'placement',
+  'ownership',
+  'scheduling',
+  'configuration',
+  'membership',
+  'journal',
+  'routing',
+];
+
+const TRANSPORT_IMPORTS = [
+  '@grpc/*',
+  'hono',
+  'hono/*',
+  '@hono/*',
+  'undici',
+  'msgpackr',
+  'node:http',
+  'node:net',
+  'node:tls',
+  '@samphireramp/caller-http',
+  '@samphireramp/peer-grpc',
+  '@samphireramp/platform-client',
+];
+
+const INTERNALS = {
+  group: ['@samphireramp/*/*', '../../../*/src/*'],
+  message: 'Import the public face of a package only.',
+};
+
+export default defineConfig([
+  {ignores: ['dist/**', 'node_modules/**', '.tap/**']},
+  ...google,
+  {
+    files: ['**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {patterns: [INTERNALS]}],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      'max-lines': ['error', 400],
+    },
+  },
+  {
+    files: DECISION_PACKAGES.map(name => `packages/${name}/src/**/*.ts`),
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            INTERNALS,
+            {
+              group: TRANSPORT_IMPORTS,
+              message: 'Decisions stay apart from transports and encodings.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['packages/kernel/src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['@samphireramp/*', 'zod', 'zod/*'],
+              message: 'The kernel depends on no other package.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['**/*.mjs'],
+    languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
+  },
+]);
--- /dev/null
+++ b/packages/kernel/src/HandlerRegistry.ts
@@ -0,0 +1,21 @@
+import type {Unregister} from './Kernel';
+
+/** Handlers by the identity of what they handle, in order of registration. */
+export class HandlerRegistry<Handler> {
+  private readonly handlers = new Map<object, readonly Handler[]>();
+
+  get(key: object): readonly Handler[] {
+    return this.handlers.get(key) ?? [];
+  }
+
+  add(key: object, handler: Handler): Unregister {
+    this.handlers.set(key, [...this.get(key), handler]);
+    return () => {
+      // A copy, since the handler may unregister itself while it is called.
+      this.handlers.set(
+        key,
+        this.get(key).filter(other => other !== handler),
+      );
+    };
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/Kernel.ts
@@ -0,0 +1,191 @@
+import {invariant} from './invariant';
+import type {Command, Effect} from './Message';
+import {HandlerRegistry} from './HandlerRegistry';
+import type {SliceDefinition} from './Slice';
+import {StateStore} from './StateStore';
+
+/** Takes back one registration. */
+export type Unregister = () => void;
+
+/** Read access to the state, at any time. */
+export interface StateReader {
+  read<Reader, Writer extends Reader>(
+    slice: SliceDefinition<Reader, Writer>,
+  ): Reader;
+}
+
+/** What a command handler may do while its update is open. */
+export interface Update extends StateReader {
+  /** Milliseconds of the runtime's monotonic clock when the update began. */
+  readonly now: number;
+  write<Reader, Writer extends Reader>(
+    slice: SliceDefinition<Reader, Writer>,
+  ): Writer;
+  /** Runs `command` later in this same update. */
+  dispatch<Payload>(command: Command<Payload>, payload: Payload): void;
+  /** Runs `effect` once this update has committed. */
+  emit<Payload>(effect: Effect<Payload>, payload: Payload): void;
+}
+
+/** Decides on a command. Returning true keeps later handlers from seeing it. */
+export type CommandHandler<Payload> = (
+  update: Update,
+  payload: Payload,
+) => boolean | void;
+
+/** Carries out an effect. What comes of it returns as a command. */
+export type EffectHandler<Payload> = (payload: Payload) => void;
+
+/** What an update did, told to listeners after its commit. */
+export interface UpdateSummary {
+  readonly commands: readonly string[];
+  readonly startedAt: number;
+}
+
+/** Told after each committed update. */
+export type UpdateListener = (summary: UpdateSummary) => void;
+
+/** A feature: registers with the kernel, returns the way back. */
+export type Plugin = (kernel: Kernel) => Unregister;
+
+/** The core that owns the state. */
+export interface Kernel extends StateReader {
+  register(plugin: Plugin): Unregister;
+  registerSlice<Reader, Writer extends Reader>(
+    slice: SliceDefinition<Reader, Writer>,
+  ): Unregister;
+  registerCommand<Payload>(
+    command: Command<Payload>,
+    handler: CommandHandler<Payload>,
+  ): Unregister;
+  registerEffect<Payload>(
+    effect: Effect<Payload>,
+    handler: EffectHandler<Payload>,
+  ): Unregister;
+  registerUpdateListener(listener: UpdateListener): Unregister;
+  /** Queues a command; outside an update it runs before this returns. */
+  dispatch<Payload>(command: Command<Payload>, payload: Payload): void;
+}
+
+/** How a kernel reads time and reports what a handler threw. */
+export interface KernelOptions {
+  readonly now: () => number;
+  readonly onError: (error: unknown, source: string) => void;
+}
+
+interface QueuedCommand {
+  readonly command: Command<unknown>;
+  readonly payload: unknown;
+}
+
+interface QueuedEffect {
+  readonly effect: Effect<unknown>;
+  readonly payload: unknown;
+}
+
+/** Creates a kernel with no state and no plug-ins. */
+export function createKernel(options: KernelOptions): Kernel {
+  const store = new StateStore();
+  const commandHandlers = new HandlerRegistry<CommandHandler<never>>();
+  const effectHandlers = new HandlerRegistry<EffectHandler<never>>();
+  const listeners = new Set<UpdateListener>();
+  const queue: QueuedCommand[] = [];
+  let draining = false;
+
+  function runCommands(first: QueuedCommand, effects: QueuedEffect[]) {
+    const pending: QueuedCommand[] = [first];
+    const startedAt = options.now();
+    const update: Update = {
+      now: startedAt,
+      read: slice => store.read(slice),
+      write: slice => store.write(slice),
+      dispatch: (command, payload) => {
+        pending.push({command: command as Command<unknown>, payload});
+      },
+      emit: (effect, payload) => {
+        effects.push({effect: effect as Effect<unknown>, payload});
+      },
+    };
+    for (let index = 0; index < pending.length; index++) {
+      const {command, payload} = pending[index];
+      runHandlers(update, command, payload);
+    }
+    return {commands: pending.map(item => item.command.name), startedAt};
+  }
+
+  function runHandlers(
+    update: Update,
+    command: Command<unknown>,
+    payload: unknown,
+  ): void {
+    const handlers = commandHandlers.get(command);
+    invariant(handlers.length > 0, `No handler for command ${command.name}`);
+    for (const handler of handlers) {
+      if (handler(update, payload as never) === true) {
+        return;
+      }
+    }
+  }
+
+  function runUpdate(first: QueuedCommand): void {
+    const effects: QueuedEffect[] = [];
+    let summary: UpdateSummary;
+    store.begin();
+    try {
+      summary = runCommands(first, effects);
+    } catch (error) {
+      store.rollBack();
+      options.onError(error, first.command.name);
+      return;
+    }
+    store.commit();
+    for (const {effect, payload} of effects) {
+      runEffect(effect, payload);
+    }
+    for (const listener of listeners) {
+      listener(summary);
+    }
+  }
+
+  function runEffect(effect: Effect<unknown>, payload: unknown): void {
+    for (const handler of effectHandlers.get(effect)) {
+      try {
+        handler(payload as never);
+      } catch (error) {
+        options.onError(error, effect.name);
+      }
+    }
+  }
+
+  function drain(): void {
+    draining = true;
+    try {
+      for (let next = queue.shift(); next; next = queue.shift()) {
+        runUpdate(next);
+      }
+    } finally {
+      draining = false;
+    }
+  }
+
+  const kernel: Kernel = {
+    read: slice => store.read(slice),
+    register: plugin => plugin(kernel),
+    registerSlice: slice => store.register(slice),
+    registerCommand: (command, handler) =>
+      commandHandlers.add(command, handler as CommandHandler<never>),
+    registerEffect: (effect, handler) =>
+      effectHandlers.add(effect, handler as EffectHandler<never>),
+    registerUpdateListener: listener => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    dispatch: (command, payload) => {
+      queue.push({command: command as Command<unknown>, payload});
+      if (!draining) {
+        drain();
+      }
+    },
+  };
+  return kernel;
+}
--- /dev/null
+++ b/packages/kernel/src/index.ts
@@ -0,0 +1,25 @@
+/** The kernel: state, commands, effects and the registry of plug-ins. */
+export {
+  createCommand,
+  createEffect,
+  type Command,
+  type Effect,
+} from './Message';
+export {
+  createKernel,
+  type CommandHandler,
+  type EffectHandler,
+  type Kernel,
+  type KernelOptions,
+  type Plugin,
+  type StateReader,
+  type Unregister,
+  type Update,
+  type UpdateListener,
+  type UpdateSummary,
+} from './Kernel';
+export {KernelError} from './KernelError';
+export {invariant} from './invariant';
+export {mergeUnregister} from './mergeUnregister';
+export {createTableSlice, type ReadonlyTable, type Table} from './Table';
+export {type ChangeRecorder, type SliceDefinition} from './Slice';
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,15 @@
+/** Which worker a task fits on. */
+export {
+  CAPACITY,
+  type CapacityReader,
+  type CapacityWriter,
+  type WorkerPlace,
+} from './CapacityColumns';
+export {
+  NO_WORKER,
+  chooseBestFit,
+  chooseFirstFit,
+  createSampledChooser,
+  type RowFilter,
+  type WorkerChooser,
+} from './WorkerChooser';
--- /dev/null
+++ b/packages/scheduling/src/requestFlow.ts
@@ -0,0 +1,398 @@
+import type {Update} from '@samphireramp/kernel';
+import {
+  AWAIT_DURABLE,
+  RECORD_CHANGES,
+  isAttainable,
+} from '@samphireramp/journal';
+import type {OwnIdentity} from '@samphireramp/membership';
+import type {
+  ExecuteAnswer,
+  NotRunReason,
+  RequestOutcome,
+  ServiceRequest,
+} from '@samphireramp/model';
+import {type Admitted, admit} from './admission';
+import {CALL_DECIDED, type LocalCall, WORK_EVENT} from './messages';
+import {queueRequest, unqueueRequest} from './queueWork';
+import {rememberFor} from './recordTask';
+import {letLinger, releaseRoom} from './releaseRoom';
+import {takeRetry} from './retryBudget';
+import {siteView} from './SiteView';
+import {emitExecution} from './startWork';
+import {OPEN_REQUESTS, type OpenRequest, REQUEST_RECORDS} from './WorkState';
+
+const REQUEST_TICKET = 'request ';
+
+/** Times that one attempt is sent, the first one included. */
+const SENDS_OF_ATTEMPT = 3;
+
+/** What the flow of requests is given. */
+export interface RequestFlowContext {
+  readonly self: OwnIdentity;
+}
+
+/** Takes in a service request; a repeated key gets the first one's answer. */
+export function takeRequest(
+  update: Update,
+  context: RequestFlowContext,
+  call: LocalCall,
+  request: ServiceRequest,
+): void {
+  if (followsOpen(update, call, request) || isAnswered(update, call, request)) {
+    return;
+  }
+  const decision = admit(update, {
+    shardId: call.shardId,
+    workload: request.workload,
+    member: request.member,
+    kinds: ['service'],
+    tasks: 1,
+  });
+  if (decision.isErr()) {
+    const {reason, detail} = decision.error;
+    decide(update, call.callId, notRun(call.key, reason, detail));
+    return;
+  }
+  const admitted = decision.value;
+  const row = openRow(update, call, request, admitted);
+  if (admitted.workload.idempotent) {
+    update.write(OPEN_REQUESTS).set(row.callId, row);
+    queueRequest(update, row);
+  } else {
+    secure(update, context, row, admitted);
+  }
+}
+
+/** Queues a request whose key is safe now; false for other tickets. */
+export function queueSecuredRequest(update: Update, ticket: string): boolean {
+  if (!ticket.startsWith(REQUEST_TICKET)) {
+    return false;
+  }
+  const callId = ticket.slice(REQUEST_TICKET.length);
+  const row = update.read(OPEN_REQUESTS).get(callId);
+  if (row?.state === 'securing') {
+    const queued: OpenRequest = {...row, state: 'queued'};
+    update.write(OPEN_REQUESTS).set(callId, queued);
+    queueRequest(update, queued);
+  }
+  return true;
+}
+
+/** Takes in a worker's answer. Late and doubled ones are counted. */
+export function learnExecuted(
+  update: Update,
+  {callId, answer}: {callId: string; answer: ExecuteAnswer},
+): void {
+  const row = update.read(OPEN_REQUESTS).get(callId);
+  if (row?.state !== 'executing' || row.attempt !== answer.attempt) {
+    learnLate(update, answer);
+    return;
+  }
+  if (answer.refusal !== undefined) {
+    tryAgain(update, row);
+    return;
+  }
+  giveBackRoom(update, row);
+  finish(update, row, {
+    outcome: 'answered',
+    key: row.key,
+    output: answer.output,
+  });
+}
+
+/** A worker did not answer, or the request was not sent at all. */
+export function learnSilent(
+  update: Update,
+  failed: {callId: string; attempt: number; sent: boolean},
+): void {
+  const row = update.read(OPEN_REQUESTS).get(failed.callId);
+  if (row?.state !== 'executing' || row.attempt !== failed.attempt) {
+    return;
+  }
+  if (!failed.sent && row.resends === 0) {
+    tryAgain(update, row);
+  } else if (mayResend(update, row)) {
+    const next = {...row, resends: row.resends + 1, isInDoubt: true};
+    update.write(OPEN_REQUESTS).set(row.callId, next);
+    emitExecution(update, row.callId);
+  } else if (isIdempotent(update, row) && takeRetry(update, row.shardId)) {
+    keepRoom(update, row);
+    requeue(update, {...row, isInDoubt: true});
+  }
+}
+
+/** Ends the requests whose callers wait no longer. */
+export function endLateRequests(update: Update): void {
+  for (const row of [...update.read(OPEN_REQUESTS).values()]) {
+    if (update.now >= row.deadline) {
+      endLate(update, row);
+    }
+  }
+}
+
+/** Ends the requests of a shard that another host decides on from now. */
+export function dropRequests(
+  update: Update,
+  shardId: string,
+  reason: NotRunReason,
+): void {
+  for (const row of [...update.read(OPEN_REQUESTS).values()]) {
+    if (row.shardId !== shardId || row.state === 'executing') {
+      continue;
+    }
+    if (row.state === 'queued') {
+      unqueueRequest(update, row);
+    }
+    const detail = `shard ${shardId} went to another host`;
+    const outcome = row.isInDoubt
+      ? unknown(row.key, detail)
+      : notRun(row.key, reason, detail);
+    finish(update, row, outcome);
+  }
+}
+
+function followsOpen(
+  update: Update,
+  call: LocalCall,
+  request: ServiceRequest,
+): boolean {
+  for (const row of update.read(OPEN_REQUESTS).values()) {
+    if (row.key !== call.key) {
+      continue;
+    }
+    if (row.workload !== request.workload) {
+      const detail = `key ${call.key} names another request`;
+      decide(update, call.callId, notRun(call.key, 'key-reused', detail));
+    } else {
+      const followers = [...row.followers, call.callId];
+      update.write(OPEN_REQUESTS).set(row.callId, {...row, followers});
+    }
+    return true;
+  }
+  return false;
+}
+
+function isAnswered(
+  update: Update,
+  call: LocalCall,
+  request: ServiceRequest,
+): boolean {
+  const record = update.read(REQUEST_RECORDS).get(call.key);
+  if (record === undefined) {
+    return false;
+  }
+  if (record.workload !== request.workload) {
+    const detail = `key ${call.key} names another request`;
+    decide(update, call.callId, notRun(call.key, 'key-reused', detail));
+    return true;
+  }
+  const detail = 'an earlier attempt under this key may have run';
+  decide(update, call.callId, record.outcome ?? unknown(call.key, detail));
+  return true;
+}
+
+function openRow(
+  update: Update,
+  call: LocalCall,
+  request: ServiceRequest,
+  {workload, team}: Admitted,
+): OpenRequest {
+  return {
+    callId: call.callId,
+    key: call.key,
+    shardId: call.shardId,
+    workload: workload.name,
+    team,
+    member: request.member,
+    state: 'queued',
+    attempt: 0,
+    input: request.input,
+    queuedAt: update.now,
+    deadline: Math.min(call.deadline, update.now + workload.deadlineMillis),
+    isInDoubt: false,
+    resends: 0,
+    followers: [],
+  };
+}
+
+/** Records the key of a request that must not run twice, before it runs. */
+function secure(
+  update: Update,
+  {self}: RequestFlowContext,
+  row: OpenRequest,
+  {workload}: Admitted,
+): void {
+  const {shardId, key} = row;
+  const {durability} = workload;
+  if (!isAttainable(update, self, shardId, durability, update.now)) {
+    const detail = `${workload.name} is to be kept in ${durability}; that can't be had now`;
+    decide(update, row.callId, notRun(key, 'not-durable', detail));
+    return;
+  }
+  update.write(OPEN_REQUESTS).set(row.callId, {...row, state: 'securing'});
+  saveRecord(update, row, undefined);
+  const ticket = `${REQUEST_TICKET}${row.callId}`;
+  update.dispatch(AWAIT_DURABLE, {ticket, shardId, durability});
+}
+
+function saveRecord(
+  update: Update,
+  row: Pick<OpenRequest, 'key' | 'shardId' | 'workload'>,
+  outcome: RequestOutcome | undefined,
+): void {
+  const {key, shardId, workload} = row;
+  const request = {key, shardId, workload, outcome};
+  update.write(REQUEST_RECORDS).set(key, request);
+  update.dispatch(RECORD_CHANGES, [{type: 'request', request}]);
+}
+
+function learnLate(update: Update, answer: ExecuteAnswer): void {
+  update.emit(WORK_EVENT, {
+    event: 'late-answer-dropped',
+    subject: answer.requestId,
+    workload: '',
+    detail: `attempt ${answer.attempt}`,
+  });
+  const record = update.read(REQUEST_RECORDS).get(answer.requestId);
+  const isNews = record !== undefined && record.outcome?.outcome !== 'answered';
+  if (isNews && answer.refusal === undefined) {
+    const {requestId: key, output} = answer;
+    saveRecord(update, record, {outcome: 'answered', key, output});
+  }
+}
+
+/** The attempt did not run: the next one may go anywhere. */
+function tryAgain(update: Update, row: OpenRequest): void {
+  giveBackRoom(update, row);
+  requeue(update, row);
+}
+
+function requeue(update: Update, row: OpenRequest): void {
+  const queued: OpenRequest = {
+    ...row,
+    state: 'queued',
+    worker: undefined,
+    held: undefined,
+    sent: undefined,
+    resends: 0,
+  };
+  update.write(OPEN_REQUESTS).set(row.callId, queued);
+  queueRequest(update, queued);
+}
+
+function mayResend(update: Update, row: OpenRequest): boolean {
+  return (
+    row.resends + 1 < SENDS_OF_ATTEMPT &&
+    update.now < row.deadline &&
+    takeRetry(update, row.shardId)
+  );
+}
+
+function isIdempotent(update: Update, row: OpenRequest): boolean {
+  const workload = siteView(update)?.workloads.get(row.workload);
+  return workload?.idempotent ?? false;
+}
+
+function endLate(update: Update, row: OpenRequest): void {
+  if (row.state === 'queued') {
+    unqueueRequest(update, row);
+  }
+  if (row.state === 'executing') {
+    keepRoom(update, row);
+  }
+  const mayHaveRun = row.state === 'executing' || row.isInDoubt;
+  const outcome = mayHaveRun
+    ? unknown(row.key, 'the worker did not answer in time')
+    : notRun(row.key, 'deadline', 'no room was free in time');
+  finish(update, row, outcome);
+}
+
+/** Answers everyone who waits for a request. */
+function finish(
+  update: Update,
+  row: OpenRequest,
+  outcome: RequestOutcome,
+): void {
+  update.write(OPEN_REQUESTS).delete(row.callId);
+  if (update.read(REQUEST_RECORDS).has(row.key)) {
+    rememberOutcome(update, row, outcome);
+  }
+  for (const callId of [row.callId, ...row.followers]) {
+    decide(update, callId, outcome);
+  }
+  update.emit(WORK_EVENT, {
+    event: EVENT_OF_OUTCOME[outcome.outcome],
+    subject: row.key,
+    workload: row.workload,
+    detail: `attempt ${row.attempt}`,
+    millis: update.now - row.queuedAt,
+  });
+}
+
+const EVENT_OF_OUTCOME = {
+  answered: 'request-answered',
+  'not-run': 'request-refused',
+  unknown: 'request-unknown',
+} as const;
+
+/** What is unknown stays open in the record: the answer may still come. */
+function rememberOutcome(
+  update: Update,
+  row: OpenRequest,
+  outcome: RequestOutcome,
+): void {
+  const isFinal = outcome.outcome === 'answered';
+  if (isFinal) {
+    saveRecord(update, row, outcome);
+  } else if (outcome.outcome === 'not-run') {
+    forgetRecord(update, row);
+    return;
+  }
+  rememberFor(update, row.key, row.shardId);
+}
+
+/** Nothing ran under the key, so a retry may run. */
+function forgetRecord(update: Update, {key, shardId}: OpenRequest): void {
+  update.write(REQUEST_RECORDS).delete(key);
+  update.dispatch(RECORD_CHANGES, [{type: 'forget', shardId, key}]);
+}
+
+function giveBackRoom(update: Update, row: OpenRequest): void {
+  const {shardId, worker, team, held: need} = row;
+  if (worker !== undefined && need !== undefined) {
+    releaseRoom(update, {shardId, worker, team, need});
+  }
+}
+
+/** The worker may still be at it: its room stays taken until it breaks off. */
+function keepRoom(update: Update, row: OpenRequest): void {
+  const {shardId, worker, team, held: need, callId, attempt} = row;
+  if (worker !== undefined && need !== undefined) {
+    const room = {shardId, worker, team, need};
+    letLinger(
+      update,
+      `${callId} ${attempt}`,
+      room,
+      row.deadline + LINGER_MILLIS,
+    );
+  }
+}
+
+/** Covers the worker's grace and the drift of its clock. */
+const LINGER_MILLIS = 1000;
+
+function notRun(
+  key: string,
+  reason: NotRunReason,
+  detail: string,
+): RequestOutcome {
+  return {outcome: 'not-run', key, reason, detail};
+}
+
+function unknown(key: string, detail: string): RequestOutcome {
+  return {outcome: 'unknown', key, detail};
+}
+
+function decide(update: Update, callId: string, outcome: RequestOutcome): void {
+  update.dispatch(CALL_DECIDED, {callId, outcome});
+}
