Whole path as separate processes: callers, entry hosts, log, list, workers

Cause: the decisions had no transports and no programs. Change: HTTP for callers, gRPC with MessagePack between entry hosts, HTTP clients for the platform, the entry daemon, the operators' command, the stand-ins and a demo that applies a declaration, asks for service requests, follows a batch and an all-at-once job and stops a host. Found on the way: a time limit that is no whole number made every request look silent, and three sends followed at once; limits are rounded up and sends again wait a random pause that doubles. Before: no process. Not yet: no test, no measurement.

--- a/packages/model/src/DeclarationCheck.ts
+++ b/packages/model/src/DeclarationCheck.ts
@@ -1,6 +1,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import type * as core from 'zod/v4/core';
 import {type Declaration, declarationSchema} from './Declaration';
+import {describeIssue} from './describeIssue';
 
 /** One fault of a declaration, and where it stands. */
 export interface DeclarationFault {
@@ -29,46 +30,7 @@
   const path = issue.path.map(part =>
     typeof part === 'symbol' ? String(part) : part,
   );
-  return {path, message: describeIssue(issue, valueAt(root, path))};
-}
-
-function describeIssue(issue: core.$ZodIssue, value: unknown): string {
-  if (issue.code === 'unrecognized_keys') {
-    return `unknown key ${issue.keys.map(key => `"${key}"`).join(', ')}`;
-  }
-  if (value === undefined) {
-    return 'is missing';
-  }
-  return `is ${JSON.stringify(value)?.slice(0, 80)}; ${describeExpected(issue)}`;
-}
-
-function describeExpected(issue: core.$ZodIssue): string {
-  switch (issue.code) {
-    case 'invalid_type':
-      return `expected ${issue.expected}`;
-    case 'too_small':
-      return `expected at least ${issue.minimum}`;
-    case 'too_big':
-      return `expected at most ${issue.maximum}`;
-    case 'not_multiple_of':
-      return `expected a multiple of ${issue.divisor}`;
-    case 'invalid_format':
-      return `expected text like ${issue.pattern ?? issue.format}`;
-    case 'invalid_value':
-      return `expected one of ${issue.values.join(', ')}`;
-    default:
-      return issue.message;
-  }
-}
-
-function valueAt(root: unknown, path: ReadonlyArray<string | number>): unknown {
-  return path.reduce<unknown>(
-    (value, part) =>
-      value === null || typeof value !== 'object'
-        ? undefined
-        : (value as Record<string | number, unknown>)[part],
-    root,
-  );
+  return {path, message: describeIssue(issue, root)};
 }
 
 function findDuplicates(declaration: Declaration): DeclarationFault[] {
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -4,6 +4,7 @@
 export * from './Declaration';
 export * from './DeclarationCheck';
 export * from './PeerProtocol';
+export {describeIssue} from './describeIssue';
 export * from './PlatformProtocol';
 export * from './Resources';
 export * from './WorkRecord';
--- a/packages/scheduling/src/WorkState.ts
+++ b/packages/scheduling/src/WorkState.ts
@@ -62,6 +62,8 @@
   /** What was sent, for sending it again under the same number. */
   sent: z.optional(executeRequestSchema),
   resends: z.int(),
+  /** When the attempt is sent again; undefined while an answer may come. */
+  resendAt: z.optional(z.number()),
   /** Other calls that wait for the same key. */
   followers: z.array(z.string()),
 });
--- a/packages/scheduling/src/jobFlow.ts
+++ b/packages/scheduling/src/jobFlow.ts
@@ -205,7 +205,7 @@
 function markCancelled(update: Update, job: JobRow): void {
   const cancelled = {...job, cancelled: true};
   update.write(JOBS).set(job.key, cancelled);
-  const {open, queuedAt, ...record} = cancelled;
+  const record = {...recordOf(job), cancelled: true};
   update.dispatch(RECORD_CHANGES, [{type: 'job', job: record}]);
   for (const task of tasksOf(update, job)) {
     if (task.isUnsettled) {
@@ -220,6 +220,24 @@
   }
 }
 
+function recordOf(job: JobRow): JobRecord {
+  const {key, shardId, workload, kind, team, member, tasks, input} = job;
+  const {acceptedAt, cancelled, durability} = job;
+  return {
+    key,
+    shardId,
+    workload,
+    kind,
+    team,
+    member,
+    tasks,
+    input,
+    acceptedAt,
+    cancelled,
+    durability,
+  };
+}
+
 function answerRepeated(
   update: Update,
   call: LocalCall,
--- a/packages/scheduling/src/requestFlow.ts
+++ b/packages/scheduling/src/requestFlow.ts
@@ -1,9 +1,5 @@
 import type {Update} from '@samphireramp/kernel';
-import {
-  AWAIT_DURABLE,
-  RECORD_CHANGES,
-  isAttainable,
-} from '@samphireramp/journal';
+import {AWAIT_DURABLE, isAttainable} from '@samphireramp/journal';
 import type {OwnIdentity} from '@samphireramp/membership';
 import type {
   ExecuteAnswer,
@@ -14,8 +10,8 @@
 import {type Admitted, admit} from './admission';
 import {CALL_DECIDED, type LocalCall, WORK_EVENT} from './messages';
 import {queueRequest, unqueueRequest} from './queueWork';
-import {rememberFor} from './recordTask';
 import {letLinger, releaseRoom} from './releaseRoom';
+import {rememberOutcome, saveRecord} from './requestRecord';
 import {takeRetry} from './retryBudget';
 import {siteView} from './SiteView';
 import {emitExecution} from './startWork';
@@ -23,12 +19,23 @@
 
 const REQUEST_TICKET = 'request ';
 
+const EVENT_OF_OUTCOME = {
+  answered: 'request-answered',
+  'not-run': 'request-refused',
+  unknown: 'request-unknown',
+} as const;
+
 /** Times that one attempt is sent, the first one included. */
 const SENDS_OF_ATTEMPT = 3;
 
+/** Longest pause before the first send again; it doubles with each. */
+const FIRST_BACKOFF_MILLIS = 200;
+
 /** What the flow of requests is given. */
 export interface RequestFlowContext {
   readonly self: OwnIdentity;
+  /** Draws from [0, 1). */
+  readonly random: () => number;
 }
 
 /** Takes in a service request; a repeated key gets the first one's answer. */
@@ -103,6 +110,7 @@
 /** A worker did not answer, or the request was not sent at all. */
 export function learnSilent(
   update: Update,
+  {random}: RequestFlowContext,
   failed: {callId: string; attempt: number; sent: boolean},
 ): void {
   const row = update.read(OPEN_REQUESTS).get(failed.callId);
@@ -112,15 +120,30 @@
   if (!failed.sent && row.resends === 0) {
     tryAgain(update, row);
   } else if (mayResend(update, row)) {
-    const next = {...row, resends: row.resends + 1, isInDoubt: true};
-    update.write(OPEN_REQUESTS).set(row.callId, next);
-    emitExecution(update, row.callId);
+    const longest = FIRST_BACKOFF_MILLIS * 2 ** row.resends;
+    update.write(OPEN_REQUESTS).set(row.callId, {
+      ...row,
+      resends: row.resends + 1,
+      isInDoubt: true,
+      resendAt: update.now + random() * longest,
+    });
   } else if (isIdempotent(update, row) && takeRetry(update, row.shardId)) {
     keepRoom(update, row);
     requeue(update, {...row, isInDoubt: true});
   }
 }
 
+/** Sends attempts again whose pause is over, under the same number. */
+export function resendRequests(update: Update): void {
+  for (const row of [...update.read(OPEN_REQUESTS).values()]) {
+    if (row.resendAt !== undefined && update.now >= row.resendAt) {
+      const next = {...row, resendAt: undefined};
+      update.write(OPEN_REQUESTS).set(row.callId, next);
+      emitExecution(update, row.callId);
+    }
+  }
+}
+
 /** Ends the requests whose callers wait no longer. */
 export function endLateRequests(update: Update): void {
   for (const row of [...update.read(OPEN_REQUESTS).values()]) {
@@ -235,17 +258,6 @@
   update.dispatch(AWAIT_DURABLE, {ticket, shardId, durability});
 }
 
-function saveRecord(
-  update: Update,
-  row: Pick<OpenRequest, 'key' | 'shardId' | 'workload'>,
-  outcome: RequestOutcome | undefined,
-): void {
-  const {key, shardId, workload} = row;
-  const request = {key, shardId, workload, outcome};
-  update.write(REQUEST_RECORDS).set(key, request);
-  update.dispatch(RECORD_CHANGES, [{type: 'request', request}]);
-}
-
 function learnLate(update: Update, answer: ExecuteAnswer): void {
   update.emit(WORK_EVENT, {
     event: 'late-answer-dropped',
@@ -275,6 +287,7 @@
     held: undefined,
     sent: undefined,
     resends: 0,
+    resendAt: undefined,
   };
   update.write(OPEN_REQUESTS).set(row.callId, queued);
   queueRequest(update, queued);
@@ -329,34 +342,6 @@
   });
 }
 
-const EVENT_OF_OUTCOME = {
-  answered: 'request-answered',
-  'not-run': 'request-refused',
-  unknown: 'request-unknown',
-} as const;
-
-/** What is unknown stays open in the record: the answer may still come. */
-function rememberOutcome(
-  update: Update,
-  row: OpenRequest,
-  outcome: RequestOutcome,
-): void {
-  const isFinal = outcome.outcome === 'answered';
-  if (isFinal) {
-    saveRecord(update, row, outcome);
-  } else if (outcome.outcome === 'not-run') {
-    forgetRecord(update, row);
-    return;
-  }
-  rememberFor(update, row.key, row.shardId);
-}
-
-/** Nothing ran under the key, so a retry may run. */
-function forgetRecord(update: Update, {key, shardId}: OpenRequest): void {
-  update.write(REQUEST_RECORDS).delete(key);
-  update.dispatch(RECORD_CHANGES, [{type: 'forget', shardId, key}]);
-}
-
 function giveBackRoom(update: Update, row: OpenRequest): void {
   const {shardId, worker, team, held: need} = row;
   if (worker !== undefined && need !== undefined) {
--- a/packages/scheduling/src/schedulingPlugin.ts
+++ b/packages/scheduling/src/schedulingPlugin.ts
@@ -6,7 +6,7 @@
 } from '@samphireramp/kernel';
 import {REVISION_IN_FORCE} from '@samphireramp/configuration';
 import {DURABLE, SHARD_RECOVERED} from '@samphireramp/journal';
-import type {OwnIdentity} from '@samphireramp/membership';
+import {HOSTS, type OwnIdentity} from '@samphireramp/membership';
 import {
   INVENTORY_LEARNT,
   SHARD_HELD,
@@ -35,6 +35,7 @@
   learnExecuted,
   learnSilent,
   queueSecuredRequest,
+  resendRequests,
   takeRequest,
 } from './requestFlow';
 import {RETRY_BUDGETS, earnRetry} from './retryBudget';
@@ -71,6 +72,8 @@
   readonly choose: WorkerChooser;
   /** Milliseconds since 1970. */
   readonly wallClock: () => number;
+  /** Draws from [0, 1). */
+  readonly random: () => number;
 }
 
 const SLICES = [
@@ -117,12 +120,18 @@
   }
 
   function isReady(state: StateReader, shardId: string): boolean {
-    return state.read(SHARD_WORK).get(shardId)?.isRecovered ?? false;
+    const isRecovered = state.read(SHARD_WORK).get(shardId)?.isRecovered;
+    return isRecovered === true && !isLeaving(state);
+  }
+
+  function isLeaving(state: StateReader): boolean {
+    return state.read(HOSTS).get(options.self.name)?.leaving ?? false;
   }
 
   function refuseForNow(update: Update, {callId, key, shardId}: LocalCall) {
     const isHeld = update.read(SHARD_WORK).has(shardId);
-    const reason = isHeld ? 'recovering' : 'no-owner';
+    const heldReason = isLeaving(update) ? 'stopping' : 'recovering';
+    const reason = isHeld ? heldReason : 'no-owner';
     const detail = `shard ${shardId}`;
     const outcome = {outcome: 'not-run', key, reason, detail} as const;
     update.dispatch(CALL_DECIDED, {callId, outcome});
@@ -141,6 +150,7 @@
   function onTick(update: Update): void {
     settleShards(update);
     endLateRequests(update);
+    resendRequests(update);
     releaseLingering(update);
     loseSilentWorkers(update);
     resendStops(update);
@@ -178,7 +188,9 @@
       ),
       kernel.registerCommand(INVENTORY_LEARNT, learnInventory),
       kernel.registerCommand(EXECUTED, learnExecuted),
-      kernel.registerCommand(EXECUTION_SILENT, learnSilent),
+      kernel.registerCommand(EXECUTION_SILENT, (update, failed) =>
+        learnSilent(update, options, failed),
+      ),
       kernel.registerCommand(DURABLE, onDurable),
       kernel.registerCommand(SHARD_HELD, (update, {shardId}) =>
         onShardHeld(update, shardId),
--- /dev/null
+++ b/packages/telemetry/src/Metrics.ts
@@ -0,0 +1,94 @@
+import {type Histogram, build} from 'hdr-histogram-js';
+
+const HIGHEST_MILLIS = 86_400_000;
+const DIGITS = 2;
+const PERCENTILES = [50, 90, 99, 99.9];
+const LABEL_ESCAPES = /[\\"\n]/g;
+
+/** Labels of one time series. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** Counts and times what happens, for a scrape. */
+export interface Metrics {
+  count(name: string, labels?: Labels, amount?: number): void;
+  /** Records a time in milliseconds. */
+  time(name: string, millis: number, labels?: Labels): void;
+  /** Reads a value at each scrape; returns the way back. */
+  gauge(name: string, read: () => number): () => void;
+  /** All series in the usual text format. */
+  render(): string;
+}
+
+/** Creates an empty set of metrics; every name gets `prefix`. */
+export function createMetrics(prefix: string): Metrics {
+  const counters = new Map<string, number>();
+  const histograms = new Map<string, Histogram>();
+  const gauges = new Map<string, () => number>();
+
+  return {
+    count: (name, labels = {}, amount = 1) => {
+      const series = seriesName(`${prefix}_${name}_total`, labels);
+      counters.set(series, (counters.get(series) ?? 0) + amount);
+    },
+    time: (name, millis, labels = {}) => {
+      const series = seriesName(`${prefix}_${name}_milliseconds`, labels);
+      const histogram = histograms.get(series) ?? newHistogram();
+      histograms.set(series, histogram);
+      const whole = Math.max(0, Math.round(millis));
+      histogram.recordValue(Math.min(HIGHEST_MILLIS, whole));
+    },
+    gauge: (name, read) => {
+      gauges.set(`${prefix}_${name}`, read);
+      return () => gauges.delete(`${prefix}_${name}`);
+    },
+    render: () =>
+      [
+        ...[...counters].map(([series, value]) => `${series} ${value}`),
+        ...[...gauges].map(([series, read]) => `${series} ${read()}`),
+        ...[...histograms].flatMap(([series, histogram]) =>
+          renderHistogram(series, histogram),
+        ),
+        '',
+      ].join('\n'),
+  };
+}
+
+function newHistogram(): Histogram {
+  return build({
+    highestTrackableValue: HIGHEST_MILLIS,
+    numberOfSignificantValueDigits: DIGITS,
+    bitBucketSize: 32,
+  });
+}
+
+function seriesName(name: string, labels: Labels): string {
+  const pairs = Object.entries(labels).map(
+    ([key, value]) => `${key}="${value.replace(LABEL_ESCAPES, '_')}"`,
+  );
+  return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
+}
+
+function renderHistogram(series: string, histogram: Histogram): string[] {
+  const quantiles = PERCENTILES.map(percentile => {
+    const label = `quantile="${percentile / 100}"`;
+    const value = histogram.getValueAtPercentile(percentile);
+    return `${withLabel(series, label)} ${value}`;
+  });
+  return [
+    ...quantiles,
+    `${withSuffix(series, '_count')} ${histogram.totalCount}`,
+  ];
+}
+
+function withLabel(series: string, label: string): string {
+  return series.endsWith('}')
+    ? `${series.slice(0, -1)},${label}}`
+    : `${series}{${label}}`;
+}
+
+function withSuffix(series: string, suffix: string): string {
+  const brace = series.indexOf('{');
+  return brace < 0
+    ? `${series}${suffix}`
+    : `${series.slice(0, brace)}${suffix}${series.slice(brace)}`;
+}
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,28 @@
+import {build} from 'esbuild';
+
+/** Programs, each built to one file. */
+const PROGRAMS = {
+  'samphireramp-entry': 'packages/entry-daemon/src/main.ts',
+  samphireramp: 'packages/operator-command/src/main.ts',
+  'stand-in': 'stand-ins/src/main.ts',
+  demo: 'demo/main.ts',
+};
+
+// Bundled CommonJS libraries ask for `require`, which modules do not have.
+const REQUIRE_BANNER =
+  "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);";
+
+await build({
+  entryPoints: PROGRAMS,
+  outdir: 'dist',
+  outExtension: {'.js': '.mjs'},
+  bundle: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  minify: true,
+  keepNames: true,
+  banner: {js: REQUIRE_BANNER},
+  external: ['msgpackr-extract'],
+  logLevel: 'warning',
+});
