Virtual site for property tests; faults that it found mended

Cause: a random schedule never ended: a request whose lease or time had lapsed was placed, not sent, and placed again without pause (a spin). Change: placing checks the lease of the chosen worker; a request past its time ends. An end that a worker tells twice counts once (a job's open tasks went below zero). A refusal after an attempt in doubt is an unknown outcome.

--- a/packages/scheduling/src/inventoryFlow.ts
+++ b/packages/scheduling/src/inventoryFlow.ts
@@ -8,10 +8,7 @@
 import {
   type InventoryNews,
   SEND_ORDERS,
-  WORKER_LINKS,
-  isCommandable,
 } from '@samphireramp/ownership';
-import {CAPACITY} from '@samphireramp/placement';
 import {attemptEnded, attemptLost, attemptNotRun} from './attemptOutcome';
 import {PLACE_WORK, WORK_EVENT} from './messages';
 import {adoptRoom, letLinger, releaseRoom} from './releaseRoom';
@@ -24,7 +21,8 @@
   TASKS,
   type TaskRow,
 } from './WorkState';
-import {isTakenOut, learnOutcome} from './workerHealth';
+import {learnOutcome} from './workerHealth';
+import {refreshUsable} from './workerUse';
 
 /** The team that orphans are counted for. */
 const NO_TEAM = '';
@@ -51,23 +49,6 @@
   update.dispatch(PLACE_WORK, {shardId: news.shardId});
 }
 
-/** Lets a worker be chosen, or not, as things are now. */
-export function refreshUsable(update: Update, worker: string): void {
-  const capacity = update.write(CAPACITY);
-  const row = capacity.rowOf(worker);
-  const link = update.read(WORKER_LINKS).get(worker);
-  if (row === undefined || link === undefined) {
-    return;
-  }
-  const usable =
-    isCommandable(update, link, update.now) &&
-    !link.leaving &&
-    !isTakenOut(update, worker);
-  if ((capacity.usable[row] === 1) !== usable) {
-    capacity.setUsable(worker, usable);
-  }
-}
-
 class FollowUpOrders {
   readonly stops: StopOrder[] = [];
   readonly forgets: Attempt[] = [];
@@ -119,12 +100,14 @@
   letLinger(update, `${worker} ${entry.taskId}`, room, until);
 }
 
-/** Whether an entry is the attempt that we think of, or one not yet known. */
+/** Whether an entry is the open attempt of a task, or one not yet known. */
 function isOurs(task: TaskRow, worker: string, entry: InventoryEntry): boolean {
   if (task.isUnsettled) {
     return entry.attempt >= task.attempt;
   }
-  return task.worker === worker && task.attempt === entry.attempt;
+  // A worker tells an end until it is asked to forget it: it counts once.
+  const isOpen = task.held !== undefined;
+  return isOpen && task.worker === worker && task.attempt === entry.attempt;
 }
 
 function learnOwn(
--- a/packages/scheduling/src/placeWork.ts
+++ b/packages/scheduling/src/placeWork.ts
@@ -5,6 +5,7 @@
 import {CONTINUE_PLACING} from './messages';
 import type {BucketView, SchedulingPolicies} from './policy';
 import {weightedDominantShare} from './policy';
+import {refreshUsable} from './workerUse';
 import {type SiteView, quotaPart, siteView} from './SiteView';
 import {type Bucket, QUEUE, type QueuedItem} from './WorkQueue';
 import {JOBS, SHARD_WORK, TEAM_USAGE, changeUsage, usageId} from './WorkState';
@@ -184,7 +185,7 @@
     const capacity = this.update.write(CAPACITY);
     const workers: string[] = [];
     for (let taken = 0; taken < count; taken++) {
-      const row = this.context.choose(capacity, need, this.acceptsRow);
+      const row = this.chooseRow(need);
       if (row === NO_WORKER) {
         workers.forEach(worker => capacity.release(worker, need));
         return undefined;
@@ -196,6 +197,21 @@
     return workers;
   }
 
+  /** Chooses a worker whose lease still holds, whatever the flags say. */
+  private chooseRow(need: ResourceVector): number {
+    const capacity = this.update.read(CAPACITY);
+    for (;;) {
+      const row = this.context.choose(capacity, need, this.acceptsRow);
+      if (row === NO_WORKER) {
+        return NO_WORKER;
+      }
+      refreshUsable(this.update, capacity.workerAt(row));
+      if (capacity.usable[row] === 1) {
+        return row;
+      }
+    }
+  }
+
   private commit(
     bucket: Bucket,
     head: QueuedItem,
--- a/packages/scheduling/src/requestFlow.ts
+++ b/packages/scheduling/src/requestFlow.ts
@@ -96,7 +96,7 @@
     return;
   }
   if (answer.refusal !== undefined) {
-    tryAgain(update, row);
+    refused(update, row);
     return;
   }
   giveBackRoom(update, row);
@@ -118,7 +118,7 @@
     return;
   }
   if (!failed.sent && row.resends === 0) {
-    tryAgain(update, row);
+    notSent(update, row);
   } else if (mayResend(update, row)) {
     const longest = FIRST_BACKOFF_MILLIS * 2 ** row.resends;
     update.write(OPEN_REQUESTS).set(row.callId, {
@@ -133,6 +133,31 @@
   }
 }
 
+/** The worker says that this send did not run; an earlier one may have. */
+function refused(update: Update, row: OpenRequest): void {
+  if (!row.isInDoubt || isIdempotent(update, row)) {
+    tryAgain(update, row);
+    return;
+  }
+  keepRoom(update, row);
+  const detail = 'the worker lost what it knew of an earlier attempt';
+  finish(update, row, unknown(row.key, detail));
+}
+
+/** The attempt never left: it may go elsewhere, if there is time. */
+function notSent(update: Update, row: OpenRequest): void {
+  if (update.now < row.deadline) {
+    tryAgain(update, row);
+    return;
+  }
+  giveBackRoom(update, row);
+  const detail = 'its time was over before it could be sent';
+  const outcome = row.isInDoubt
+    ? unknown(row.key, detail)
+    : notRun(row.key, 'deadline', detail);
+  finish(update, row, outcome);
+}
+
 /** Sends attempts again whose pause is over, under the same number. */
 export function resendRequests(update: Update): void {
   for (const row of [...update.read(OPEN_REQUESTS).values()]) {
--- a/packages/scheduling/src/schedulingPlugin.ts
+++ b/packages/scheduling/src/schedulingPlugin.ts
@@ -16,7 +16,7 @@
 } from '@samphireramp/ownership';
 import {CAPACITY, type WorkerChooser} from '@samphireramp/placement';
 import {match} from 'ts-pattern';
-import {learnInventory, refreshUsable} from './inventoryFlow';
+import {learnInventory} from './inventoryFlow';
 import {cancelJob, startSecuredJob, submitJob, tellStatus} from './jobFlow';
 import {
   CALL_DECIDED,
@@ -51,6 +51,7 @@
 } from './shardFlow';
 import {createStartActions, sendSecuredStart} from './startWork';
 import {WORKER_HEALTH, letBack} from './workerHealth';
+import {refreshUsable} from './workerUse';
 import {QUEUE} from './WorkQueue';
 import {
   ENDED,
--- a/packages/scheduling/src/shardFlow.ts
+++ b/packages/scheduling/src/shardFlow.ts
@@ -10,7 +10,6 @@
 } from '@samphireramp/ownership';
 import {CAPACITY} from '@samphireramp/placement';
 import {attemptLost, sendStop} from './attemptOutcome';
-import {refreshUsable} from './inventoryFlow';
 import {addJob, queueJob} from './jobFlow';
 import {PLACE_WORK} from './messages';
 import {taskIdOf, tasksOf} from './queueWork';
@@ -18,6 +17,7 @@
 import {dropRequests} from './requestFlow';
 import {ownCapacity, siteView} from './SiteView';
 import {QUEUE} from './WorkQueue';
+import {refreshUsable} from './workerUse';
 import {
   ENDED,
   JOBS,
--- a/stand-ins/src/WorkerModel.ts
+++ b/stand-ins/src/WorkerModel.ts
@@ -26,6 +26,8 @@
   readonly quietMillis: number;
   /** Usage reports are this old. */
   readonly usageLagMillis: number;
+  /** Whether work that finds no room is refused; tests turn this off. */
+  readonly refusesOverload: boolean;
   /** How long an attempt runs, and whether it succeeds. */
   readonly runOf: (order: StartOrder) => TaskRun;
 }
@@ -78,6 +80,11 @@
     return [...this.executions.values()];
   }
 
+  /** Whether more runs than the worker can hold. */
+  get isOverloaded(): boolean {
+    return !isWithin(this.used, this.options.capacity);
+  }
+
   /** What runs, by kind of resource. */
   get used(): ResourceVector {
     const sizes = [...this.running, ...this.executing].map(item => item.size);
@@ -288,7 +295,8 @@
 
   private hasRoom(size: StartOrder['size']): boolean {
     const asked = addResources(this.used, toResourceVector(size));
-    return isWithin(asked, this.options.capacity);
+    const fits = isWithin(asked, this.options.capacity);
+    return fits || !this.options.refusesOverload;
   }
 
   private sampleUsage(clock: number): void {
--- a/stand-ins/src/startWorker.ts
+++ b/stand-ins/src/startWorker.ts
@@ -45,6 +45,7 @@
     ...options,
     incarnation: randomUUID(),
     startedAt: performance.now(),
+    refusesOverload: true,
     runOf: runFromInput,
   });
   const answers = new Map<string, Promise<ExecuteAnswer>>();
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -17,3 +17,20 @@
   type SiteProcess,
   type SiteWorker,
 } from './startSite';
+export {EventQueue} from './EventQueue';
+export {createRandom} from './seededRandom';
+export {VirtualHost} from './VirtualHost';
+export {
+  CALM,
+  VirtualSite,
+  type VirtualSiteOptions,
+  type Weather,
+} from './VirtualSite';
+export {VirtualWorker} from './VirtualWorker';
+export {
+  NO_FAULT_RATES,
+  runSchedule,
+  type FaultRates,
+  type ScheduleOptions,
+  type ScheduleReport,
+} from './runSchedule';
