Recovery is complete only when no copy can be left unheard

Cause: a schedule ran a booking twice: the shard was taken over while the log was down and the second host did not answer, and the key was taken for a new one. Another ran tasks in two places: inventories that came before the majority was reached told nobody. Change: a taken-over shard serves repeatable requests at once, and what must not repeat only when every host of the zone, or the log and all but one, has told what it keeps. Inventories are asked for anew once held. An all-at-once job that goes back starts its open tasks only.

--- a/packages/journal/src/JournalState.ts
+++ b/packages/journal/src/JournalState.ts
@@ -68,8 +68,11 @@
   /** Peers that have not answered yet. */
   awaitedPeers: z.array(z.string()),
   awaitsLog: z.boolean(),
-  /** Monotonic milliseconds after which nobody is waited for. */
-  giveUpAt: z.number(),
+  /** Whether the shard serves already, without those still awaited. */
+  isServing: z.boolean(),
+  /** Monotonic milliseconds at which the shard serves in any case. */
+  serveAt: z.number(),
+  askAt: z.number(),
 });
 
 /** The recovery of a shard that was just taken over. */
--- a/packages/journal/src/journalPlugin.ts
+++ b/packages/journal/src/journalPlugin.ts
@@ -166,7 +166,7 @@
   }
 
   function onTick(update: Update): void {
-    tickRecoveries(update);
+    tickRecoveries(update, self);
     for (const journal of [...update.read(JOURNALS).values()]) {
       const replicated = replicate(update, self, journal);
       const next = appendIfDue(update, replicated);
--- a/packages/journal/src/messages.ts
+++ b/packages/journal/src/messages.ts
@@ -17,10 +17,15 @@
 /** What was recorded before the ticket is as safe as was asked. */
 export const DURABLE = createCommand<{readonly ticket: string}>('durable');
 
-/** The accepted work of a shard, as far as it could be brought together. */
+/**
+ * The accepted work of a shard, as far as it could be brought together. It is
+ * complete once no host that may hold a copy is left to be heard; until then
+ * this may come again with more.
+ */
 export const SHARD_RECOVERED = createCommand<{
   readonly shardId: string;
   readonly changes: readonly WorkChange[];
+  readonly isComplete: boolean;
 }>('shard-recovered');
 
 /** Time to append, to send again and to end waits. */
--- a/packages/journal/src/recovery.ts
+++ b/packages/journal/src/recovery.ts
@@ -1,7 +1,8 @@
-import {type Update} from '@samphireramp/kernel';
+import type {StateReader, Update} from '@samphireramp/kernel';
 import {
+  HOSTS,
   type OwnIdentity,
-  liveHosts,
+  knowsZone,
   sendToPeer,
 } from '@samphireramp/membership';
 import type {LogPage, PeerMessage} from '@samphireramp/model';
@@ -14,30 +15,43 @@
 } from './messages';
 import {REPLICAS} from './ShardReplica';
 
-/** Longest wait for peers and for the log. */
-const RECOVERY_MILLIS = 1200;
+/** The shard serves after this, though not all was heard. */
+const SERVE_AFTER_MILLIS = 1200;
+const ASK_AGAIN_MILLIS = 1000;
 
-/** Asks the live peers of the zone and the log for a shard's accepted work. */
+/** Asks the hosts of the zone and the log for a shard's accepted work. */
 export function beginRecovery(
   update: Update,
   self: OwnIdentity,
   shardId: string,
   recoveryId: string,
 ): void {
-  const peers = liveHosts(update, self.zone, update.now)
-    .map(host => host.name)
-    .filter(name => name !== self.name);
-  update.write(RECOVERIES).set(shardId, {
+  const recovery: Recovery = {
     shardId,
     recoveryId,
-    awaitedPeers: peers,
+    awaitedPeers: zonePeers(update, self),
     awaitsLog: true,
-    giveUpAt: update.now + RECOVERY_MILLIS,
-  });
-  for (const peer of peers) {
+    isServing: false,
+    serveAt: update.now + SERVE_AFTER_MILLIS,
+    askAt: update.now + ASK_AGAIN_MILLIS,
+  };
+  update.write(RECOVERIES).set(shardId, recovery);
+  ask(update, recovery);
+  update.emit(READ_JOURNAL, {shardId, recoveryId, from: 0});
+}
+
+/** Every other host of the zone that is listed, heard or not. */
+function zonePeers(state: StateReader, self: OwnIdentity): string[] {
+  return [...state.read(HOSTS).values()]
+    .filter(host => host.zone === self.zone && host.name !== self.name)
+    .map(host => host.name);
+}
+
+function ask(update: Update, recovery: Recovery): void {
+  const {shardId, recoveryId} = recovery;
+  for (const peer of recovery.awaitedPeers) {
     sendToPeer(update, peer, {type: 'recover', shardId, recoveryId});
   }
-  update.emit(READ_JOURNAL, {shardId, recoveryId, from: 0});
 }
 
 /** Answers a peer that takes over a shard with all that is known of it. */
@@ -100,12 +114,19 @@
   }
 }
 
-/** Ends the recoveries that have waited long enough. */
-export function tickRecoveries(update: Update): void {
-  for (const recovery of [...update.read(RECOVERIES).values()]) {
-    if (update.now >= recovery.giveUpAt) {
-      finish(update, recovery);
+/** Asks again, and lets shards serve that have waited long enough. */
+export function tickRecoveries(update: Update, self: OwnIdentity): void {
+  const listed = new Set(zonePeers(update, self));
+  for (const row of [...update.read(RECOVERIES).values()]) {
+    // A host that the platform no longer lists has no copy left to tell.
+    const awaitedPeers = row.awaitedPeers.filter(name => listed.has(name));
+    const isAskDue = update.now >= row.askAt;
+    const askAt = isAskDue ? update.now + ASK_AGAIN_MILLIS : row.askAt;
+    const recovery = {...row, awaitedPeers, askAt};
+    if (isAskDue) {
+      ask(update, recovery);
     }
+    continueRecovery(update, recovery);
   }
 }
 
@@ -125,15 +146,31 @@
 }
 
 function continueRecovery(update: Update, recovery: Recovery): void {
-  if (recovery.awaitedPeers.length === 0 && !recovery.awaitsLog) {
-    finish(update, recovery);
-  } else {
-    update.write(RECOVERIES).set(recovery.shardId, recovery);
+  const isComplete = isAllKnown(update, recovery);
+  const isDue = !recovery.isServing && update.now >= recovery.serveAt;
+  if (isComplete) {
+    update.write(RECOVERIES).delete(recovery.shardId);
+    tell(update, recovery.shardId, true);
+    return;
+  }
+  const isServing = recovery.isServing || isDue;
+  update.write(RECOVERIES).set(recovery.shardId, {...recovery, isServing});
+  if (isDue) {
+    tell(update, recovery.shardId, false);
   }
 }
 
-function finish(update: Update, {shardId}: Recovery): void {
-  update.write(RECOVERIES).delete(shardId);
+/**
+ * What was accepted is with two hosts, or with one and the log. So it is all
+ * known once every host told, or the log and all hosts but one.
+ */
+function isAllKnown(state: StateReader, recovery: Recovery): boolean {
+  const silent = recovery.awaitedPeers.length;
+  const isEnough = recovery.awaitsLog ? silent === 0 : silent <= 1;
+  return isEnough && knowsZone(state);
+}
+
+function tell(update: Update, shardId: string, isComplete: boolean): void {
   const changes = update.read(REPLICAS).changesOf(shardId);
-  update.dispatch(SHARD_RECOVERED, {shardId, changes});
+  update.dispatch(SHARD_RECOVERED, {shardId, changes, isComplete});
 }
--- a/packages/journal/src/replication.ts
+++ b/packages/journal/src/replication.ts
@@ -168,7 +168,9 @@
   const safeUpTo: Readonly<Record<Durability, number>> = {
     memory: journal.recorded,
     'two-hosts': Math.max(journal.replicated, journal.stored),
-    store: journal.stored,
+    store: journal.standby
+      ? Math.min(journal.stored, journal.replicated)
+      : journal.stored,
   };
   return safeUpTo[wait.durability] >= wait.upTo;
 }
--- a/packages/membership/src/Host.ts
+++ b/packages/membership/src/Host.ts
@@ -25,6 +25,20 @@
 /** Entry hosts by name. */
 export const HOSTS = createTableSlice<Host>('hosts');
 
+/** That hosts were named to this one: by settings, or by the list. */
+export const listReadSchema = z.object({
+  isFromPlatform: z.boolean(),
+});
+
+/** The latest naming of hosts: one row or none. */
+export const LIST_READS =
+  createTableSlice<z.infer<typeof listReadSchema>>('list-reads');
+
+/** Whether the hosts of the zone are known, from settings or the list. */
+export function knowsZone(state: StateReader): boolean {
+  return state.read(LIST_READS).size > 0;
+}
+
 /** A host is taken for dead when it was not heard for this long. */
 export const SILENCE_MILLIS = 2500;
 
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -5,6 +5,7 @@
   holderOf,
   isAlive,
   isConfigurationReader,
+  knowsZone,
   liveHosts,
   preferredHosts,
   type Host,
--- a/packages/membership/src/membershipPlugin.ts
+++ b/packages/membership/src/membershipPlugin.ts
@@ -7,13 +7,16 @@
   mergeUnregister,
 } from '@samphireramp/kernel';
 import type {ListedHost, PeerMessage} from '@samphireramp/model';
-import {HOSTS, type Host, type OwnIdentity, isAlive} from './Host';
+import {HOSTS, type Host, LIST_READS, type OwnIdentity, isAlive} from './Host';
 import {correspondents} from './correspondents';
 
 /** The platform's host list was read. */
 export const HOST_LIST_READ =
   createCommand<readonly ListedHost[]>('host-list-read');
 
+/** The hosts that settings name, this one included. */
+const SEEDS_READ = createCommand<readonly ListedHost[]>('seeds-read');
+
 /** A message came from a peer. */
 export const PEER_MESSAGE = createCommand<{
   readonly from: string;
@@ -80,8 +83,16 @@
     });
   }
 
+  function onSeeds(update: Update, seeds: readonly ListedHost[]): void {
+    seeds.forEach(host => learn(update, host));
+    if (options.seeds.length > 0) {
+      update.write(LIST_READS).set('seeds', {isFromPlatform: false});
+    }
+  }
+
   function onList(update: Update, listed: readonly ListedHost[]): void {
     listed.forEach(host => learn(update, host));
+    update.write(LIST_READS).set('list', {isFromPlatform: true});
     const names = new Set(listed.map(host => host.name));
     for (const host of update.read(HOSTS).values()) {
       // The list lags: a host that still speaks stays known.
@@ -150,6 +161,8 @@
   return kernel => {
     const unregister = mergeUnregister(
       kernel.registerSlice(HOSTS),
+      kernel.registerSlice(LIST_READS),
+      kernel.registerCommand(SEEDS_READ, onSeeds),
       kernel.registerCommand(HOST_LIST_READ, onList),
       kernel.registerCommand(HEARTBEAT_DUE, onHeartbeatDue),
       kernel.registerCommand(PEER_MESSAGE, onPeerMessage),
@@ -157,7 +170,7 @@
     );
     const {name, zone, peerAddress} = self;
     const own: ListedHost = {name, zone, peerAddress, state: 'live'};
-    kernel.dispatch(HOST_LIST_READ, [...options.seeds, own]);
+    kernel.dispatch(SEEDS_READ, [...options.seeds, own]);
     return unregister;
   };
 }
--- a/packages/ownership/src/ownershipPlugin.ts
+++ b/packages/ownership/src/ownershipPlugin.ts
@@ -247,14 +247,23 @@
 
   function hold(update: Update, shard: Shard): void {
     const {shardId, term} = shard;
-    update.write(SHARDS).set(shardId, {
-      ...shard,
-      phase: 'holding',
-      phaseSince: update.now,
-    });
+    const held: Shard = {...shard, phase: 'holding', phaseSince: update.now};
+    forgetInventories(update, held);
+    askAll(update, held);
     update.dispatch(SHARD_HELD, {shardId, term});
   }
 
+  /** What was told before the shard was held reached nobody: ask again. */
+  function forgetInventories(update: Update, {voters}: Shard): void {
+    const links = update.write(WORKER_LINKS);
+    for (const voter of voters) {
+      const link = links.get(voter);
+      if (link !== undefined) {
+        links.set(voter, {...link, inventoryTerm: 0});
+      }
+    }
+  }
+
   function onOrders(update: Update, {worker, ...orders}: WorkerOrders): void {
     const link = update.read(WORKER_LINKS).get(worker);
     const shard = link && update.read(SHARDS).get(link.shardId);
--- a/packages/scheduling/src/WorkState.ts
+++ b/packages/scheduling/src/WorkState.ts
@@ -122,6 +122,8 @@
 export interface ShardWork {
   readonly shardId: string;
   readonly isRecovered: boolean;
+  /** Whether no copy of accepted work is left to be heard. */
+  readonly isComplete: boolean;
   /** No attempt of an earlier term runs unseen after this host time. */
   readonly settledAt: number;
   readonly isSettled: boolean;
--- a/packages/scheduling/src/inventoryFlow.ts
+++ b/packages/scheduling/src/inventoryFlow.ts
@@ -5,10 +5,7 @@
   type StopOrder,
   toResourceVector,
 } from '@samphireramp/model';
-import {
-  type InventoryNews,
-  SEND_ORDERS,
-} from '@samphireramp/ownership';
+import {type InventoryNews, SEND_ORDERS} from '@samphireramp/ownership';
 import {attemptEnded, attemptLost, attemptNotRun} from './attemptOutcome';
 import {PLACE_WORK, WORK_EVENT} from './messages';
 import {adoptRoom, letLinger, releaseRoom} from './releaseRoom';
@@ -129,7 +126,7 @@
 /** A task of before the take-over was found: it is where it is. */
 function adopt(
   update: Update,
-  news: InventoryNews,
+  news: Pick<InventoryNews, 'worker' | 'shardId'>,
   task: TaskRow,
   entry: InventoryEntry,
 ): TaskRow {
@@ -176,6 +173,20 @@
   });
 }
 
+/** A record told late of an attempt that runs: it is the task's own. */
+export function adoptOrphan(
+  update: Update,
+  id: string,
+  orphan: Orphan,
+  task: TaskRow,
+): void {
+  forgetOrphan(update, id, orphan);
+  const {worker, shardId, entry} = orphan;
+  update
+    .write(TASKS)
+    .set(task.taskId, adopt(update, {worker, shardId}, task, entry));
+}
+
 function forgetOrphan(update: Update, id: string, orphan: Orphan): void {
   update.write(ORPHANS).delete(id);
   releaseRoom(update, {...orphan, team: NO_TEAM});
--- a/packages/scheduling/src/jobFlow.ts
+++ b/packages/scheduling/src/jobFlow.ts
@@ -16,7 +16,13 @@
 import {type Admitted, type Rejection, admit} from './admission';
 import {stopAttempt} from './attemptOutcome';
 import {CALL_DECIDED, type LocalCall, WORK_EVENT} from './messages';
-import {queueTask, taskIdOf, tasksOf, unqueueTask} from './queueWork';
+import {
+  queueTask,
+  queuedTasksOf,
+  taskIdOf,
+  tasksOf,
+  unqueueTask,
+} from './queueWork';
 import {endTask} from './recordTask';
 import {explainWait} from './explainWait';
 import {JOBS, type JobRow, TASKS, type TaskRow} from './WorkState';
@@ -79,9 +85,7 @@
 
 /** Puts all of a job's waiting tasks into the queue. */
 export function queueJob(update: Update, job: JobRow): void {
-  const waiting = tasksOf(update, job).filter(
-    task => task.state === 'queued' && !task.isUnsettled,
-  );
+  const waiting = queuedTasksOf(update, job);
   if (job.kind === 'all-at-once') {
     waiting.slice(0, 1).forEach(task => queueTask(update, job, task));
   } else {
--- a/packages/scheduling/src/placeWork.ts
+++ b/packages/scheduling/src/placeWork.ts
@@ -6,6 +6,7 @@
 import type {BucketView, SchedulingPolicies} from './policy';
 import {weightedDominantShare} from './policy';
 import {refreshUsable} from './workerUse';
+import {queuedTasksOf} from './queueWork';
 import {type SiteView, quotaPart, siteView} from './SiteView';
 import {type Bucket, QUEUE, type QueuedItem} from './WorkQueue';
 import {JOBS, SHARD_WORK, TEAM_USAGE, changeUsage, usageId} from './WorkState';
@@ -161,8 +162,9 @@
   }
 
   private countOf(head: QueuedItem): number {
-    return head.kind === 'job'
-      ? (this.update.read(JOBS).get(head.id)?.tasks ?? 1)
+    const job = this.update.read(JOBS).get(head.id);
+    return head.kind === 'job' && job !== undefined
+      ? queuedTasksOf(this.update, job).length
       : 1;
   }
 
--- a/packages/scheduling/src/queueWork.ts
+++ b/packages/scheduling/src/queueWork.ts
@@ -21,6 +21,16 @@
   return rows;
 }
 
+/** The tasks of a job that wait and may start. */
+export function queuedTasksOf(
+  state: Pick<Update, 'read'>,
+  job: JobRow,
+): TaskRow[] {
+  return tasksOf(state, job).filter(
+    task => task.state === 'queued' && !task.isUnsettled,
+  );
+}
+
 /** Puts a task into the queue; an all-at-once job goes in as one item. */
 export function queueTask(update: Update, job: JobRow, task: TaskRow): void {
   const isWhole = job.kind === 'all-at-once';
--- a/packages/scheduling/src/schedulingPlugin.ts
+++ b/packages/scheduling/src/schedulingPlugin.ts
@@ -49,6 +49,7 @@
   setCapacity,
   settleShards,
 } from './shardFlow';
+import {siteView} from './SiteView';
 import {createStartActions, sendSecuredStart} from './startWork';
 import {WORKER_HEALTH, letBack} from './workerHealth';
 import {refreshUsable} from './workerUse';
@@ -107,6 +108,10 @@
       refuseForNow(update, local);
       return;
     }
+    if (!isReadyFor(update, local)) {
+      refuseForNow(update, local);
+      return;
+    }
     match(local.call)
       .with({call: 'request'}, ({request}) => {
         earnRetry(update, local.shardId);
@@ -125,6 +130,15 @@
     return isRecovered === true && !isLeaving(state);
   }
 
+  /** A key may be known to a host that was not heard yet. */
+  function isReadyFor(state: StateReader, {call, shardId}: LocalCall): boolean {
+    const isComplete = state.read(SHARD_WORK).get(shardId)?.isComplete;
+    const isRepeatable =
+      call.call === 'request' &&
+      siteView(state)?.workloads.get(call.request.workload)?.idempotent;
+    return isComplete === true || isRepeatable === true;
+  }
+
   function isLeaving(state: StateReader): boolean {
     return state.read(HOSTS).get(options.self.name)?.leaving ?? false;
   }
@@ -200,7 +214,12 @@
         onShardLost(update, shardId),
       ),
       kernel.registerCommand(SHARD_RECOVERED, (update, recovered) =>
-        onShardRecovered(update, recovered.shardId, recovered.changes),
+        onShardRecovered(
+          update,
+          recovered.shardId,
+          recovered.changes,
+          recovered.isComplete,
+        ),
       ),
       kernel.registerCommand(REVISION_IN_FORCE, onRevision),
       kernel.registerCommand(WORK_TICK, onTick),
--- a/packages/scheduling/src/shardFlow.ts
+++ b/packages/scheduling/src/shardFlow.ts
@@ -10,6 +10,7 @@
 } from '@samphireramp/ownership';
 import {CAPACITY} from '@samphireramp/placement';
 import {attemptLost, sendStop} from './attemptOutcome';
+import {adoptOrphan} from './inventoryFlow';
 import {addJob, queueJob} from './jobFlow';
 import {PLACE_WORK} from './messages';
 import {taskIdOf, tasksOf} from './queueWork';
@@ -37,6 +38,7 @@
   update.write(SHARD_WORK).set(shardId, {
     shardId,
     isRecovered: false,
+    isComplete: false,
     settledAt: update.now + surelyAfter(taskLease),
     isSettled: false,
     earlyNews: [],
@@ -82,37 +84,66 @@
   }
 }
 
-/** Takes in the accepted work of a shard that was taken over. */
+/** Takes in the accepted work of a shard that was taken over, or more of it. */
 export function onShardRecovered(
   update: Update,
   shardId: string,
   changes: readonly WorkChange[],
+  isComplete: boolean,
 ): void {
   const work = update.read(SHARD_WORK).get(shardId);
   if (work === undefined) {
     return;
   }
-  const isOfShard = (type: WorkChange['type']) => (change: WorkChange) =>
-    change.type === type;
-  changes.filter(isOfShard('job')).forEach(change => load(update, change));
-  changes.filter(isOfShard('request')).forEach(change => load(update, change));
-  changes.filter(isOfShard('task')).forEach(change => load(update, change));
+  const newJobs = new Set(
+    changes.flatMap(change =>
+      change.type === 'job' && !update.read(JOBS).has(change.job.key)
+        ? [change.job.key]
+        : [],
+    ),
+  );
+  for (const type of LOAD_ORDER) {
+    const ofType = changes.filter(change => change.type === type);
+    ofType.forEach(change => load(update, change, newJobs));
+  }
   update.write(SHARD_WORK).set(shardId, {
     ...work,
     isRecovered: true,
+    isComplete,
+    // What was learnt late has to be settled too.
+    isSettled: work.isSettled && newJobs.size === 0 && work.isComplete,
     earlyNews: [],
   });
   work.earlyNews.forEach(news => update.dispatch(INVENTORY_LEARNT, news));
+  adoptOrphans(update, shardId);
   update.dispatch(PLACE_WORK, {shardId});
 }
 
-function load(update: Update, change: WorkChange): void {
+const LOAD_ORDER = ['job', 'request', 'task'] as const;
+
+/** Attempts that no record told of may belong to what was learnt late. */
+function adoptOrphans(update: Update, shardId: string): void {
+  const orphans = update.read(ORPHANS);
+  for (const id of [...orphans.keys()]) {
+    const orphan = orphans.get(id);
+    const task = orphan && update.read(TASKS).get(orphan.entry.taskId);
+    if (orphan?.shardId === shardId && task?.isUnsettled) {
+      adoptOrphan(update, id, orphan, task);
+    }
+  }
+}
+
+function load(
+  update: Update,
+  change: WorkChange,
+  newJobs: ReadonlySet<string>,
+): void {
   switch (change.type) {
     case 'job':
-      loadJob(update, change);
+      loadJob(update, change, newJobs);
       break;
     case 'task':
-      loadTask(update, change);
+      loadTask(update, change, newJobs);
       break;
     case 'request':
       loadRequest(update, change);
@@ -127,7 +158,11 @@
 function loadJob(
   update: Update,
   {job: record}: Extract<WorkChange, {type: 'job'}>,
+  newJobs: ReadonlySet<string>,
 ): void {
+  if (!newJobs.has(record.key)) {
+    return;
+  }
   const job = addJob(update, record);
   for (const task of tasksOf(update, job)) {
     update.write(TASKS).set(task.taskId, {...task, isUnsettled: true});
@@ -137,7 +172,11 @@
 function loadTask(
   update: Update,
   {task: record}: Extract<WorkChange, {type: 'task'}>,
+  newJobs: ReadonlySet<string>,
 ): void {
+  if (!newJobs.has(record.jobKey)) {
+    return;
+  }
   const task = update.read(TASKS).get(record.taskId);
   const job = update.read(JOBS).get(record.jobKey);
   if (task === undefined || job === undefined) {
@@ -160,14 +199,18 @@
   update: Update,
   {request}: Extract<WorkChange, {type: 'request'}>,
 ): void {
-  update.write(REQUEST_RECORDS).set(request.key, request);
+  const known = update.read(REQUEST_RECORDS).get(request.key);
+  update.write(REQUEST_RECORDS).set(request.key, {
+    ...request,
+    outcome: known?.outcome ?? request.outcome,
+  });
   rememberFor(update, request.key, request.shardId);
 }
 
 /** Frees the tasks of before the take-over that surely run nowhere. */
 export function settleShards(update: Update): void {
   for (const work of [...update.read(SHARD_WORK).values()]) {
-    const isReady = work.isRecovered && !work.isSettled;
+    const isReady = work.isComplete && !work.isSettled;
     if (isReady && isSettledNow(update, work.shardId, work.settledAt)) {
       update.write(SHARD_WORK).set(work.shardId, {...work, isSettled: true});
       settleTasks(update, work.shardId);
--- a/packages/scheduling/src/startWork.ts
+++ b/packages/scheduling/src/startWork.ts
@@ -10,7 +10,7 @@
 } from '@samphireramp/ownership';
 import {EXECUTE, WORK_EVENT} from './messages';
 import type {PlacementActions} from './placeWork';
-import {taskIdOf} from './queueWork';
+import {queuedTasksOf} from './queueWork';
 import {recordTask} from './recordTask';
 import {siteView} from './SiteView';
 import {
@@ -57,12 +57,11 @@
     },
     startJob: (jobKey, workers, need) => {
       const job = update.read(JOBS).get(jobKey);
-      workers.forEach((worker, index) => {
-        const task = update.read(TASKS).get(taskIdOf(jobKey, index));
-        if (job !== undefined && task !== undefined) {
-          begin(job, task, worker, need);
-        }
-      });
+      if (job !== undefined) {
+        queuedTasksOf(update, job).forEach((task, index) =>
+          begin(job, task, workers[index], need),
+        );
+      }
     },
     execute: (callId, worker, need) => execute(update, callId, worker, need),
     flush: () => {
--- a/testing/src/EventQueue.ts
+++ b/testing/src/EventQueue.ts
@@ -77,6 +77,8 @@
 }
 
 function isBefore(first: QueuedEvent, second: QueuedEvent): boolean {
-  return first.at < second.at ||
-    (first.at === second.at && first.order < second.order);
+  return (
+    first.at < second.at ||
+    (first.at === second.at && first.order < second.order)
+  );
 }
--- a/testing/src/VirtualHost.ts
+++ b/testing/src/VirtualHost.ts
@@ -13,7 +13,12 @@
   holderOf,
   preferredHosts,
 } from '@samphireramp/membership';
-import type {CallOutcome, ListedHost, LogPage, PeerCall} from '@samphireramp/model';
+import type {
+  CallOutcome,
+  ListedHost,
+  LogPage,
+  PeerCall,
+} from '@samphireramp/model';
 import {
   LEASE_TICK,
   RELEASE_SHARDS,
--- a/testing/src/VirtualSite.ts
+++ b/testing/src/VirtualSite.ts
@@ -13,7 +13,11 @@
   type Declaration,
   type ListedHost,
 } from '@samphireramp/model';
-import {EXCHANGE, WORKER_ANSWERED, WORKER_SILENT} from '@samphireramp/ownership';
+import {
+  EXCHANGE,
+  WORKER_ANSWERED,
+  WORKER_SILENT,
+} from '@samphireramp/ownership';
 import {EXECUTE, EXECUTED, EXECUTION_SILENT} from '@samphireramp/scheduling';
 import {LogModel} from '@samphireramp/stand-ins';
 import {EventQueue} from './EventQueue';
@@ -250,9 +254,7 @@
     this.queue.after(EXECUTE_MILLIS, () => {
       if (!isAnswered) {
         const silent = {callId, attempt, sent: true};
-        host.whenRunning(() =>
-          host.kernel.dispatch(EXECUTION_SILENT, silent),
-        );
+        host.whenRunning(() => host.kernel.dispatch(EXECUTION_SILENT, silent));
       }
     });
   }
