A worker that restarted and refuses has lost what ran on it

Cause: the first answer of a restarted worker was a refusal; it changed the known run of the worker but told nobody that its tasks were gone.

--- a/packages/ownership/src/learnAnswer.ts
+++ b/packages/ownership/src/learnAnswer.ts
@@ -36,7 +36,7 @@
   }
   const next = nextLink(link, message, highestTerm);
   links.set(link.worker, next);
-  if (message.answer.refusal === undefined) {
+  if (message.answer.refusal === undefined || hasRestarted(link, message)) {
     tellInventory(update, link, message);
   }
   return true;
@@ -107,20 +107,27 @@
   return Math.min(byLength, earliestHostTime(reading, request.leaseUntil));
 }
 
+/** Whether the worker lost all that ran; it says so even when it refuses. */
+function hasRestarted(before: WorkerLink, {answer}: WorkerAnswer): boolean {
+  return (
+    before.incarnation !== undefined &&
+    before.incarnation !== answer.incarnation
+  );
+}
+
 function tellInventory(
   update: Update,
   before: WorkerLink,
-  {worker, answer}: WorkerAnswer,
+  message: WorkerAnswer,
 ): void {
-  const fresh = isFresh(before, answer);
+  const {worker, answer} = message;
+  const fresh = answer.refusal === undefined && isFresh(before, answer);
   update.dispatch(INVENTORY_LEARNT, {
     worker,
     shardId: before.shardId,
     clock: fresh ? answer.clock : NEVER,
     whole: fresh && answer.inventoryIsWhole,
-    restarted:
-      before.incarnation !== undefined &&
-      before.incarnation !== answer.incarnation,
+    restarted: hasRestarted(before, message),
     entries: fresh ? answer.inventory : [],
     refused: answer.refusedOrders,
     usage: answer.usage,
