Recovery counts replaced hosts as lost copies and goes on asking the log

Cause: a shard taken over while the log was down was called complete when all hosts answered, though two of them had been replaced and the log alone had the work; an unreadable log was taken for a read one. Change: 'recovered' tells how long the sender is up; complete means that no more than one copy may be missing. The log is asked until it answers, and work of durability store waits for it. Two-hosts is two hosts, not one and the log; work that is not idempotent may not be kept in memory only.

--- a/packages/entry-daemon/src/createEntryHost.ts
+++ b/packages/entry-daemon/src/createEntryHost.ts
@@ -106,7 +106,11 @@
     }),
     createConfigurationPlugin({self}),
     createOwnershipPlugin(ownershipOptions(self)),
-    createJournalPlugin({self, retentionMillis: settings.retentionMillis}),
+    createJournalPlugin({
+      self,
+      retentionMillis: settings.retentionMillis,
+      startedAt: now(),
+    }),
     createSchedulingPlugin({
       self,
       policies: standardPolicies,
--- a/packages/journal/src/JournalState.ts
+++ b/packages/journal/src/JournalState.ts
@@ -67,7 +67,11 @@
   recoveryId: z.string(),
   /** Peers that have not answered yet. */
   awaitedPeers: z.array(z.string()),
+  /** Hosts that were replaced lately, and so may have lost a copy. */
+  replacedHosts: z.int(),
   awaitsLog: z.boolean(),
+  /** What was last told of how much is known. */
+  isCompleteTold: z.boolean(),
   /** Whether the shard serves already, without those still awaited. */
   isServing: z.boolean(),
   /** Monotonic milliseconds at which the shard serves in any case. */
--- a/packages/journal/src/journalPlugin.ts
+++ b/packages/journal/src/journalPlugin.ts
@@ -33,7 +33,6 @@
 import {
   answerRecover,
   beginRecovery,
-  giveUpLog,
   learnFromLog,
   learnFromPeer,
   tickRecoveries,
@@ -60,6 +59,8 @@
   readonly self: OwnIdentity;
   /** How long the log keeps records. */
   readonly retentionMillis: number;
+  /** Monotonic milliseconds at which this run began. */
+  readonly startedAt: number;
 }
 
 /** Time between two appends of one shard, so that the store can bear all. */
@@ -82,7 +83,7 @@
     case 'memory':
       return true;
     case 'two-hosts':
-      return isLogUp || standbyFor(state, self, shardId, now) !== undefined;
+      return standbyFor(state, self, shardId, now) !== undefined;
     case 'store':
       return isLogUp;
     default:
@@ -94,13 +95,14 @@
 export function createJournalPlugin(options: JournalOptions): Plugin {
   const {self} = options;
   const snapshotMillis = options.retentionMillis / 4;
+  const recoverer = {self, startedAt: options.startedAt};
 
   function onHeld(
     update: Update,
     {shardId, term}: {shardId: string; term: number},
   ): void {
     update.write(JOURNALS).set(shardId, newJournal(shardId));
-    beginRecovery(update, self, shardId, `${self.incarnation}/${term}`);
+    beginRecovery(update, recoverer, shardId, `${self.incarnation}/${term}`);
   }
 
   function onLost(update: Update, {shardId}: {shardId: string}): void {
@@ -264,7 +266,7 @@
         learnAcknowledged(update, message);
         break;
       case 'recover':
-        answerRecover(update, from, message);
+        answerRecover(update, recoverer, from, message);
         break;
       case 'recovered':
         learnFromPeer(update, from, message);
@@ -298,9 +300,8 @@
       kernel.registerCommand(JOURNAL_READ, (update, read) =>
         learnFromLog(update, read.shardId, read.recoveryId, read.page),
       ),
-      kernel.registerCommand(JOURNAL_UNREADABLE, (update, failed) =>
-        giveUpLog(update, failed.shardId, failed.recoveryId),
-      ),
+      // The log is asked again with the peers.
+      kernel.registerCommand(JOURNAL_UNREADABLE, () => {}),
       kernel.registerCommand(PEER_MESSAGE, onPeerMessage),
     );
 }
--- a/packages/journal/src/messages.ts
+++ b/packages/journal/src/messages.ts
@@ -26,6 +26,8 @@
   readonly shardId: string;
   readonly changes: readonly WorkChange[];
   readonly isComplete: boolean;
+  /** Whether all that the log keeps of the shard is among it. */
+  readonly isLogRead: boolean;
 }>('shard-recovered');
 
 /** Time to append, to send again and to end waits. */
--- a/packages/journal/src/recovery.ts
+++ b/packages/journal/src/recovery.ts
@@ -18,11 +18,20 @@
 /** The shard serves after this, though not all was heard. */
 const SERVE_AFTER_MILLIS = 1200;
 const ASK_AGAIN_MILLIS = 1000;
+/** A host that is up for less may not have got its copies again. */
+const REPLACED_MILLIS = 10_000;
+
+/** Who recovers, and since when it is up. */
+export interface Recoverer {
+  readonly self: OwnIdentity;
+  /** Monotonic milliseconds. */
+  readonly startedAt: number;
+}
 
 /** Asks the hosts of the zone and the log for a shard's accepted work. */
 export function beginRecovery(
   update: Update,
-  self: OwnIdentity,
+  {self, startedAt}: Recoverer,
   shardId: string,
   recoveryId: string,
 ): void {
@@ -30,14 +39,19 @@
     shardId,
     recoveryId,
     awaitedPeers: zonePeers(update, self),
+    replacedHosts: isReplaced(update.now - startedAt) ? 1 : 0,
     awaitsLog: true,
+    isCompleteTold: false,
     isServing: false,
     serveAt: update.now + SERVE_AFTER_MILLIS,
     askAt: update.now + ASK_AGAIN_MILLIS,
   };
   update.write(RECOVERIES).set(shardId, recovery);
   ask(update, recovery);
-  update.emit(READ_JOURNAL, {shardId, recoveryId, from: 0});
+}
+
+function isReplaced(upMillis: number): boolean {
+  return upMillis < REPLACED_MILLIS;
 }
 
 /** Every other host of the zone that is listed, heard or not. */
@@ -52,17 +66,26 @@
   for (const peer of recovery.awaitedPeers) {
     sendToPeer(update, peer, {type: 'recover', shardId, recoveryId});
   }
+  if (recovery.awaitsLog) {
+    update.emit(READ_JOURNAL, {shardId, recoveryId, from: 0});
+  }
 }
 
 /** Answers a peer that takes over a shard with all that is known of it. */
 export function answerRecover(
   update: Update,
+  {startedAt}: Recoverer,
   from: string,
   message: Extract<PeerMessage, {type: 'recover'}>,
 ): void {
   const {shardId, recoveryId} = message;
-  const changes = update.read(REPLICAS).changesOf(shardId);
-  sendToPeer(update, from, {type: 'recovered', shardId, recoveryId, changes});
+  sendToPeer(update, from, {
+    type: 'recovered',
+    shardId,
+    recoveryId,
+    upMillis: update.now - startedAt,
+    changes: update.read(REPLICAS).changesOf(shardId),
+  });
 }
 
 /** Takes in what a peer knows. */
@@ -72,13 +95,16 @@
   message: Extract<PeerMessage, {type: 'recovered'}>,
 ): void {
   const recovery = update.read(RECOVERIES).get(message.shardId);
-  if (recovery?.recoveryId !== message.recoveryId) {
+  const isAwaited = recovery?.awaitedPeers.includes(from);
+  if (recovery?.recoveryId !== message.recoveryId || !isAwaited) {
     return;
   }
   const replicas = update.write(REPLICAS);
   message.changes.forEach(change => replicas.merge(change));
   const awaitedPeers = recovery.awaitedPeers.filter(name => name !== from);
-  continueRecovery(update, {...recovery, awaitedPeers});
+  const replacedHosts =
+    recovery.replacedHosts + (isReplaced(message.upMillis) ? 1 : 0);
+  tell(update, {...recovery, awaitedPeers, replacedHosts});
 }
 
 /** Takes in a page of the journal and asks for the next. */
@@ -96,24 +122,12 @@
     mergeRecord(update, shardId, record);
   }
   if (page.records.length === 0) {
-    continueRecovery(update, {...recovery, awaitsLog: false});
+    tell(update, {...recovery, awaitsLog: false});
   } else {
     update.emit(READ_JOURNAL, {shardId, recoveryId, from: page.next});
   }
 }
 
-/** Goes on without the log. */
-export function giveUpLog(
-  update: Update,
-  shardId: string,
-  recoveryId: string,
-): void {
-  const recovery = update.read(RECOVERIES).get(shardId);
-  if (recovery?.recoveryId === recoveryId) {
-    continueRecovery(update, {...recovery, awaitsLog: false});
-  }
-}
-
 /** Asks again, and lets shards serve that have waited long enough. */
 export function tickRecoveries(update: Update, self: OwnIdentity): void {
   const listed = new Set(zonePeers(update, self));
@@ -145,32 +159,47 @@
   parsed.data.changes.forEach(change => replicas.merge(change));
 }
 
+/** Tells more once it is time to serve, or once all is known. */
 function continueRecovery(update: Update, recovery: Recovery): void {
-  const isComplete = isAllKnown(update, recovery);
   const isDue = !recovery.isServing && update.now >= recovery.serveAt;
-  if (isComplete) {
-    update.write(RECOVERIES).delete(recovery.shardId);
-    tell(update, recovery.shardId, true);
-    return;
-  }
-  const isServing = recovery.isServing || isDue;
-  update.write(RECOVERIES).set(recovery.shardId, {...recovery, isServing});
-  if (isDue) {
-    tell(update, recovery.shardId, false);
+  const isNewlyComplete =
+    !recovery.isCompleteTold && isAllKnown(update, recovery);
+  if (isDue || isNewlyComplete) {
+    tell(update, recovery);
+  } else {
+    update.write(RECOVERIES).set(recovery.shardId, recovery);
   }
 }
 
 /**
  * What was accepted is with two hosts, or with one and the log. So it is all
- * known once every host told, or the log and all hosts but one.
+ * known once no more than one host has not told or has lost its copy; or,
+ * with the log read, once no more than one has not told.
  */
 function isAllKnown(state: StateReader, recovery: Recovery): boolean {
   const silent = recovery.awaitedPeers.length;
-  const isEnough = recovery.awaitsLog ? silent === 0 : silent <= 1;
-  return isEnough && knowsZone(state);
+  const missing = recovery.awaitsLog ? silent + recovery.replacedHosts : silent;
+  return missing <= 1 && knowsZone(state);
 }
 
-function tell(update: Update, shardId: string, isComplete: boolean): void {
-  const changes = update.read(REPLICAS).changesOf(shardId);
-  update.dispatch(SHARD_RECOVERED, {shardId, changes, isComplete});
+/** Tells what is known, unless it is too early to serve with less than all. */
+function tell(update: Update, recovery: Recovery): void {
+  const {shardId, awaitsLog, awaitedPeers} = recovery;
+  const isComplete = recovery.isCompleteTold || isAllKnown(update, recovery);
+  const isServing =
+    recovery.isServing || isComplete || update.now >= recovery.serveAt;
+  if (awaitedPeers.length === 0 && !awaitsLog) {
+    update.write(RECOVERIES).delete(shardId);
+  } else {
+    update.write(RECOVERIES).set(shardId, {
+      ...recovery,
+      isServing,
+      isCompleteTold: isComplete,
+    });
+  }
+  if (isServing) {
+    const changes = update.read(REPLICAS).changesOf(shardId);
+    const isLogRead = !awaitsLog;
+    update.dispatch(SHARD_RECOVERED, {shardId, changes, isComplete, isLogRead});
+  }
 }
--- a/packages/journal/src/replication.ts
+++ b/packages/journal/src/replication.ts
@@ -167,7 +167,7 @@
 function isSafe(journal: ShardJournal, wait: DurableWait): boolean {
   const safeUpTo: Readonly<Record<Durability, number>> = {
     memory: journal.recorded,
-    'two-hosts': Math.max(journal.replicated, journal.stored),
+    'two-hosts': journal.replicated,
     store: journal.standby
       ? Math.min(journal.stored, journal.replicated)
       : journal.stored,
--- a/packages/model/src/DeclarationCheck.ts
+++ b/packages/model/src/DeclarationCheck.ts
@@ -109,5 +109,12 @@
     const message = `is ${control.taskLeaseMillis}; expected at least twice leaseMillis (${control.leaseMillis})`;
     faults.push({path: ['control', 'taskLeaseMillis'], message});
   }
+  declaration.workloads.forEach(({idempotent, durability}, index) => {
+    if (!idempotent && durability === 'memory') {
+      const message =
+        'is "memory"; expected two-hosts or store for work that is not idempotent';
+      faults.push({path: ['workloads', index, 'durability'], message});
+    }
+  });
   return faults;
 }
--- a/packages/model/src/PeerProtocol.ts
+++ b/packages/model/src/PeerProtocol.ts
@@ -82,6 +82,8 @@
     type: z.literal('recovered'),
     shardId: z.string(),
     recoveryId: z.string(),
+    /** How long this run of the sender has been up. */
+    upMillis: z.number(),
     changes: z.array(workChangeSchema),
   }),
 ]);
--- a/packages/scheduling/src/WorkState.ts
+++ b/packages/scheduling/src/WorkState.ts
@@ -124,6 +124,8 @@
   readonly isRecovered: boolean;
   /** Whether no copy of accepted work is left to be heard. */
   readonly isComplete: boolean;
+  /** Whether the log was read, which work of durability store rests on. */
+  readonly isLogRead: boolean;
   /** No attempt of an earlier term runs unseen after this host time. */
   readonly settledAt: number;
   readonly isSettled: boolean;
--- a/packages/scheduling/src/schedulingPlugin.ts
+++ b/packages/scheduling/src/schedulingPlugin.ts
@@ -130,13 +130,22 @@
     return isRecovered === true && !isLeaving(state);
   }
 
-  /** A key may be known to a host that was not heard yet. */
+  /** A key may be known to a host, or to the log, that was not heard yet. */
   function isReadyFor(state: StateReader, {call, shardId}: LocalCall): boolean {
-    const isComplete = state.read(SHARD_WORK).get(shardId)?.isComplete;
-    const isRepeatable =
-      call.call === 'request' &&
-      siteView(state)?.workloads.get(call.request.workload)?.idempotent;
-    return isComplete === true || isRepeatable === true;
+    const work = state.read(SHARD_WORK).get(shardId);
+    if (work === undefined) {
+      return false;
+    }
+    if (call.call === 'status' || call.call === 'cancel') {
+      return work.isComplete;
+    }
+    const {workload: name} = call.request;
+    const workload = siteView(state)?.workloads.get(name);
+    if (workload?.kind === 'service' && workload.idempotent) {
+      return true;
+    }
+    const isLogNeeded = workload?.durability === 'store';
+    return work.isComplete && (work.isLogRead || !isLogNeeded);
   }
 
   function isLeaving(state: StateReader): boolean {
@@ -213,14 +222,7 @@
       kernel.registerCommand(SHARD_LOST, (update, {shardId}) =>
         onShardLost(update, shardId),
       ),
-      kernel.registerCommand(SHARD_RECOVERED, (update, recovered) =>
-        onShardRecovered(
-          update,
-          recovered.shardId,
-          recovered.changes,
-          recovered.isComplete,
-        ),
-      ),
+      kernel.registerCommand(SHARD_RECOVERED, onShardRecovered),
       kernel.registerCommand(REVISION_IN_FORCE, onRevision),
       kernel.registerCommand(WORK_TICK, onTick),
     );
--- a/packages/scheduling/src/shardFlow.ts
+++ b/packages/scheduling/src/shardFlow.ts
@@ -27,6 +27,7 @@
   REQUEST_RECORDS,
   SHARD_WORK,
   STOPPING,
+  type ShardWork,
   TASKS,
   TEAM_USAGE,
 } from './WorkState';
@@ -39,6 +40,7 @@
     shardId,
     isRecovered: false,
     isComplete: false,
+    isLogRead: false,
     settledAt: update.now + surelyAfter(taskLease),
     isSettled: false,
     earlyNews: [],
@@ -84,13 +86,20 @@
   }
 }
 
+/** What a recovery tells. */
+export interface RecoveredWork {
+  readonly shardId: string;
+  readonly changes: readonly WorkChange[];
+  readonly isComplete: boolean;
+  readonly isLogRead: boolean;
+}
+
 /** Takes in the accepted work of a shard that was taken over, or more of it. */
 export function onShardRecovered(
   update: Update,
-  shardId: string,
-  changes: readonly WorkChange[],
-  isComplete: boolean,
+  recovered: RecoveredWork,
 ): void {
+  const {shardId, changes, isComplete, isLogRead} = recovered;
   const work = update.read(SHARD_WORK).get(shardId);
   if (work === undefined) {
     return;
@@ -110,8 +119,9 @@
     ...work,
     isRecovered: true,
     isComplete,
+    isLogRead,
     // What was learnt late has to be settled too.
-    isSettled: work.isSettled && newJobs.size === 0 && work.isComplete,
+    isSettled: work.isSettled && newJobs.size === 0,
     earlyNews: [],
   });
   work.earlyNews.forEach(news => update.dispatch(INVENTORY_LEARNT, news));
@@ -212,8 +222,9 @@
   for (const work of [...update.read(SHARD_WORK).values()]) {
     const isReady = work.isComplete && !work.isSettled;
     if (isReady && isSettledNow(update, work.shardId, work.settledAt)) {
-      update.write(SHARD_WORK).set(work.shardId, {...work, isSettled: true});
-      settleTasks(update, work.shardId);
+      const isSettled = work.isLogRead;
+      update.write(SHARD_WORK).set(work.shardId, {...work, isSettled});
+      settleTasks(update, work);
     }
   }
 }
@@ -234,13 +245,20 @@
   return areAllKnown || update.now >= settledAt;
 }
 
-function settleTasks(update: Update, shardId: string): void {
+function settleTasks(update: Update, work: ShardWork): void {
+  const {shardId, isLogRead} = work;
+  const settledJobs = new Set<string>();
   for (const task of [...update.read(TASKS).values()]) {
     if (!task.isUnsettled || task.shardId !== shardId) {
       continue;
     }
     const settled = {...task, isUnsettled: false, queuedAt: update.now};
     const job = update.read(JOBS).get(task.jobKey);
+    // Its starts may be recorded in the log alone.
+    if (job?.durability === 'store' && !isLogRead) {
+      continue;
+    }
+    settledJobs.add(task.jobKey);
     if (task.state !== 'queued') {
       attemptLost(update, settled);
     } else if (job?.cancelled) {
@@ -250,7 +268,7 @@
     }
   }
   for (const job of [...update.read(JOBS).values()]) {
-    if (job.shardId === shardId && job.open > 0) {
+    if (settledJobs.has(job.key) && job.open > 0) {
       queueJob(update, job);
     }
   }
--- a/testing/src/VirtualHost.ts
+++ b/testing/src/VirtualHost.ts
@@ -170,7 +170,11 @@
         yields: () => false,
         random,
       }),
-      createJournalPlugin({self, retentionMillis: 86_400_000}),
+      createJournalPlugin({
+        self,
+        retentionMillis: 86_400_000,
+        startedAt: this.now,
+      }),
       createSchedulingPlugin({
         self,
         policies: standardPolicies,
--- a/testing/try2.mts
+++ b/testing/try2.mts
@@ -91,4 +91,21 @@
     );
 }
 import {WORKER_LINKS} from '@samphireramp/ownership';
-for(const h of r.site.hosts) for(const t of h.kernel.read(TASKS).values()) if((t as any).jobKey===key) {const l=h.kernel.read(WORKER_LINKS).get((t as any).worker); console.log(h.self.name,JSON.stringify(t),JSON.stringify(l)); const w=r.site.workers.find(w=>w.declaration.name===(t as any).worker)!; console.log(JSON.stringify([...(w.model as any).attempts.values()].filter((a:any)=>a.entry.taskId.startsWith(key))), (w.model as any).revision, w.clock)}
+for (const h of r.site.hosts)
+  for (const t of h.kernel.read(TASKS).values())
+    if ((t as any).jobKey === key) {
+      const l = h.kernel.read(WORKER_LINKS).get((t as any).worker);
+      console.log(h.self.name, JSON.stringify(t), JSON.stringify(l));
+      const w = r.site.workers.find(
+        w => w.declaration.name === (t as any).worker,
+      )!;
+      console.log(
+        JSON.stringify(
+          [...(w.model as any).attempts.values()].filter((a: any) =>
+            a.entry.taskId.startsWith(key),
+          ),
+        ),
+        (w.model as any).revision,
+        w.clock,
+      );
+    }
