A job asked for again is accepted only once it is safe

Cause: a caller's second send of a job that was not in the log yet was answered at once, as for a job that had been accepted.

--- a/packages/scheduling/src/WorkState.ts
+++ b/packages/scheduling/src/WorkState.ts
@@ -17,6 +17,8 @@
 export const jobRowSchema = z.extend(jobRecordSchema, {
   /** Tasks that have not ended. */
   open: z.int(),
+  /** Whether it is kept as safely as declared, and so was accepted. */
+  isSecured: z.boolean(),
   queuedAt: z.number(),
 });
 
--- a/packages/scheduling/src/jobFlow.ts
+++ b/packages/scheduling/src/jobFlow.ts
@@ -6,6 +6,7 @@
 } from '@samphireramp/journal';
 import type {OwnIdentity} from '@samphireramp/membership';
 import type {
+  Durability,
   JobOutcome,
   JobRecord,
   JobRequest,
@@ -76,9 +77,14 @@
   }
   const [callId, key] = ticket.slice(JOB_TICKET.length).split(' ');
   const job = update.read(JOBS).get(key);
-  if (job !== undefined) {
-    accept(update, callId, job);
-    queueJob(update, job);
+  if (job === undefined) {
+    return true;
+  }
+  accept(update, callId, job);
+  if (!job.isSecured) {
+    const secured = {...job, isSecured: true};
+    update.write(JOBS).set(key, secured);
+    queueJob(update, secured);
   }
   return true;
 }
@@ -112,7 +118,7 @@
   if (job === undefined) {
     noSuchJob(update, call);
   } else {
-    accept(update, call.callId, job);
+    acceptSecured(update, call, job);
   }
 }
 
@@ -173,11 +179,7 @@
   };
   addJob(update, record);
   update.dispatch(RECORD_CHANGES, [{type: 'job', job: record}]);
-  update.dispatch(AWAIT_DURABLE, {
-    ticket: `${JOB_TICKET}${call.callId} ${call.key}`,
-    shardId: call.shardId,
-    durability: workload.durability,
-  });
+  awaitSecured(update, call, workload.durability);
   update.emit(WORK_EVENT, {
     event: 'job-accepted',
     subject: record.key,
@@ -188,7 +190,12 @@
 
 /** Adds a job and its tasks, none of which has run. */
 export function addJob(update: Update, record: JobRecord): JobRow {
-  const job: JobRow = {...record, open: record.tasks, queuedAt: update.now};
+  const job: JobRow = {
+    ...record,
+    open: record.tasks,
+    isSecured: false,
+    queuedAt: update.now,
+  };
   update.write(JOBS).set(job.key, job);
   for (let index = 0; index < job.tasks; index++) {
     const taskId = taskIdOf(job.key, index);
@@ -253,13 +260,31 @@
     known.member === request.member &&
     known.tasks === request.tasks;
   if (isSame) {
-    accept(update, call.callId, known);
+    acceptSecured(update, call, known);
   } else {
     const detail = `key ${call.key} names another job`;
     refuse(update, call, {reason: 'key-reused', detail});
   }
 }
 
+/** A job that is not safe yet was not accepted: its callers wait. */
+function acceptSecured(update: Update, call: LocalCall, job: JobRow): void {
+  if (job.isSecured) {
+    accept(update, call.callId, job);
+  } else {
+    awaitSecured(update, call, job.durability);
+  }
+}
+
+function awaitSecured(
+  update: Update,
+  {callId, key, shardId}: LocalCall,
+  durability: Durability,
+): void {
+  const ticket = `${JOB_TICKET}${callId} ${key}`;
+  update.dispatch(AWAIT_DURABLE, {ticket, shardId, durability});
+}
+
 function accept(update: Update, callId: string, job: JobRow): void {
   const status = statusOf(update, job);
   decide(update, callId, {outcome: 'accepted', status});
--- a/packages/scheduling/src/shardFlow.ts
+++ b/packages/scheduling/src/shardFlow.ts
@@ -174,6 +174,7 @@
     return;
   }
   const job = addJob(update, record);
+  update.write(JOBS).set(job.key, {...job, isSecured: true});
   for (const task of tasksOf(update, job)) {
     update.write(TASKS).set(task.taskId, {...task, isUnsettled: true});
   }
--- a/testing/try2.mts
+++ b/testing/try2.mts
@@ -109,3 +109,35 @@
         w.clock,
       );
     }
+for (const rec of r.site.log.read('tema/0', 0).records) {
+  const b = rec.body as any;
+  const hit = b.changes.filter((c: any) =>
+    JSON.stringify(c).includes('"' + key),
+  );
+  if (hit.length || b.snapshot)
+    console.log(
+      'LOG',
+      Math.round(rec.appendedAt),
+      b.writer,
+      b.sequence,
+      b.snapshot,
+      b.changes.length,
+      JSON.stringify(hit).slice(0, 300),
+    );
+}
+import {REPLICAS} from '@samphireramp/journal';
+for (const h of r.site.hosts)
+  console.log(
+    h.self.incarnation,
+    h.isAlive,
+    JSON.stringify(
+      h.kernel
+        .read(REPLICAS)
+        .changesOf('tema/0')
+        .filter((c: any) => JSON.stringify(c).includes('"' + key)),
+    ).slice(0, 600),
+    [...h.kernel.read(JOBS).keys()].length,
+    JSON.stringify(
+      [...h.kernel.read(SHARDS).values()].map((s: any) => s.phase),
+    ),
+  );
