A failed attempt settles no task that a later one may still run

Cause: after a take-over a worker told of an old, stopped attempt; the task was queued again though its later attempt ran on a worker not yet heard.

--- a/packages/scheduling/src/inventoryFlow.ts
+++ b/packages/scheduling/src/inventoryFlow.ts
@@ -10,6 +10,7 @@
 import {PLACE_WORK, WORK_EVENT} from './messages';
 import {adoptRoom, letLinger, releaseRoom} from './releaseRoom';
 import {siteView} from './SiteView';
+import {mayRepeat} from './startWork';
 import {
   JOBS,
   ORPHANS,
@@ -113,6 +114,11 @@
   task: TaskRow,
   entry: InventoryEntry,
 ): void {
+  if (task.isUnsettled && mayBeFollowed(update, task, entry)) {
+    const {attempt} = entry;
+    update.write(TASKS).set(task.taskId, {...task, attempt});
+    return;
+  }
   const known = task.isUnsettled ? adopt(update, news, task, entry) : task;
   if (entry.state === 'running') {
     const state = known.state === 'stopping' ? 'stopping' : 'running';
@@ -123,6 +129,20 @@
   attemptEnded(update, known, entry.state);
 }
 
+/**
+ * Whether a later attempt may run unseen on a worker that was not heard yet:
+ * then an attempt that did not succeed settles nothing.
+ */
+function mayBeFollowed(
+  update: Update,
+  task: TaskRow,
+  entry: InventoryEntry,
+): boolean {
+  const job = update.read(JOBS).get(task.jobKey);
+  const hasFailed = entry.state === 'failed' || entry.state === 'stopped';
+  return hasFailed && job !== undefined && mayRepeat(update, job);
+}
+
 /** A task of before the take-over was found: it is where it is. */
 function adopt(
   update: Update,
