--- a/packages/kernel/src/__tests__/unit/Kernel.test.ts
+++ b/packages/kernel/src/__tests__/unit/Kernel.test.ts
@@ -29,14 +29,14 @@
   return {kernel, errors, told, unregister};
 }
 
-t.test('a command changes state and its effects follow', async t => {
+void t.test('a command changes state and its effects follow', async t => {
   const {kernel, told} = buildKernel();
   kernel.dispatch(SET, {id: 'a', value: 1});
   t.equal(kernel.read(ROWS).get('a'), 1);
   t.strictSame(told, ['a']);
 });
 
-t.test('a failed update leaves no trace but the error', async t => {
+void t.test('a failed update leaves no trace but the error', async t => {
   const {kernel, told, errors} = buildKernel();
   kernel.dispatch(SET, {id: 'a', value: 1});
   kernel.dispatch(SET, {id: 'a', value: 2, fails: true});
@@ -47,13 +47,13 @@
   t.equal(errors.length, 2);
 });
 
-t.test('state can be written inside an update only', async t => {
+void t.test('state can be written inside an update only', async t => {
   const {kernel} = buildKernel();
   const rows = kernel.read(ROWS) as unknown as Map<string, number>;
   t.throws(() => rows.set('a', 1), /outside an update/);
 });
 
-t.test('a command without a handler is an error', async t => {
+void t.test('a command without a handler is an error', async t => {
   const {kernel, errors, unregister} = buildKernel();
   unregister();
   kernel.dispatch(SET, {id: 'a', value: 1});
@@ -61,7 +61,7 @@
   t.equal(kernel.read(ROWS).size, 0);
 });
 
-t.test('a command from an effect runs after the update', async t => {
+void t.test('a command from an effect runs after the update', async t => {
   const {kernel} = buildKernel();
   const seen: number[] = [];
   kernel.registerEffect(TOLD, id => {
--- a/packages/routing/src/routingPlugin.ts
+++ b/packages/routing/src/routingPlugin.ts
@@ -77,6 +77,7 @@
   'stopping',
   'home-unreachable',
   'no-configuration',
+  'not-durable',
 ];
 
 /** Refusals that another zone may not share. */
--- a/packages/scheduling/src/attemptOutcome.ts
+++ b/packages/scheduling/src/attemptOutcome.ts
@@ -25,6 +25,7 @@
   const free = giveBackRoom(update, task, job);
   if (state === 'succeeded') {
     endTask(update, free, 'succeeded');
+    queueWholeIfStill(update, job);
     return;
   }
   const failures = state === 'failed' ? free.failures + 1 : free.failures;
@@ -115,7 +116,15 @@
       stopAttempt(update, task);
     }
   }
-  const open = tasks.filter(task => !hasEnded(task.state));
+  queueWholeIfStill(update, job);
+}
+
+/** Queues the open tasks of an all-at-once job once none of them runs. */
+function queueWholeIfStill(update: Update, job: JobRow): void {
+  if (job.kind !== 'all-at-once') {
+    return;
+  }
+  const open = tasksOf(update, job).filter(task => !hasEnded(task.state));
   const isStill = open.every(task => task.state === 'queued');
   if (isStill && open.length > 0) {
     queueTask(update, job, open[0]);
--- a/packages/scheduling/src/requestFlow.ts
+++ b/packages/scheduling/src/requestFlow.ts
@@ -4,14 +4,20 @@
 import type {
   ExecuteAnswer,
   NotRunReason,
-  RequestOutcome,
   ServiceRequest,
 } from '@samphireramp/model';
 import {type Admitted, admit} from './admission';
-import {CALL_DECIDED, type LocalCall, WORK_EVENT} from './messages';
+import {type LocalCall, WORK_EVENT} from './messages';
 import {queueRequest, unqueueRequest} from './queueWork';
-import {letLinger, releaseRoom} from './releaseRoom';
-import {rememberOutcome, saveRecord} from './requestRecord';
+import {
+  decide,
+  finish,
+  giveBackRoom,
+  keepRoom,
+  notRun,
+  unknown,
+} from './requestEnd';
+import {saveRecord} from './requestRecord';
 import {takeRetry} from './retryBudget';
 import {siteView} from './SiteView';
 import {emitExecution} from './startWork';
@@ -19,12 +25,6 @@
 
 const REQUEST_TICKET = 'request ';
 
-const EVENT_OF_OUTCOME = {
-  answered: 'request-answered',
-  'not-run': 'request-refused',
-  unknown: 'request-unknown',
-} as const;
-
 /** Times that one attempt is sent, the first one included. */
 const SENDS_OF_ATTEMPT = 3;
 
@@ -344,65 +344,3 @@
     : notRun(row.key, 'deadline', 'no room was free in time');
   finish(update, row, outcome);
 }
-
-/** Answers everyone who waits for a request. */
-function finish(
-  update: Update,
-  row: OpenRequest,
-  outcome: RequestOutcome,
-): void {
-  update.write(OPEN_REQUESTS).delete(row.callId);
-  if (update.read(REQUEST_RECORDS).has(row.key)) {
-    rememberOutcome(update, row, outcome);
-  }
-  for (const callId of [row.callId, ...row.followers]) {
-    decide(update, callId, outcome);
-  }
-  update.emit(WORK_EVENT, {
-    event: EVENT_OF_OUTCOME[outcome.outcome],
-    subject: row.key,
-    workload: row.workload,
-    detail: `attempt ${row.attempt}`,
-    millis: update.now - row.queuedAt,
-  });
-}
-
-function giveBackRoom(update: Update, row: OpenRequest): void {
-  const {shardId, worker, team, held: need} = row;
-  if (worker !== undefined && need !== undefined) {
-    releaseRoom(update, {shardId, worker, team, need});
-  }
-}
-
-/** The worker may still be at it: its room stays taken until it breaks off. */
-function keepRoom(update: Update, row: OpenRequest): void {
-  const {shardId, worker, team, held: need, callId, attempt} = row;
-  if (worker !== undefined && need !== undefined) {
-    const room = {shardId, worker, team, need};
-    letLinger(
-      update,
-      `${callId} ${attempt}`,
-      room,
-      row.deadline + LINGER_MILLIS,
-    );
-  }
-}
-
-/** Covers the worker's grace and the drift of its clock. */
-const LINGER_MILLIS = 1000;
-
-function notRun(
-  key: string,
-  reason: NotRunReason,
-  detail: string,
-): RequestOutcome {
-  return {outcome: 'not-run', key, reason, detail};
-}
-
-function unknown(key: string, detail: string): RequestOutcome {
-  return {outcome: 'unknown', key, detail};
-}
-
-function decide(update: Update, callId: string, outcome: RequestOutcome): void {
-  update.dispatch(CALL_DECIDED, {callId, outcome});
-}
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -34,3 +34,8 @@
   type ScheduleOptions,
   type ScheduleReport,
 } from './runSchedule';
+export {
+  buildDurableDeclaration,
+  buildSchedule,
+  findingsOf,
+} from './scheduleFixture';
