--- a/benchmarks/decisions.ts
+++ b/benchmarks/decisions.ts
@@ -1,4 +1,9 @@
-import {type Kernel, createCommand, createKernel} from '@samphireramp/kernel';
+import {
+  type Kernel,
+  type Update,
+  createCommand,
+  createKernel,
+} from '@samphireramp/kernel';
 import {
   REVISIONS,
   REVISION_IN_FORCE,
@@ -9,8 +14,9 @@
 import {
   EXCHANGE,
   INVENTORY_LEARNT,
-  LEASE_TICK,
-  WORKER_ANSWERED,
+  SHARDS,
+  SHARD_HELD,
+  WORKER_LINKS,
   createOwnershipPlugin,
 } from '@samphireramp/ownership';
 import {
@@ -27,9 +33,8 @@
   createSchedulingPlugin,
   standardPolicies,
 } from '@samphireramp/scheduling';
-import {WorkerModel, runFromInput} from '@samphireramp/stand-ins';
 import {buildDeclaration, createRandom} from '@samphireramp/testing';
-import {type Revision, toResourceVector} from '@samphireramp/model';
+import type {Revision} from '@samphireramp/model';
 import {build} from 'hdr-histogram-js';
 
 /**
@@ -38,6 +43,7 @@
  */
 
 const ZONE = 'tema';
+const SLOTS_OF_WORKER = 2;
 const WAITING = 1000;
 const DECISIONS = 20_000;
 const WARM_UP = 2000;
@@ -48,6 +54,8 @@
   zone: ZONE,
   peerAddress: '127.0.0.1:1',
 };
+const FOR_EVER = 1e12;
+const HOLD_SHARD = createCommand<void>('hold-shard');
 const SET_REVISION = createCommand<Revision>('set-revision');
 
 interface Bench {
@@ -61,6 +69,13 @@
     workersInZone: workers,
     workersInShard: 50,
     addressOf: () => '127.0.0.1:9',
+    capacity: {
+      processors: 16,
+      memoryMegabytes: 32_768,
+      accelerators: 0,
+      slots: SLOTS_OF_WORKER,
+      connections: 60,
+    },
   });
   // One shard of all workers, however many, to see what a scan costs.
   const whole = {
@@ -105,12 +120,13 @@
     }),
   ];
   plugins.forEach(plugin => kernel.register(plugin));
-  connectWorkers(kernel, whole, started);
+  noteStarts(kernel, started);
   kernel.registerCommand(CALL_DECIDED, () => {});
   kernel.registerCommand(SET_REVISION, (update, revision) => {
     update.write(REVISIONS).set('in-force', revision);
     update.dispatch(REVISION_IN_FORCE, revision);
   });
+  kernel.registerCommand(HOLD_SHARD, holdShard);
   kernel.dispatch(SET_REVISION, {
     revision: 1,
     changeId: 'bench',
@@ -120,53 +136,40 @@
   return {kernel, started};
 }
 
-/** Worker models answer at once; starts are noted and end when told. */
-function connectWorkers(
-  kernel: Kernel,
-  declaration: ReturnType<typeof buildDeclaration>,
-  started: Bench['started'],
-): void {
-  const models = new Map(
-    declaration.workers.map(worker => [
-      worker.name,
-      new WorkerModel({
-        name: worker.name,
-        incarnation: `${worker.name}.1`,
-        capacity: toResourceVector(worker.capacity),
-        startedAt: -1e9,
-        quietMillis: 0,
-        usageLagMillis: 0,
-        refusesOverload: true,
-        runOf: runFromInput,
-      }),
-    ]),
-  );
+/** Starts are noted; they end when the benchmark says so. */
+function noteStarts(kernel: Kernel, started: Bench['started']): void {
   kernel.registerEffect(EXCHANGE, ({worker, request}) => {
     for (const {taskId, attempt} of request.starts) {
       started.push({taskId, attempt, worker});
     }
-    const model = models.get(worker);
-    if (
-      model === undefined ||
-      request.starts.length + request.forgets.length > 0
-    ) {
-      return;
-    }
-    const sentAt = performance.now();
-    const answer = model.exchange(request, sentAt);
-    kernel.dispatch(WORKER_ANSWERED, {
-      worker,
-      request,
-      sentAt,
-      receivedAt: performance.now(),
-      answer,
-    });
   });
   kernel.registerEffect(CONTINUE_PLACING, payload =>
     kernel.dispatch(PLACE_WORK, payload),
   );
 }
 
+/** Makes the host the holder of its shard, with all workers known. */
+function holdShard(update: Update): void {
+  const links = update.write(WORKER_LINKS);
+  for (const link of [...links.values()]) {
+    links.set(link.worker, {
+      ...link,
+      grantedUntil: FOR_EVER,
+      reading: {workerClock: 0, sentAt: 0, receivedAt: 0},
+      incarnation: `${link.worker}.1`,
+      inventoryTerm: 1,
+      answeredAt: FOR_EVER,
+    });
+  }
+  for (const shard of [...update.read(SHARDS).values()]) {
+    const held = {...shard, phase: 'holding' as const, term: 1};
+    update
+      .write(SHARDS)
+      .set(shard.shardId, {...held, validUntil: FOR_EVER, renewAt: FOR_EVER});
+    update.dispatch(SHARD_HELD, {shardId: shard.shardId, term: 1});
+  }
+}
+
 /** Lets one task end, so that one decision can be made; times the decision. */
 function endOne(bench: Bench, shardId: string): number {
   const next = bench.started.shift();
@@ -224,7 +227,7 @@
   const bench = createBench(workers, choose);
   const {kernel} = bench;
   const shardId = `${ZONE}/0`;
-  kernel.dispatch(LEASE_TICK, undefined);
+  kernel.dispatch(HOLD_SHARD, undefined);
   kernel.dispatch(SHARD_RECOVERED, {
     shardId,
     changes: [],
@@ -235,7 +238,7 @@
     highestTrackableValue: 10_000_000,
     numberOfSignificantValueDigits: 3,
   });
-  const slots = workers * 8;
+  const slots = workers * SLOTS_OF_WORKER;
   submit(kernel, shardId, Math.min(10_000, slots));
   while (kernel.read(TASKS).size < slots + WAITING) {
     submit(kernel, shardId, Math.min(5000, slots + WAITING));
--- a/packages/kernel/src/Kernel.ts
+++ b/packages/kernel/src/Kernel.ts
@@ -23,6 +23,12 @@
   ): Writer;
   /** Runs `command` later in this same update. */
   dispatch<Payload>(command: Command<Payload>, payload: Payload): void;
+  /** Like `dispatch`, unless one with the same key waits in this update. */
+  dispatchOnce<Payload>(
+    command: Command<Payload>,
+    key: string,
+    payload: Payload,
+  ): void;
   /** Runs `effect` once this update has committed. */
   emit<Payload>(effect: Effect<Payload>, payload: Payload): void;
 }
@@ -76,6 +82,7 @@
 interface QueuedCommand {
   readonly command: Command<unknown>;
   readonly payload: unknown;
+  readonly onceKey?: string;
 }
 
 interface QueuedEffect {
@@ -95,6 +102,7 @@
   function runCommands(first: QueuedCommand, effects: QueuedEffect[]) {
     const pending: QueuedCommand[] = [first];
     const startedAt = options.now();
+    const waitingKeys = new Set<string>();
     const update: Update = {
       now: startedAt,
       read: slice => store.read(slice),
@@ -102,12 +110,23 @@
       dispatch: (command, payload) => {
         pending.push({command: command as Command<unknown>, payload});
       },
+      dispatchOnce: (command, key, payload) => {
+        const onceKey = `${command.name} ${key}`;
+        if (!waitingKeys.has(onceKey)) {
+          waitingKeys.add(onceKey);
+          const item = {command: command as Command<unknown>, payload};
+          pending.push({...item, onceKey});
+        }
+      },
       emit: (effect, payload) => {
         effects.push({effect: effect as Effect<unknown>, payload});
       },
     };
     for (let index = 0; index < pending.length; index++) {
-      const {command, payload} = pending[index];
+      const {command, payload, onceKey} = pending[index];
+      if (onceKey !== undefined) {
+        waitingKeys.delete(onceKey);
+      }
       runHandlers(update, command, payload);
     }
     return {commands: pending.map(item => item.command.name), startedAt};
--- a/packages/scheduling/src/inventoryFlow.ts
+++ b/packages/scheduling/src/inventoryFlow.ts
@@ -44,7 +44,9 @@
   learnMissing(update, news);
   orders.send(update, news.worker);
   refreshUsable(update, news.worker);
-  update.dispatch(PLACE_WORK, {shardId: news.shardId});
+  update.dispatchOnce(PLACE_WORK, news.shardId, {
+    shardId: news.shardId,
+  });
 }
 
 class FollowUpOrders {
--- a/packages/scheduling/src/queueWork.ts
+++ b/packages/scheduling/src/queueWork.ts
@@ -39,7 +39,9 @@
     kind: isWhole ? 'job' : 'task',
     queuedAt: task.queuedAt,
   });
-  update.dispatch(PLACE_WORK, {shardId: job.shardId});
+  update.dispatchOnce(PLACE_WORK, job.shardId, {
+    shardId: job.shardId,
+  });
 }
 
 /** Takes a task, or its all-at-once job, out of the queue. */
@@ -54,7 +56,7 @@
   update
     .write(QUEUE)
     .add(shardId, workload, team, {id: callId, kind: 'request', queuedAt});
-  update.dispatch(PLACE_WORK, {shardId});
+  update.dispatchOnce(PLACE_WORK, shardId, {shardId});
 }
 
 /** Takes a request out of the queue. */
--- a/packages/scheduling/src/releaseRoom.ts
+++ b/packages/scheduling/src/releaseRoom.ts
@@ -19,7 +19,9 @@
     capacity.release(room.worker, room.need);
   }
   changeUsage(update, room.shardId, room.team, room.need, -1);
-  update.dispatch(PLACE_WORK, {shardId: room.shardId});
+  update.dispatchOnce(PLACE_WORK, room.shardId, {
+    shardId: room.shardId,
+  });
 }
 
 /** Counts room that work holds already, whether or not it fits. */
--- a/packages/scheduling/src/schedulingPlugin.ts
+++ b/packages/scheduling/src/schedulingPlugin.ts
@@ -192,14 +192,14 @@
       }
     }
     if (holdsShard(update, shardId, update.now)) {
-      update.dispatch(PLACE_WORK, {shardId});
+      update.dispatchOnce(PLACE_WORK, shardId, {shardId});
     }
   }
 
   function onRevision(update: Update): void {
     for (const {shardId} of [...update.read(SHARD_WORK).values()]) {
       setCapacity(update, shardId);
-      update.dispatch(PLACE_WORK, {shardId});
+      update.dispatchOnce(PLACE_WORK, shardId, {shardId});
     }
   }
 
--- a/packages/scheduling/src/shardFlow.ts
+++ b/packages/scheduling/src/shardFlow.ts
@@ -126,7 +126,7 @@
   });
   work.earlyNews.forEach(news => update.dispatch(INVENTORY_LEARNT, news));
   adoptOrphans(update, shardId);
-  update.dispatch(PLACE_WORK, {shardId});
+  update.dispatchOnce(PLACE_WORK, shardId, {shardId});
 }
 
 const LOAD_ORDER = ['job', 'request', 'task'] as const;
