--- a/benchmarks/idleHost.ts
+++ b/benchmarks/idleHost.ts
@@ -8,7 +8,7 @@
 
 /**
  * What an idle entry host costs: memory, processor time and bytes, at several
- * numbers of workers. Run with `npm run bench:idle` after `npm run build`.
+ * numbers of workers. Run with `npm run bench:idle -- [runtime flags]` after `npm run build`.
  */
 
 const SETTLE_MILLIS = 8000;
@@ -50,6 +50,7 @@
     hostsInZone: 3,
     workersInZone,
     programs: 'dist',
+    runtimeFlags: process.argv.slice(2),
   });
   try {
     await site.command(
--- a/testing/src/startSite.ts
+++ b/testing/src/startSite.ts
@@ -24,6 +24,8 @@
   readonly declaration?: DeclarationOptions;
   /** Flags for each entry host besides the usual ones. */
   readonly entryFlags?: readonly string[];
+  /** Flags of the runtime for entry hosts. */
+  readonly runtimeFlags?: readonly string[];
   readonly onLine?: (source: string, line: string) => void;
 }
 
@@ -198,7 +200,9 @@
   args: readonly string[],
 ): SiteProcess {
   const file = join(options.programs, `${program}.mjs`);
-  const child = spawn(process.execPath, [file, ...args], {
+  const isEntry = program === 'samphireramp-entry';
+  const flags = isEntry ? (options.runtimeFlags ?? []) : [];
+  const child = spawn(process.execPath, [...flags, file, ...args], {
     stdio: ['ignore', 'ignore', options.onLine ? 'pipe' : 'ignore'],
   });
   let rest = '';
