--- /dev/null
+++ b/packages/telemetry/src/__tests__/unit/formatEvent.test.ts
@@ -0,0 +1,16 @@
+import t from 'tap';
+import {createMetrics, formatEvent} from '../..';
+
+void t.test('no value can forge a line or a pair', async t => {
+  const line = formatEvent('started', {name: 'a b=c\nevent=forged', n: 1});
+  t.equal(line, 'event=started name="a b=c\\nevent=forged" n=1');
+});
+
+void t.test('metrics are rendered for a scrape', async t => {
+  const metrics = createMetrics('site');
+  metrics.count('calls', {kind: 'a"b'});
+  metrics.time('wait', 12, {kind: 'x'});
+  const text = metrics.render();
+  t.match(text, /site_calls_total\{kind="a_b"\} 1/);
+  t.match(text, /site_wait_milliseconds\{kind="x",quantile="0.5"\} 12/);
+});
