A request that can't be sent waits before it is tried again

Cause: after a take-over slot checks without an input were never answered, and a host was at 55% of a core: the worker refused the body (an input left out was taken for missing), which counted as not sent, and the next attempt followed at once, 500 a second. Ruled out: the take-over itself; it happened on a fresh site too. Change: an input may be left out; what was not sent pauses at random, longer each time, and counts against its worker.

--- a/packages/model/src/WorkerProtocol.ts
+++ b/packages/model/src/WorkerProtocol.ts
@@ -35,7 +35,7 @@
   attempt: attemptNumber,
   workload: z.string(),
   size: resourcesSchema,
-  input: z.unknown(),
+  input: z.optional(z.unknown()),
   /** Worker clock. */
   deadline: millis,
 });
@@ -158,7 +158,7 @@
   endBy: millis,
   workload: z.string(),
   size: resourcesSchema,
-  input: z.unknown(),
+  input: z.optional(z.unknown()),
 });
 
 /** One request of a caller, for a worker to answer whole. */
--- a/packages/platform-client/src/requestJson.ts
+++ b/packages/platform-client/src/requestJson.ts
@@ -38,7 +38,7 @@
     const text = await answer.body.text();
     if (answer.statusCode !== 200) {
       const isUnsure = answer.statusCode >= 500 && answer.statusCode !== 503;
-      const message = `status ${answer.statusCode}`;
+      const message = `status ${answer.statusCode}: ${text.slice(0, 200)}`;
       return Err(new PlatformError(message, isUnsure));
     }
     return checkAnswer(question.schema, text);
--- a/packages/scheduling/src/WorkState.ts
+++ b/packages/scheduling/src/WorkState.ts
@@ -55,9 +55,9 @@
   workload: z.string(),
   team: z.string(),
   member: z.string(),
-  state: z.enum(['securing', 'queued', 'executing']),
+  state: z.enum(['securing', 'queued', 'executing', 'pausing']),
   attempt: z.int(),
-  input: z.unknown(),
+  input: z.optional(z.unknown()),
   queuedAt: z.number(),
   deadline: z.number(),
   worker: z.optional(z.string()),
@@ -68,7 +68,7 @@
   /** What was sent, for sending it again under the same number. */
   sent: z.optional(executeRequestSchema),
   resends: z.int(),
-  /** When the attempt is sent again; undefined while an answer may come. */
+  /** When the pause before the next send or attempt is over. */
   resendAt: z.optional(z.number()),
   /** Other calls that wait for the same key. */
   followers: z.array(z.string()),
--- a/packages/scheduling/src/requestFlow.ts
+++ b/packages/scheduling/src/requestFlow.ts
@@ -21,6 +21,7 @@
 import {takeRetry} from './retryBudget';
 import {siteView} from './SiteView';
 import {emitExecution} from './startWork';
+import {learnOutcome} from './workerHealth';
 import {OPEN_REQUESTS, type OpenRequest, REQUEST_RECORDS} from './WorkState';
 
 const REQUEST_TICKET = 'request ';
@@ -30,6 +31,7 @@
 
 /** Longest pause before the first send again; it doubles with each. */
 const FIRST_BACKOFF_MILLIS = 200;
+const MOST_BACKOFF_STEPS = 3;
 
 /** What the flow of requests is given. */
 export interface RequestFlowContext {
@@ -118,7 +120,7 @@
     return;
   }
   if (!failed.sent && row.resends === 0) {
-    notSent(update, row);
+    notSent(update, row, random);
   } else if (mayResend(update, row)) {
     const longest = FIRST_BACKOFF_MILLIS * 2 ** row.resends;
     update.write(OPEN_REQUESTS).set(row.callId, {
@@ -144,10 +146,21 @@
   finish(update, row, unknown(row.key, detail));
 }
 
-/** The attempt never left: it may go elsewhere, if there is time. */
-function notSent(update: Update, row: OpenRequest): void {
+/** The attempt never left: it may go elsewhere after a pause, if there is time. */
+function notSent(update: Update, row: OpenRequest, random: () => number): void {
+  if (row.worker !== undefined) {
+    learnOutcome(update, row.worker, row.shardId, false);
+  }
   if (update.now < row.deadline) {
-    tryAgain(update, row);
+    giveBackRoom(update, row);
+    const steps = Math.min(row.attempt, MOST_BACKOFF_STEPS);
+    const longest = FIRST_BACKOFF_MILLIS * 2 ** steps;
+    update.write(OPEN_REQUESTS).set(row.callId, {
+      ...row,
+      state: 'pausing',
+      held: undefined,
+      resendAt: update.now + random() * longest,
+    });
     return;
   }
   giveBackRoom(update, row);
@@ -158,10 +171,15 @@
   finish(update, row, outcome);
 }
 
-/** Sends attempts again whose pause is over, under the same number. */
+/** Goes on with requests whose pause is over. */
 export function resendRequests(update: Update): void {
   for (const row of [...update.read(OPEN_REQUESTS).values()]) {
-    if (row.resendAt !== undefined && update.now >= row.resendAt) {
+    if (row.resendAt === undefined || update.now < row.resendAt) {
+      continue;
+    }
+    if (row.state === 'pausing') {
+      requeue(update, row);
+    } else {
       const next = {...row, resendAt: undefined};
       update.write(OPEN_REQUESTS).set(row.callId, next);
       emitExecution(update, row.callId);
--- a/testing/src/__tests__/process/wholePath.test.ts
+++ b/testing/src/__tests__/process/wholePath.test.ts
@@ -88,6 +88,10 @@
     t.equal(answer.status, 200);
     t.match(answer.body, {outcome: 'answered', output: {input: {slot: 7}}});
   }
+  const bare = {workload: 'slot-check', member: 'till'};
+  const [{callerAddress}] = site.hosts;
+  const plain = await callEntry(callerAddress, 'POST', '/v1/requests', bare);
+  t.equal(plain.status, 200, 'an input may be left out');
   const input = {runMillis: 300};
   const batch = {workload: 'reconciliation', member: 'desk', tasks: 5, input};
   t.equal(await runJob(site, batch), 'succeeded');
