--- a/benchmarks/decisions.ts
+++ b/benchmarks/decisions.ts
@@ -1,23 +1,19 @@
+import {randomUUID} from 'node:crypto';
+import {createDecisionPlugins} from '@samphireramp/decisions';
 import {
   type Kernel,
   type Update,
   createCommand,
   createKernel,
 } from '@samphireramp/kernel';
-import {
-  REVISIONS,
-  REVISION_IN_FORCE,
-  createConfigurationPlugin,
-} from '@samphireramp/configuration';
-import {createJournalPlugin, SHARD_RECOVERED} from '@samphireramp/journal';
-import {createMembershipPlugin} from '@samphireramp/membership';
+import {REVISIONS, REVISION_IN_FORCE} from '@samphireramp/configuration';
+import {SHARD_RECOVERED} from '@samphireramp/journal';
 import {
   EXCHANGE,
   INVENTORY_LEARNT,
   SHARDS,
   SHARD_HELD,
   WORKER_LINKS,
-  createOwnershipPlugin,
 } from '@samphireramp/ownership';
 import {
   type WorkerChooser,
@@ -30,7 +26,6 @@
   LOCAL_CALL,
   PLACE_WORK,
   TASKS,
-  createSchedulingPlugin,
   standardPolicies,
 } from '@samphireramp/scheduling';
 import {buildDeclaration, createRandom} from '@samphireramp/testing';
@@ -96,29 +91,17 @@
       throw error;
     },
   });
-  const plugins = [
-    createMembershipPlugin({
-      self: SELF,
-      seeds: [],
-      ownStatus: () => ({holding: [], revision: 0}),
-    }),
-    createConfigurationPlugin({self: SELF}),
-    createOwnershipPlugin({
-      holder: SELF.incarnation,
-      zone: ZONE,
-      seeks: () => true,
-      yields: () => false,
-      random: Math.random,
-    }),
-    createJournalPlugin({self: SELF, retentionMillis: 1e9, startedAt: 0}),
-    createSchedulingPlugin({
-      self: SELF,
-      policies: standardPolicies,
-      choose,
-      wallClock: Date.now,
-      random: Math.random,
-    }),
-  ];
+  const plugins = createDecisionPlugins({
+    self: SELF,
+    seeds: [],
+    retentionMillis: 1e9,
+    startedAt: -1e6,
+    policies: standardPolicies,
+    choose,
+    wallClock: Date.now,
+    random: Math.random,
+    unique: randomUUID,
+  });
   plugins.forEach(plugin => kernel.register(plugin));
   noteStarts(kernel, started);
   kernel.registerCommand(CALL_DECIDED, () => {});
--- a/benchmarks/slopes.ts
+++ b/benchmarks/slopes.ts
@@ -1,29 +1,18 @@
-import {
-  CONFIGURATION_READ,
-  createConfigurationPlugin,
-} from '@samphireramp/configuration';
-import {
-  JOURNAL_TICK,
-  REPLICAS,
-  SHARD_RECOVERED,
-  createJournalPlugin,
-} from '@samphireramp/journal';
+import {randomUUID} from 'node:crypto';
+import {CONFIGURATION_READ} from '@samphireramp/configuration';
+import {JOURNAL_TICK, REPLICAS, SHARD_RECOVERED} from '@samphireramp/journal';
+import {createDecisionPlugins} from '@samphireramp/decisions';
 import {type Kernel, createKernel} from '@samphireramp/kernel';
 import {
   HEARTBEAT_DUE,
   HOST_LIST_READ,
   SEND_TO_PEER,
-  createMembershipPlugin,
 } from '@samphireramp/membership';
 import type {Declaration, WorkChange} from '@samphireramp/model';
-import {SHARD_HELD, createOwnershipPlugin} from '@samphireramp/ownership';
+import {SHARD_HELD} from '@samphireramp/ownership';
 import {envelopeBytes} from '@samphireramp/peer-grpc';
 import {chooseBestFit} from '@samphireramp/placement';
-import {
-  TASKS,
-  createSchedulingPlugin,
-  standardPolicies,
-} from '@samphireramp/scheduling';
+import {TASKS, standardPolicies} from '@samphireramp/scheduling';
 import {buildDeclaration} from '@samphireramp/testing';
 
 /**
@@ -46,29 +35,17 @@
       throw error;
     },
   });
-  const plugins = [
-    createMembershipPlugin({
-      self: SELF,
-      seeds: [],
-      ownStatus: () => ({holding: [SHARD], revision: 1}),
-    }),
-    createConfigurationPlugin({self: SELF}),
-    createOwnershipPlugin({
-      holder: SELF.incarnation,
-      zone: SELF.zone,
-      seeks: () => false,
-      yields: () => false,
-      random: Math.random,
-    }),
-    createJournalPlugin({self: SELF, retentionMillis: 1e9, startedAt: -1e6}),
-    createSchedulingPlugin({
-      self: SELF,
-      policies: standardPolicies,
-      choose: chooseBestFit,
-      wallClock: Date.now,
-      random: Math.random,
-    }),
-  ];
+  const plugins = createDecisionPlugins({
+    self: SELF,
+    seeds: [],
+    retentionMillis: 1e9,
+    startedAt: -1e6,
+    policies: standardPolicies,
+    choose: chooseBestFit,
+    wallClock: Date.now,
+    random: Math.random,
+    unique: randomUUID,
+  });
   plugins.forEach(plugin => kernel.register(plugin));
   return kernel;
 }
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -12,6 +12,7 @@
   'membership',
   'journal',
   'routing',
+  'decisions',
 ];
 
 const TRANSPORT_IMPORTS = [
--- a/packages/configuration/src/applyRecord.ts
+++ b/packages/configuration/src/applyRecord.ts
@@ -1,6 +1,5 @@
 import {
   type AuditEntry,
-  type Declaration,
   type LogRecord,
   type Revision,
   checkDeclaration,
@@ -87,11 +86,3 @@
     },
   };
 }
-
-/** The names of the declared workers, by zone. */
-export function workersOfZone(
-  declaration: Declaration,
-  zone: string,
-): Declaration['workers'] {
-  return declaration.workers.filter(worker => worker.zone === zone);
-}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,10 +1,5 @@
 /** Revisions of the declaration: their order, their spread, their audit. */
-export {
-  applyRecord,
-  supersedes,
-  workersOfZone,
-  type RecordVerdict,
-} from './applyRecord';
+export {applyRecord, supersedes, type RecordVerdict} from './applyRecord';
 export {
   APPEND_CONFIGURATION,
   AUDIT,
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,5 @@
+/** All decision plug-ins of an entry host, put together. */
+export {
+  createDecisionPlugins,
+  type DecisionOptions,
+} from './createDecisionPlugins';
--- a/packages/entry-daemon/src/createEntryHost.ts
+++ b/packages/entry-daemon/src/createEntryHost.ts
@@ -1,24 +1,12 @@
 import {createCallerHttp, type CallerHttp} from '@samphireramp/caller-http';
-import {
-  createConfigurationPlugin,
-  revisionInForce,
-} from '@samphireramp/configuration';
-import {createJournalPlugin} from '@samphireramp/journal';
+import {createDecisionPlugins} from '@samphireramp/decisions';
 import {type Kernel, createKernel, mergeUnregister} from '@samphireramp/kernel';
 import {
   LEAVE,
   type OwnIdentity,
-  createMembershipPlugin,
-  holderOf,
   isConfigurationReader,
-  preferredHosts,
 } from '@samphireramp/membership';
-import {
-  RELEASE_SHARDS,
-  createOwnershipPlugin,
-  heldShards,
-  type OwnershipOptions,
-} from '@samphireramp/ownership';
+import {RELEASE_SHARDS} from '@samphireramp/ownership';
 import {type PeerKeys, createPeerGrpc} from '@samphireramp/peer-grpc';
 import {
   createConfigurationClientPlugin,
@@ -29,12 +17,8 @@
   leaveHostList,
 } from '@samphireramp/platform-client';
 import {chooseBestFit} from '@samphireramp/placement';
-import {CALLS, createRoutingPlugin} from '@samphireramp/routing';
-import {
-  OPEN_REQUESTS,
-  createSchedulingPlugin,
-  standardPolicies,
-} from '@samphireramp/scheduling';
+import {CALLS} from '@samphireramp/routing';
+import {OPEN_REQUESTS, standardPolicies} from '@samphireramp/scheduling';
 import type {EntrySettings} from '@samphireramp/settings';
 import {
   type Metrics,
@@ -96,29 +80,17 @@
   const logClient = createLogClient(settings.logUrl);
   const plugins = [
     createObserverPlugin({metrics, log}),
-    createMembershipPlugin({
+    ...createDecisionPlugins({
       self,
       seeds: settings.peers.map(parseSeed),
-      ownStatus: (state, time) => ({
-        holding: heldShards(state, time),
-        revision: revisionInForce(state)?.revision ?? 0,
-      }),
-    }),
-    createConfigurationPlugin({self}),
-    createOwnershipPlugin(ownershipOptions(self)),
-    createJournalPlugin({
-      self,
       retentionMillis: settings.retentionMillis,
       startedAt: now(),
-    }),
-    createSchedulingPlugin({
-      self,
       policies: standardPolicies,
       choose: chooseBestFit,
       wallClock: Date.now,
       random: Math.random,
+      unique: randomUUID,
     }),
-    createRoutingPlugin({self, random: Math.random, unique: randomUUID}),
     peers.plugin,
     callers.plugin,
     createWorkerClientPlugin({exchangeMillis: EXCHANGE_MILLIS, now}),
@@ -158,21 +130,6 @@
   });
 }
 
-function ownershipOptions(self: OwnIdentity): OwnershipOptions {
-  return {
-    holder: self.incarnation,
-    zone: self.zone,
-    seeks: (state, shardId, time) => {
-      const [first] = preferredHosts(state, self.zone, shardId, time);
-      const holder = holderOf(state, shardId, time);
-      const isFree = holder === undefined || holder.name === self.name;
-      return isFree && first?.name === self.name;
-    },
-    yields: () => false,
-    random: Math.random,
-  };
-}
-
 async function stop(
   kernel: Kernel,
   settings: EntrySettings,
--- a/packages/kernel/src/Message.ts
+++ b/packages/kernel/src/Message.ts
@@ -23,3 +23,8 @@
 export function createEffect<Payload>(name: string): Effect<Payload> {
   return {kind: 'effect', name};
 }
+
+/** The payload type of a command or an effect. */
+export type PayloadOf<Type> = Type extends {payloadType?: infer Payload}
+  ? NonNullable<Payload>
+  : never;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -4,6 +4,7 @@
   createEffect,
   type Command,
   type Effect,
+  type PayloadOf,
 } from './Message';
 export {
   createKernel,
--- a/packages/platform-client/src/workerClientPlugin.ts
+++ b/packages/platform-client/src/workerClientPlugin.ts
@@ -1,4 +1,9 @@
-import {type Kernel, type Plugin, mergeUnregister} from '@samphireramp/kernel';
+import {
+  type Kernel,
+  type PayloadOf,
+  type Plugin,
+  mergeUnregister,
+} from '@samphireramp/kernel';
 import {exchangeAnswerSchema, executeAnswerSchema} from '@samphireramp/model';
 import {
   EXCHANGE,
@@ -43,10 +48,6 @@
   };
 }
 
-type PayloadOf<Type> = Type extends {payloadType?: infer Payload}
-  ? NonNullable<Payload>
-  : never;
-
 async function sendExchange(
   kernel: Kernel,
   {now, exchangeMillis}: WorkerClientOptions,
--- a/testing/src/VirtualHost.ts
+++ b/testing/src/VirtualHost.ts
@@ -1,42 +1,21 @@
-import {
-  CONFIGURATION_READ,
-  createConfigurationPlugin,
-  revisionInForce,
-} from '@samphireramp/configuration';
-import {JOURNAL_TICK, createJournalPlugin} from '@samphireramp/journal';
+import {CONFIGURATION_READ} from '@samphireramp/configuration';
+import {createDecisionPlugins} from '@samphireramp/decisions';
+import {JOURNAL_TICK} from '@samphireramp/journal';
 import {type Kernel, createKernel} from '@samphireramp/kernel';
-import {
-  HEARTBEAT_DUE,
-  LEAVE,
-  type OwnIdentity,
-  createMembershipPlugin,
-  holderOf,
-  preferredHosts,
-} from '@samphireramp/membership';
+import {HEARTBEAT_DUE, LEAVE, type OwnIdentity} from '@samphireramp/membership';
 import type {
   CallOutcome,
   ListedHost,
   LogPage,
   PeerCall,
 } from '@samphireramp/model';
-import {
-  LEASE_TICK,
-  RELEASE_SHARDS,
-  createOwnershipPlugin,
-  heldShards,
-} from '@samphireramp/ownership';
+import {LEASE_TICK, RELEASE_SHARDS} from '@samphireramp/ownership';
 import {chooseBestFit} from '@samphireramp/placement';
-import {
-  ANSWER_CALLER,
-  CALL_ARRIVED,
-  CALL_TICK,
-  createRoutingPlugin,
-} from '@samphireramp/routing';
+import {ANSWER_CALLER, CALL_ARRIVED, CALL_TICK} from '@samphireramp/routing';
 import {
   CONTINUE_PLACING,
   PLACE_WORK,
   WORK_TICK,
-  createSchedulingPlugin,
   standardPolicies,
 } from '@samphireramp/scheduling';
 import type {EventQueue} from './EventQueue';
@@ -58,6 +37,8 @@
   readonly onError: (error: unknown) => void;
 }
 
+const DAY_MILLIS = 86_400_000;
+
 const TICKS = [
   [HEARTBEAT_DUE, 1000],
   [LEASE_TICK, 250],
@@ -148,42 +129,17 @@
     const {self} = this;
     const {random, peers} = this.options;
     const unique = () => `${self.incarnation}-${++this.calls}`;
-    const plugins = [
-      createMembershipPlugin({
-        self,
-        seeds: peers,
-        ownStatus: (state, now) => ({
-          holding: heldShards(state, now),
-          revision: revisionInForce(state)?.revision ?? 0,
-        }),
-      }),
-      createConfigurationPlugin({self}),
-      createOwnershipPlugin({
-        holder: self.incarnation,
-        zone: self.zone,
-        seeks: (state, shardId, now) => {
-          const [first] = preferredHosts(state, self.zone, shardId, now);
-          const holder = holderOf(state, shardId, now);
-          const isFree = holder === undefined || holder.name === self.name;
-          return isFree && first?.name === self.name;
-        },
-        yields: () => false,
-        random,
-      }),
-      createJournalPlugin({
-        self,
-        retentionMillis: 86_400_000,
-        startedAt: this.now,
-      }),
-      createSchedulingPlugin({
-        self,
-        policies: standardPolicies,
-        choose: chooseBestFit,
-        wallClock: () => this.queue.now,
-        random,
-      }),
-      createRoutingPlugin({self, random, unique}),
-    ];
+    const plugins = createDecisionPlugins({
+      self,
+      seeds: peers,
+      retentionMillis: DAY_MILLIS,
+      startedAt: this.now,
+      policies: standardPolicies,
+      choose: chooseBestFit,
+      wallClock: () => this.queue.now,
+      random,
+      unique,
+    });
     plugins.forEach(plugin => this.kernel.register(plugin));
     this.kernel.registerEffect(ANSWER_CALLER, ({callId, outcome}) => {
       this.answers.get(callId)?.(outcome);
--- a/testing/src/VirtualSite.ts
+++ b/testing/src/VirtualSite.ts
@@ -6,7 +6,7 @@
   JOURNAL_UNREADABLE,
   READ_JOURNAL,
 } from '@samphireramp/journal';
-import type {Kernel} from '@samphireramp/kernel';
+import type {Kernel, PayloadOf} from '@samphireramp/kernel';
 import {PEER_MESSAGE, SEND_TO_PEER} from '@samphireramp/membership';
 import {
   CONFIGURATION_STREAM,
@@ -280,7 +280,3 @@
     return (this.options.random() * 2 - 1) * this.options.largestDrift;
   }
 }
-
-type PayloadOf<Type> = Type extends {payloadType?: infer Payload}
-  ? NonNullable<Payload>
-  : never;
--- a/testing/src/__tests__/unit/promises.test.ts
+++ b/testing/src/__tests__/unit/promises.test.ts
@@ -4,6 +4,7 @@
   type FaultRates,
   NO_FAULT_RATES,
   type ScheduleOptions,
+  type VirtualSite,
   buildSchedule,
   findingsOf,
   runSchedule,
@@ -57,6 +58,13 @@
   checkSchedules(t, rates({logOutages: 6, hostKills: 2}));
 });
 
+void t.test('answers of the log lost after the append took effect', async t => {
+  const prepare = (site: VirtualSite) => {
+    site.log.faults = {...site.log.faults, losesEvery: 2};
+  };
+  checkSchedules(t, {prepare, ...rates({hostKills: 3, logOutages: 2})});
+});
+
 void t.test('cancellations in waves', async t => {
   checkSchedules(t, rates({cancellations: 8, hostKills: 2}));
 });
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -39,3 +39,4 @@
   buildSchedule,
   findingsOf,
 } from './scheduleFixture';
+export {jobHasEnded} from './jobHasEnded';
