--- a/benchmarks/idleHost.ts
+++ b/benchmarks/idleHost.ts
@@ -2,6 +2,7 @@
 import {
   type Site,
   type SiteHost,
+  readHostStatus,
   startSite,
   waitFor,
 } from '@samphireramp/testing';
@@ -44,6 +45,12 @@
   return Number(line.split(':')[1]?.trim().split(/\s+/)[0] ?? 0);
 }
 
+/** Whether a host holds the shard of the zone. */
+async function isHolder(host: SiteHost): Promise<boolean> {
+  const page = await readHostStatus(host.statusAddress);
+  return (page['holding'] as string[]).length > 0;
+}
+
 async function measure(workersInZone: number): Promise<void> {
   const site: Site = await startSite({
     zones: ['tema'],
@@ -65,6 +72,7 @@
     await waitFor(() => false, WINDOW_MILLIS);
     const after = site.hosts.map(readUsage);
     const bytes = readLoopbackBytes() - bytesBefore;
+    const holding = await Promise.all(site.hosts.map(isHolder));
     site.hosts.forEach((host, index) => {
       const spent =
         after[index].processorMillis - before[index].processorMillis;
@@ -72,6 +80,7 @@
         [
           `workers=${workersInZone}`,
           `host=${host.name}`,
+          `holds=${holding[index]}`,
           `core_percent=${((spent / WINDOW_MILLIS) * 100).toFixed(2)}`,
           `resident_megabytes=${after[index].residentMegabytes.toFixed(1)}`,
           `private_megabytes=${after[index].privateMegabytes.toFixed(1)}`,
