One function builds the host of both kernel benchmarks

Cause: benchmarks/decisions.ts and benchmarks/slopes.ts built the same kernel. Change: createBenchHost; no product code, test, check or bound is touched.

--- a/benchmarks/decisions.ts
+++ b/benchmarks/decisions.ts
@@ -1,11 +1,4 @@
-import {randomUUID} from 'node:crypto';
-import {createDecisionPlugins} from '@samphireramp/decisions';
-import {
-  type Kernel,
-  type Update,
-  createCommand,
-  createKernel,
-} from '@samphireramp/kernel';
+import {type Kernel, type Update, createCommand} from '@samphireramp/kernel';
 import {REVISIONS, REVISION_IN_FORCE} from '@samphireramp/configuration';
 import {SHARD_RECOVERED} from '@samphireramp/journal';
 import {
@@ -26,11 +19,11 @@
   LOCAL_CALL,
   PLACE_WORK,
   TASKS,
-  standardPolicies,
 } from '@samphireramp/scheduling';
 import {buildDeclaration, createRandom} from '@samphireramp/testing';
 import type {Revision} from '@samphireramp/model';
 import {build} from 'hdr-histogram-js';
+import {createBenchHost} from './createBenchHost';
 
 /**
  * Decisions of the kernel alone: one placement each, with tasks waiting. Run
@@ -43,12 +36,6 @@
 const DECISIONS = 20_000;
 const WARM_UP = 2000;
 const MICROS_PER_MILLI = 1000;
-const SELF = {
-  name: 'bench',
-  incarnation: 'bench.1',
-  zone: ZONE,
-  peerAddress: '127.0.0.1:1',
-};
 const FOR_EVER = 1e12;
 const HOLD_SHARD = createCommand<void>('hold-shard');
 const SET_REVISION = createCommand<Revision>('set-revision');
@@ -85,24 +72,7 @@
       durability: 'memory' as const,
     })),
   };
-  const kernel = createKernel({
-    now: () => performance.now(),
-    onError: error => {
-      throw error;
-    },
-  });
-  const plugins = createDecisionPlugins({
-    self: SELF,
-    seeds: [],
-    retentionMillis: 1e9,
-    startedAt: -1e6,
-    policies: standardPolicies,
-    choose,
-    wallClock: Date.now,
-    random: Math.random,
-    unique: randomUUID,
-  });
-  plugins.forEach(plugin => kernel.register(plugin));
+  const kernel = createBenchHost(choose);
   noteStarts(kernel, started);
   kernel.registerCommand(CALL_DECIDED, () => {});
   kernel.registerCommand(SET_REVISION, (update, revision) => {
--- a/benchmarks/slopes.ts
+++ b/benchmarks/slopes.ts
@@ -1,8 +1,6 @@
-import {randomUUID} from 'node:crypto';
 import {CONFIGURATION_READ} from '@samphireramp/configuration';
 import {JOURNAL_TICK, REPLICAS, SHARD_RECOVERED} from '@samphireramp/journal';
-import {createDecisionPlugins} from '@samphireramp/decisions';
-import {type Kernel, createKernel} from '@samphireramp/kernel';
+import {type Kernel} from '@samphireramp/kernel';
 import {
   HEARTBEAT_DUE,
   HOST_LIST_READ,
@@ -12,8 +10,9 @@
 import {SHARD_HELD} from '@samphireramp/ownership';
 import {envelopeBytes} from '@samphireramp/peer-grpc';
 import {chooseBestFit} from '@samphireramp/placement';
-import {TASKS, standardPolicies} from '@samphireramp/scheduling';
+import {TASKS} from '@samphireramp/scheduling';
 import {buildDeclaration} from '@samphireramp/testing';
+import {createBenchHost, BENCH_HOST} from './createBenchHost';
 
 /**
  * What grows with tasks, workers, hosts and changes: memory, bytes and time at
@@ -21,34 +20,6 @@
  */
 
 const SHARD = 'tema/0';
-const SELF = {
-  name: 'bench',
-  incarnation: 'bench.1',
-  zone: 'tema',
-  peerAddress: '127.0.0.1:1',
-};
-
-function createHost(): Kernel {
-  const kernel = createKernel({
-    now: () => performance.now(),
-    onError: error => {
-      throw error;
-    },
-  });
-  const plugins = createDecisionPlugins({
-    self: SELF,
-    seeds: [],
-    retentionMillis: 1e9,
-    startedAt: -1e6,
-    policies: standardPolicies,
-    choose: chooseBestFit,
-    wallClock: Date.now,
-    random: Math.random,
-    unique: randomUUID,
-  });
-  plugins.forEach(plugin => kernel.register(plugin));
-  return kernel;
-}
 
 function configure(kernel: Kernel, declaration: Declaration): void {
   const body = {
@@ -110,7 +81,7 @@
 
 /** Memory of queued tasks, and the time to take them over. */
 function measureTasks(tasks: number): void {
-  const kernel = createHost();
+  const kernel = createBenchHost(chooseBestFit);
   configure(kernel, buildDeclaration({workersInZone: 50}));
   kernel.dispatch(SHARD_HELD, {shardId: SHARD, term: 1});
   const changes = buildWork(tasks);
@@ -160,7 +131,7 @@
 /** Time and bytes of one change of configuration. */
 function measureConfiguration(workers: number): void {
   const declaration = buildDeclaration({workersInZone: workers});
-  const kernel = createHost();
+  const kernel = createBenchHost(chooseBestFit);
   const startedAt = performance.now();
   configure(kernel, declaration);
   const millis = performance.now() - startedAt;
@@ -181,11 +152,11 @@
 
 /** Time and bytes of one beat to all who get it. */
 function measureHosts(hosts: number): void {
-  const kernel = createHost();
+  const kernel = createBenchHost(chooseBestFit);
   const zones = 11;
   const listed = Array.from({length: hosts}, (_, index) => ({
     name: `host-${index}`,
-    zone: index % zones === 0 ? SELF.zone : `zone-${index % zones}`,
+    zone: index % zones === 0 ? BENCH_HOST.zone : `zone-${index % zones}`,
     peerAddress: '127.0.0.1:1',
     state: 'live' as const,
   }));
