--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -36,7 +36,7 @@
 };
 
 export default defineConfig([
-  {ignores: ['dist/**', 'node_modules/**', '.tap/**']},
+  {ignores: ['dist/**', 'target/**', 'node_modules/**', '.tap/**']},
   ...google,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -0,0 +1,148 @@
+import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
+import {
+  HOLDING,
+  HOLDING_BEGAN,
+  HOLDING_ENDED,
+  heldTerm,
+} from '@samphireramp/holding';
+import {
+  MAY_HOLD,
+  ROOM_CHANGED,
+  RUNS,
+  RUN_CONFIRMED,
+  RUN_ENDED,
+  RUN_FOUND,
+  RUN_VOID,
+  WORKERS,
+  surelyLapsedAt,
+  voidRun,
+} from '@samphireramp/fleet';
+import type {SiteConfiguration} from '@samphireramp/jobs';
+import {ASK_COUNT, OPEN_ASKS, onAdvised} from './adviceFlow';
+import {LANES} from './adviceLanes';
+import {ADVICE} from './adviceState';
+import {CANCELLED, CONFIGURATION, JOBS, PARTITIONS_READ} from './DispatchState';
+import {onRunConfirmed, onRunEnded, onRunFound, onRunVoid} from './endFlow';
+import {beginDue, forgetEnded, takeRequests} from './jobFlow';
+import {
+  ADVISED,
+  CONFIGURATION_IN_FORCE,
+  DISPATCH_TICK,
+  FOLLOW_SITE,
+  PLACE_WORK,
+  REQUESTS_READ,
+  UNFOLLOW_SITE,
+} from './messages';
+import {PLACING_PLANNED, placeSoon} from './placeSoon';
+import {placeWork} from './placing';
+
+/** What the plug-in is given. */
+export interface DispatchOptions {
+  /** The name of this host. */
+  readonly self: string;
+  /** Milliseconds since 1970. */
+  readonly wallClock: () => number;
+  /** Partitions of the stream of requests. */
+  readonly partitions: number;
+  /** How long callers may ask for a job that has ended, in milliseconds. */
+  readonly keepEndedMillis: number;
+}
+
+/** Decides which task runs where and when. */
+export function createDispatchPlugin(options: DispatchOptions): Plugin {
+  const {self, wallClock, partitions, keepEndedMillis} = options;
+
+  function onRequests(
+    update: Update,
+    payload: Parameters<typeof takeRequests>[1],
+  ): void {
+    if (heldTerm(update) === undefined) {
+      return;
+    }
+    takeRequests(update, payload, wallClock);
+    const read = update.write(PARTITIONS_READ);
+    if (!read.has(String(payload.partition))) {
+      read.set(String(payload.partition), true);
+      if (read.size === partitions) {
+        update.write(MAY_HOLD).set(true);
+      }
+    }
+  }
+
+  function onTick(update: Update): void {
+    if (heldTerm(update) === undefined) {
+      return;
+    }
+    beginDue(update, wallClock());
+    forgetEnded(update, wallClock(), keepEndedMillis);
+    voidLapsed(update);
+    placeSoon(update);
+  }
+
+  return kernel =>
+    mergeUnregister(
+      ...[JOBS, CANCELLED, CONFIGURATION, PARTITIONS_READ].map(slice =>
+        kernel.registerSlice(slice as typeof JOBS),
+      ),
+      ...[ADVICE, LANES, OPEN_ASKS, ASK_COUNT, PLACING_PLANNED].map(slice =>
+        kernel.registerSlice(slice as typeof ADVICE),
+      ),
+      kernel.registerCommand(CONFIGURATION_IN_FORCE, onConfiguration),
+      kernel.registerCommand(HOLDING_BEGAN, update => {
+        forgetSite(update);
+        update.emit(FOLLOW_SITE, undefined);
+      }),
+      kernel.registerCommand(HOLDING_ENDED, update => {
+        forgetSite(update);
+        update.emit(UNFOLLOW_SITE, undefined);
+      }),
+      kernel.registerCommand(REQUESTS_READ, onRequests),
+      kernel.registerCommand(ROOM_CHANGED, update => placeSoon(update)),
+      kernel.registerCommand(RUN_ENDED, (update, payload) =>
+        onRunEnded(update, payload, wallClock),
+      ),
+      kernel.registerCommand(RUN_VOID, onRunVoid),
+      kernel.registerCommand(RUN_CONFIRMED, onRunConfirmed),
+      kernel.registerCommand(RUN_FOUND, onRunFound),
+      kernel.registerCommand(ADVISED, onAdvised),
+      kernel.registerCommand(PLACE_WORK, update => {
+        update.write(PLACING_PLANNED).set(false);
+        placeWork(update, self);
+      }),
+      kernel.registerCommand(DISPATCH_TICK, onTick),
+    );
+}
+
+/** A host never goes back to an older configuration. */
+function onConfiguration(
+  update: Update,
+  {configuration}: {readonly configuration: SiteConfiguration},
+): void {
+  const inForce = update.write(CONFIGURATION);
+  if (configuration.revision >= (inForce.get()?.revision ?? 0)) {
+    inForce.set(configuration);
+  }
+}
+
+/** Gives up runs on workers that this holder never met, once they lapsed. */
+function voidLapsed(update: Update): void {
+  const {beganAt} = update.read(HOLDING).get();
+  if (update.now < surelyLapsedAt(undefined, beganAt)) {
+    return;
+  }
+  for (const run of [...update.read(RUNS).values()]) {
+    if (!update.read(WORKERS).has(run.life)) {
+      voidRun(update, run, 'lapsed-silent');
+    }
+  }
+}
+
+function forgetSite(update: Update): void {
+  const slices = [JOBS, CANCELLED, PARTITIONS_READ, ADVICE, LANES, OPEN_ASKS];
+  for (const slice of slices) {
+    const table = update.write(slice as typeof JOBS);
+    for (const key of [...table.keys()]) {
+      table.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/endFlow.ts
@@ -0,0 +1,227 @@
+import type {PayloadOf, Update} from '@samphireramp/kernel';
+import {
+  RUNS,
+  RUN_CONFIRMED,
+  RUN_ENDED,
+  RUN_FOUND,
+  RUN_VOID,
+  adoptRun,
+  avoidWorker,
+  countFailure,
+  countSuccess,
+  stopRun,
+  wholeRoom,
+} from '@samphireramp/fleet';
+import {
+  type Progress,
+  type RunPlace,
+  type Step,
+  type Task,
+  changeStep,
+  changeTask,
+  isFinal,
+  roomOf,
+  runKey,
+  taskAt,
+  taskKey,
+} from '@samphireramp/jobs';
+import {match} from 'ts-pattern';
+import {dropTicket, holdOff} from './adviceState';
+import {JOBS, type JobRow, policyOf, setProgress} from './DispatchState';
+import {endJob, settleProgress} from './jobFlow';
+import {DISPATCH_EVENT} from './messages';
+import {placeSoon} from './placeSoon';
+
+/** How long a worker that called itself unhealthy is avoided. */
+const UNHEALTHY_AVOID_MILLIS = 1000;
+/** Wait before a step is tried again after a worker refused a run of it. */
+const REFUSED_HOLD_OFF_MILLIS = 100;
+
+interface Found {
+  readonly row: JobRow;
+  readonly step: Step;
+  readonly task: Task;
+}
+
+function find(update: Update, place: RunPlace): Found | undefined {
+  const row = update.read(JOBS).get(place.jobId);
+  if (row === undefined || isFinal(row.progress.state)) {
+    return undefined;
+  }
+  const task = taskAt(row.progress, place);
+  const step = row.job.steps[place.step];
+  return task && step && {row, step, task};
+}
+
+/** Decides what the end of a run means for its task. */
+export function onRunEnded(
+  update: Update,
+  {life, place, how, checkpoint}: PayloadOf<typeof RUN_ENDED>,
+  wallClock: () => number,
+): void {
+  placeSoon(update);
+  const found = find(update, place);
+  emitEnd(update, place, life, found ? how : `${how}-unneeded`);
+  if (found === undefined || found.task.phase === 'done') {
+    return;
+  }
+  if (how === 'done' && !found.step.isService) {
+    countSuccess(update, life);
+    onDone(update, found, place, wallClock());
+    return;
+  }
+  if (how === 'failed' && !found.step.isService) {
+    onFailed(update, found, place, life, wallClock());
+    return;
+  }
+  setProgress(update, found.row, reopen(found, place, checkpoint));
+}
+
+function onDone(
+  update: Update,
+  {row, step, task}: Found,
+  place: RunPlace,
+  wallNow: number,
+): void {
+  const isOtherRun = task.phase === 'placed' && task.run !== place.run;
+  const done = (before: Task): Task => ({
+    ...before,
+    phase: 'done',
+    worker: '',
+    checkpoint: '',
+  });
+  if (isOtherRun) {
+    stopOther(update, {...place, run: task.run});
+  }
+  const progress = step.isGang
+    ? changeStep(row.progress, place, done)
+    : changeTask(row.progress, place, done);
+  settleProgress(update, row, progress, wallNow);
+}
+
+function onFailed(
+  update: Update,
+  found: Found,
+  place: RunPlace,
+  life: string,
+  wallNow: number,
+): void {
+  const {row, step, task} = found;
+  if (task.failures === 0) {
+    countFailure(update, life, place.jobId);
+  }
+  const count = (before: Task): Task =>
+    before.failedRun === place.run
+      ? before
+      : {...before, failures: before.failures + 1, failedRun: place.run};
+  const reopened = reopen(found, place, '');
+  // A run of a gang fails once, however many of its members do.
+  const progress = step.isGang
+    ? changeStep(reopened, place, count)
+    : changeTask(reopened, place, count);
+  const failures = taskAt(progress, place)?.failures ?? 0;
+  if (failures >= policyOf(update, row.job).maxAttempts) {
+    endJob(update, row, progress, 'failed', wallNow);
+  } else {
+    setProgress(update, row, progress);
+  }
+}
+
+/** Makes the task of an ended run ready for another. */
+function reopen(
+  {row, step, task}: Found,
+  place: RunPlace,
+  checkpoint: string,
+): Progress {
+  const isCurrent = task.phase === 'placed' && task.run === place.run;
+  let {progress} = row;
+  if (isCurrent) {
+    progress = changeTask(progress, place, before => ({
+      ...before,
+      phase: 'open',
+      worker: '',
+    }));
+  }
+  if (checkpoint === '') {
+    return progress;
+  }
+  const keep = (before: Task): Task =>
+    before.phase === 'done' ? before : {...before, checkpoint};
+  return step.isGang
+    ? changeStep(progress, place, keep)
+    : changeTask(progress, place, keep);
+}
+
+/** Makes a task ready for another run after one that surely is not there. */
+export function onRunVoid(
+  update: Update,
+  {place, life, checkpoint, reason}: PayloadOf<typeof RUN_VOID>,
+): void {
+  placeSoon(update);
+  emitEnd(update, place, life, `void-${reason}`);
+  match(reason)
+    .with('bad-ticket', () => dropTicket(update, place, life))
+    .with('unhealthy', () =>
+      avoidWorker(update, life, UNHEALTHY_AVOID_MILLIS, 'unhealthy'),
+    )
+    .with('no-room', 'late', 'superseded', 'malformed', () =>
+      holdOff(update, place, REFUSED_HOLD_OFF_MILLIS),
+    )
+    .otherwise(() => undefined);
+  const found = find(update, place);
+  if (found !== undefined && found.task.phase !== 'done') {
+    setProgress(update, found.row, reopen(found, place, checkpoint));
+  }
+}
+
+/** Notes the first sign of a run. */
+export function onRunConfirmed(
+  update: Update,
+  {place}: PayloadOf<typeof RUN_CONFIRMED>,
+): void {
+  if (find(update, place) === undefined) {
+    stopOther(update, place);
+  }
+}
+
+/** Decides on a run that a worker lists and this holder did not order. */
+export function onRunFound(
+  update: Update,
+  {life, run}: PayloadOf<typeof RUN_FOUND>,
+): void {
+  const {place} = run;
+  const found = find(update, place);
+  const step = update.read(JOBS).get(place.jobId)?.job.steps[place.step];
+  const need = step ? roomOf(step) : wholeRoom(update, life);
+  adoptRun(update, place, life, need);
+  const isWanted =
+    found?.task.phase === 'placed' &&
+    found.task.run === place.run &&
+    found.task.worker === life;
+  update.emit(DISPATCH_EVENT, {
+    event: 'run-found',
+    subject: taskKey(place),
+    worker: life,
+    detail: isWanted ? 'kept' : 'unneeded',
+  });
+  if (!isWanted) {
+    stopOther(update, place);
+  }
+}
+
+function stopOther(update: Update, place: RunPlace): void {
+  const run = update.read(RUNS).get(runKey(place));
+  if (run !== undefined) {
+    stopRun(update, run, 'unneeded');
+  }
+}
+
+function emitEnd(
+  update: Update,
+  place: RunPlace,
+  worker: string,
+  detail: string,
+): void {
+  const subject = runKey(place);
+  update.emit(DISPATCH_EVENT, {event: 'run-ended', subject, worker, detail});
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,18 @@
+/** Which task runs where and when: queue, gangs, advice, attempts. */
+export {CONFIGURATION, JOBS, activeJobs} from './DispatchState';
+export {type DispatchOptions, createDispatchPlugin} from './dispatchPlugin';
+export {
+  ADVISE,
+  ADVISED,
+  type Advice,
+  CONFIGURATION_IN_FORCE,
+  DISPATCH_EVENT,
+  DISPATCH_TICK,
+  FOLLOW_SITE,
+  FORGET_REQUESTS,
+  PLACE_WORK,
+  PLAN_PLACING,
+  type Permit,
+  REQUESTS_READ,
+  UNFOLLOW_SITE,
+} from './messages';
--- /dev/null
+++ b/packages/dispatch/src/placing.ts
@@ -0,0 +1,349 @@
+import type {Update} from '@samphireramp/kernel';
+import {afterCommit, heldTerm} from '@samphireramp/holding';
+import {
+  MAY_HOLD,
+  START_RUN,
+  type StartOrder,
+  reserveRun,
+} from '@samphireramp/fleet';
+import {
+  type Progress,
+  type StepPlace,
+  changeStep,
+  isStepReady,
+  stepKey,
+} from '@samphireramp/jobs';
+import {askAdvice} from './adviceFlow';
+import {ADVICE, NO_ADVICE, type StepAdvice} from './adviceState';
+import {
+  type Candidate,
+  type Unit,
+  fittingTasks,
+  hasTicket,
+  isPermitted,
+  listCandidates,
+  makeUnit,
+  suits,
+  take,
+  tasksWhenEmpty,
+} from './candidates';
+import {activeJobs, policyOf, setProgress} from './DispatchState';
+import {DISPATCH_EVENT} from './messages';
+import {placeSoon} from './placeSoon';
+
+/** Units placed in one pass before the loop turns to other things. */
+const MOST_PLACED = 64;
+
+/** The worker chosen for a task. */
+interface Choice {
+  readonly index: number;
+  readonly candidate: Candidate;
+}
+
+/** Places what can be placed, the most urgent first. */
+export function placeWork(update: Update, self: string): void {
+  if (heldTerm(update) === undefined || !update.read(MAY_HOLD).get()) {
+    return;
+  }
+  const candidates = listCandidates(update, update.now);
+  let placed = 0;
+  for (const unit of unitsInOrder(update)) {
+    if (placed >= MOST_PLACED) {
+      placeSoon(update);
+      return;
+    }
+    const place = placeOf(unit);
+    const advice = update.read(ADVICE).get(stepKey(place)) ?? NO_ADVICE;
+    if (advice.notBefore > update.now) {
+      continue;
+    }
+    const suitable = candidates.filter(({worker}) => suits(worker, unit));
+    const choices = unit.step.isGang
+      ? chooseForGang(update, self, unit, advice, suitable)
+      : chooseForTasks(update, self, unit, advice, suitable);
+    if (choices.length > 0) {
+      placed++;
+      start(update, unit, choices);
+    }
+  }
+}
+
+function unitsInOrder(update: Update): Unit[] {
+  const units: Unit[] = [];
+  for (const row of activeJobs(update)) {
+    const policy = policyOf(update, row.job);
+    for (const occurrence of row.progress.occurrences) {
+      row.job.steps.forEach((_, stepNumber) => {
+        if (isStepReady(row.job, occurrence, stepNumber)) {
+          const unit = makeUnit(row, policy, occurrence, stepNumber);
+          if (unit !== undefined) {
+            units.push(unit);
+          }
+        }
+      });
+    }
+  }
+  return units.sort(
+    (a, b) =>
+      a.policy.priority - b.policy.priority ||
+      a.row.objectiveAt - b.row.objectiveAt,
+  );
+}
+
+function placeOf({row, occurrence, stepNumber}: Unit): StepPlace {
+  const {id: jobId} = row.job;
+  return {jobId, occurrence: occurrence.number, step: stepNumber};
+}
+
+function chooseForTasks(
+  update: Update,
+  self: string,
+  unit: Unit,
+  advice: StepAdvice,
+  suitable: readonly Candidate[],
+): Choice[] {
+  const ready = suitable.filter(({worker}) =>
+    hasTicket(worker, unit, advice, update.now),
+  );
+  const choices: Choice[] = [];
+  for (const index of unit.open) {
+    const candidate = tightest(ready, unit, choices);
+    if (candidate === undefined) {
+      break;
+    }
+    take(candidate, unit, 1);
+    choices.push({index, candidate});
+  }
+  if (choices.length < unit.open.length) {
+    askForMore(update, self, unit, advice, suitable);
+  }
+  return choices;
+}
+
+/** Picks the worker with the data near, then the one with least left over. */
+function tightest(
+  ready: readonly Candidate[],
+  unit: Unit,
+  choices: readonly Choice[],
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestScore = Infinity;
+  for (const candidate of ready) {
+    const here = choices.filter(choice => choice.candidate === candidate);
+    const limit = unit.step.mostOnOneWorker;
+    const fits = fittingTasks(candidate, unit) > (limit > 0 ? here.length : 0);
+    if (!fits) {
+      continue;
+    }
+    const score = leftOver(candidate) + (isNear(candidate, unit) ? 0 : FAR);
+    if (score < bestScore) {
+      best = candidate;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+/** Outweighs any amount left over. */
+const FAR = 10;
+
+function isNear({worker}: Candidate, {step}: Unit): boolean {
+  return step.dataRack === '' || worker.rack === step.dataRack;
+}
+
+function leftOver({worker, cpuMillis, memoryMegabytes}: Candidate): number {
+  const {capacity} = worker;
+  return (
+    cpuMillis / Math.max(1, capacity.cpuMillis) +
+    memoryMegabytes / Math.max(1, capacity.memoryMegabytes)
+  );
+}
+
+/** Asks who may run what could not be placed, where that is what it lacks. */
+function askForMore(
+  update: Update,
+  self: string,
+  unit: Unit,
+  advice: StepAdvice,
+  suitable: readonly Candidate[],
+): void {
+  const terms = unit.policy.advice;
+  if (terms === undefined) {
+    return;
+  }
+  const unjudged = suitable.filter(({worker}) => !advice.judged.has(worker.id));
+  const withRoom = suitable.filter(
+    candidate =>
+      isPermitted(candidate.worker, unit, advice) &&
+      !hasTicket(candidate.worker, unit, advice, update.now) &&
+      fittingTasks(candidate, unit) > 0,
+  );
+  const isFirst = advice.judged.size === 0;
+  if (isFirst || withRoom.length > 0 || advice.permits.size === 0) {
+    const named = [...withRoom, ...unjudged].map(({worker}) => worker.id);
+    askAdvice(update, self, placeOf(unit), terms, named);
+  }
+}
+
+function chooseForGang(
+  update: Update,
+  self: string,
+  unit: Unit,
+  advice: StepAdvice,
+  suitable: readonly Candidate[],
+): Choice[] {
+  const permitted = suitable.filter(({worker}) =>
+    isPermitted(worker, unit, advice),
+  );
+  const ready = permitted.filter(({worker}) =>
+    hasTicket(worker, unit, advice, update.now),
+  );
+  const choices = spread(ready, unit);
+  if (choices !== undefined) {
+    takeAll(unit, choices);
+    return choices;
+  }
+  const later = spread(permitted, unit);
+  if (later !== undefined) {
+    // Room is there, only tickets are missing: it is kept until they come.
+    takeAll(unit, later);
+    askForMore(update, self, unit, advice, permitted);
+    return [];
+  }
+  if (wouldFitEmpty(permitted, unit)) {
+    // Room that is free now waits for the rest, so that the gang's turn comes.
+    for (const candidate of permitted) {
+      take(candidate, unit, fittingTasks(candidate, unit));
+    }
+  } else {
+    askForMore(update, self, unit, advice, suitable);
+  }
+  return [];
+}
+
+function takeAll(unit: Unit, choices: readonly Choice[]): void {
+  for (const {candidate} of choices) {
+    take(candidate, unit, 1);
+  }
+}
+
+function wouldFitEmpty(permitted: readonly Candidate[], unit: Unit): boolean {
+  let room = 0;
+  for (const {worker} of permitted) {
+    room += tasksWhenEmpty(worker, unit);
+  }
+  return room >= unit.open.length;
+}
+
+/** Finds workers for all tasks of a gang at once; undefined if there are none. */
+function spread(
+  candidates: readonly Candidate[],
+  unit: Unit,
+): Choice[] | undefined {
+  if (unit.step.prefersOneRack) {
+    const onOneRack = spreadOnOneRack(candidates, unit);
+    if (onOneRack !== undefined) {
+      return onOneRack;
+    }
+  }
+  return spreadOver(candidates, unit);
+}
+
+function spreadOnOneRack(
+  candidates: readonly Candidate[],
+  unit: Unit,
+): Choice[] | undefined {
+  const racks = new Set(candidates.map(({worker}) => worker.rack));
+  for (const rack of racks) {
+    const choices = spreadOver(
+      candidates.filter(({worker}) => worker.rack === rack),
+      unit,
+    );
+    if (choices !== undefined) {
+      return choices;
+    }
+  }
+  return undefined;
+}
+
+function spreadOver(
+  candidates: readonly Candidate[],
+  unit: Unit,
+): Choice[] | undefined {
+  const fits = candidates
+    .map(candidate => ({candidate, tasks: fittingTasks(candidate, unit)}))
+    .filter(({tasks}) => tasks > 0)
+    .sort(
+      (a, b) =>
+        Number(isNear(b.candidate, unit)) - Number(isNear(a.candidate, unit)) ||
+        b.tasks - a.tasks ||
+        leftOver(a.candidate) - leftOver(b.candidate),
+    );
+  const choices: Choice[] = [];
+  for (const {candidate, tasks} of fits) {
+    for (let task = 0; task < tasks; task++) {
+      if (choices.length === unit.open.length) {
+        return choices;
+      }
+      choices.push({index: unit.open[choices.length], candidate});
+    }
+  }
+  return choices.length === unit.open.length ? choices : undefined;
+}
+
+/** Reserves the room, and has the runs ordered once that is durable. */
+function start(update: Update, unit: Unit, choices: readonly Choice[]): void {
+  const place = placeOf(unit);
+  const {row, occurrence, stepNumber} = unit;
+  const tasks = occurrence.steps[stepNumber];
+  const lifeByIndex = new Map(
+    choices.map(({index, candidate}) => [index, candidate.worker.life]),
+  );
+  const gangRun = 1 + Math.max(...tasks.map(task => task.run));
+  const changed = changeStep(row.progress, place, (task, index) => {
+    const worker = lifeByIndex.get(index);
+    const run = unit.step.isGang ? gangRun : task.run + 1;
+    return worker === undefined
+      ? task
+      : {...task, phase: 'placed', run, worker};
+  });
+  const progress: Progress = {...changed, state: 'running'};
+  setProgress(update, row, progress);
+  for (const {index, candidate} of choices) {
+    reserve(update, unit, place, index, candidate, progress);
+  }
+  update.emit(DISPATCH_EVENT, {
+    event: 'step-placed',
+    subject: stepKey(place),
+    queue: unit.policy.name,
+    detail: `${choices.length} of ${unit.open.length}`,
+  });
+}
+
+function reserve(
+  update: Update,
+  unit: Unit,
+  step: StepPlace,
+  index: number,
+  {worker}: Candidate,
+  progress: Progress,
+): void {
+  const {job} = unit.row;
+  const task = progress.occurrences.find(
+    ({number}) => number === step.occurrence,
+  )?.steps[step.step][index];
+  if (task === undefined) {
+    return;
+  }
+  const place = {...step, index, run: task.run};
+  reserveRun(update, place, worker.life, unit.need);
+  const advice = update.read(ADVICE).get(stepKey(step)) ?? NO_ADVICE;
+  const order: StartOrder = {
+    place,
+    life: worker.life,
+    input: job.input,
+    checkpoint: task.checkpoint,
+    ticket: advice.permits.get(worker.id)?.ticket,
+  };
+  afterCommit(update, START_RUN, order);
+}
--- /dev/null
+++ b/packages/fleet/src/Run.ts
@@ -0,0 +1,49 @@
+import type {Amounts, RunPlace} from '@samphireramp/jobs';
+
+/** One run of a task on a worker, as the holder knows it. */
+export interface Run {
+  readonly place: RunPlace;
+  /** Life of the worker. */
+  readonly life: string;
+  /** Room that it takes until its end is listed. */
+  readonly need: Amounts;
+  readonly phase: RunPhase;
+  /** When it was last ordered or told to stop. */
+  readonly orderedAt: number;
+  readonly orders: number;
+  /** When the worker first confirmed it; undefined before. */
+  readonly startedAt: number | undefined;
+  /** Share of its work that is done, 0 to 100, as last listed. */
+  readonly percent: number;
+  /** When `percent` last rose. */
+  readonly progressedAt: number;
+  /** The newest checkpoint listed; empty for none. */
+  readonly checkpoint: string;
+}
+
+/**
+ * `reserved`: waits for the journal; `ordered`: the order is out; `doubtful`:
+ * orders had no answer; `running`: confirmed; `stopping`: told to stop.
+ */
+export type RunPhase =
+  'reserved' | 'ordered' | 'doubtful' | 'running' | 'stopping';
+
+/** What a start carries beside its place. */
+export interface StartOrder {
+  readonly place: RunPlace;
+  readonly life: string;
+  readonly input: string;
+  readonly checkpoint: string;
+  readonly ticket: string | undefined;
+}
+
+/** Why a worker did not start a run. */
+export type StartRefusal =
+  | 'fenced'
+  | 'superseded'
+  | 'late'
+  | 'no-room'
+  | 'bad-ticket'
+  | 'unhealthy'
+  | 'malformed'
+  | 'other-life';
--- /dev/null
+++ b/packages/fleet/src/Worker.ts
@@ -0,0 +1,55 @@
+import type {Amounts} from '@samphireramp/jobs';
+
+/** A worker as the list of workers has it. */
+export interface WorkerRecord {
+  readonly id: string;
+  /** Tells one life of the worker from the next under the same id. */
+  readonly life: string;
+  /** HOST:PORT of its interface. */
+  readonly address: string;
+  readonly zone: string;
+  readonly rack: string;
+  readonly labels: readonly string[];
+  readonly pool: string;
+  readonly capacity: Amounts;
+  readonly isDraining: boolean;
+}
+
+/** A reading of a worker's steady clock. */
+export interface ClockReading {
+  /** Milliseconds of the worker's clock. */
+  readonly value: number;
+  /** Milliseconds of this host's clock when the reading arrived. */
+  readonly at: number;
+}
+
+/** A worker as the holder knows it. */
+export interface Worker extends WorkerRecord {
+  /** Whether the list of workers has it still. */
+  readonly isListed: boolean;
+  /** Whether it has answered under the holder's term. */
+  readonly isHeld: boolean;
+  readonly clock: ClockReading | undefined;
+  /** Latest lease end sent to it, on its clock. */
+  readonly grantedUntil: number;
+  /** When it last answered; when it was met, before the first answer. */
+  readonly answeredAt: number;
+  /** Number of the last end that was taken in. */
+  readonly seenEnd: number;
+  /** Number of the last end that is durable. */
+  readonly recordedEnd: number;
+  readonly isHoldOpen: boolean;
+  readonly nextHoldAt: number;
+  /** Whether the last call to it had no answer. */
+  readonly isSilent: boolean;
+  /** Runs of different jobs that failed here in a row. */
+  readonly failuresInRow: number;
+  /** The job whose run failed last. */
+  readonly lastFailedJob: string;
+  /** New work is kept away until then. */
+  readonly avoidedUntil: number;
+}
+
+/** How a run came to its end. */
+export type EndKind =
+  'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
--- /dev/null
+++ b/packages/fleet/src/startFlow.ts
@@ -0,0 +1,182 @@
+import type {PayloadOf, Update} from '@samphireramp/kernel';
+import {HOLDING_FENCED, heldTerm} from '@samphireramp/holding';
+import {runKey} from '@samphireramp/jobs';
+import {match} from 'ts-pattern';
+import {RUNS, WORKERS, changeRun, changeWorker} from './FleetState';
+import {loseWorker, voidRun} from './holdFlow';
+import {leaseEnd} from './leaseTiming';
+import {
+  FLEET_EVENT,
+  ORDER_START,
+  ORDER_STOP,
+  RUN_CONFIRMED,
+  START_ANSWERED,
+  STOP_ANSWERED,
+} from './messages';
+import type {Run, StartOrder} from './Run';
+
+/** A start without an answer is sent again on another connection. */
+const START_TIMEOUT_MILLIS = 450;
+/** Starts without an answer after which the run is stopped instead. */
+const MOST_STARTS = 3;
+const STOP_TIMEOUT_MILLIS = 500;
+/** A run that was told to stop is told again after this. */
+const STOP_AGAIN_MILLIS = 700;
+
+/** Orders a run that was reserved. */
+export function orderStart(update: Update, order: StartOrder): void {
+  const run = update.read(RUNS).get(runKey(order.place));
+  const worker = update.read(WORKERS).get(order.life);
+  const term = heldTerm(update);
+  const isWanted = run?.phase === 'reserved' || run?.phase === 'ordered';
+  if (run === undefined || !isWanted) {
+    return;
+  }
+  if (worker?.clock === undefined || term === undefined) {
+    voidRun(update, run, 'missing');
+    return;
+  }
+  const until = leaseEnd(worker.clock, update.now);
+  changeWorker(update, worker.life, {
+    grantedUntil: Math.max(worker.grantedUntil, until),
+  });
+  changeRun(update, runKey(order.place), {
+    phase: 'ordered',
+    orderedAt: update.now,
+    orders: run.orders + 1,
+  });
+  update.emit(ORDER_START, {
+    order,
+    id: worker.id,
+    address: worker.address,
+    term,
+    until,
+    timeoutMillis: START_TIMEOUT_MILLIS,
+  });
+}
+
+/** Takes in the answer to a start. */
+export function onStartAnswered(
+  update: Update,
+  {order, term, outcome}: PayloadOf<typeof START_ANSWERED>,
+): void {
+  const key = runKey(order.place);
+  const run = update.read(RUNS).get(key);
+  if (run === undefined || term !== heldTerm(update)) {
+    return;
+  }
+  if (outcome !== 'started') {
+    update.emit(FLEET_EVENT, {
+      event: 'start-not-confirmed',
+      worker: run.life,
+      subject: key,
+      detail: outcome,
+      millis: Math.round(update.now - run.orderedAt),
+    });
+  }
+  match(outcome)
+    .with('started', () => confirm(update, run))
+    .with('silent', () => onStartSilent(update, run, order))
+    .with('fenced', () => update.dispatch(HOLDING_FENCED, {worker: run.life}))
+    .with('other-life', () => {
+      const worker = update.read(WORKERS).get(run.life);
+      if (worker !== undefined) {
+        loseWorker(update, worker, 'other-life');
+      }
+    })
+    .otherwise(reason => {
+      // An earlier order for the same run may have been obeyed.
+      if (run.orders > 1 && reason === 'superseded') {
+        stopRun(update, run, 'superseded');
+      } else if (run.startedAt === undefined) {
+        voidRun(update, run, reason);
+      }
+    });
+}
+
+function confirm(update: Update, run: Run): void {
+  if (run.startedAt !== undefined) {
+    return;
+  }
+  changeRun(update, runKey(run.place), {
+    phase: run.phase === 'stopping' ? 'stopping' : 'running',
+    startedAt: update.now,
+    progressedAt: update.now,
+  });
+  update.dispatch(RUN_CONFIRMED, {place: run.place});
+}
+
+function onStartSilent(update: Update, run: Run, order: StartOrder): void {
+  if (run.phase !== 'ordered') {
+    return;
+  }
+  if (run.orders < MOST_STARTS) {
+    orderStart(update, order);
+  } else {
+    stopRun(update, run, 'no-answer');
+  }
+}
+
+/** Tells a worker to stop a run, until its end is listed. */
+export function stopRun(update: Update, run: Run, reason: string): void {
+  if (run.phase === 'reserved') {
+    voidRun(update, run, 'missing');
+    return;
+  }
+  if (run.phase !== 'stopping') {
+    update.emit(FLEET_EVENT, {
+      event: 'run-stopping',
+      worker: run.life,
+      subject: runKey(run.place),
+      detail: reason,
+      millis: Math.round(update.now - (run.startedAt ?? run.orderedAt)),
+    });
+  }
+  orderStop(update, run);
+}
+
+function orderStop(update: Update, run: Run): void {
+  const worker = update.read(WORKERS).get(run.life);
+  const term = heldTerm(update);
+  if (worker === undefined || term === undefined) {
+    return;
+  }
+  changeRun(update, runKey(run.place), {
+    phase: 'stopping',
+    orderedAt: update.now,
+  });
+  update.emit(ORDER_STOP, {
+    place: run.place,
+    id: worker.id,
+    address: worker.address,
+    term,
+    timeoutMillis: STOP_TIMEOUT_MILLIS,
+  });
+}
+
+/** Sends stops again whose runs have not ended. */
+export function repeatStops(update: Update): void {
+  for (const run of [...update.read(RUNS).values()]) {
+    const isDue = update.now - run.orderedAt > STOP_AGAIN_MILLIS;
+    if (run.phase === 'stopping' && isDue) {
+      orderStop(update, run);
+    }
+  }
+}
+
+/** Takes in the answer to a stop. */
+export function onStopAnswered(
+  update: Update,
+  {runKey: key, term, outcome}: PayloadOf<typeof STOP_ANSWERED>,
+): void {
+  const run = update.read(RUNS).get(key);
+  if (run === undefined || term !== heldTerm(update)) {
+    return;
+  }
+  if (outcome === 'fenced') {
+    update.dispatch(HOLDING_FENCED, {worker: run.life});
+  } else if (outcome === 'stopped') {
+    // From here on a listing without this run proves that it is not there.
+    changeRun(update, key, {startedAt: run.startedAt ?? update.now});
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/workerList.ts
@@ -0,0 +1,82 @@
+import type {PayloadOf, Update} from '@samphireramp/kernel';
+import {RUNS, WORKERS, changeWorker} from './FleetState';
+import {holdIfDue} from './holdFlow';
+import {FLEET_EVENT, ROOM_CHANGED, WORKERS_LISTED} from './messages';
+import type {Worker, WorkerRecord} from './Worker';
+
+/** Takes in changes of the list of workers. */
+export function onWorkersListed(
+  update: Update,
+  {records, removed, isWhole}: PayloadOf<typeof WORKERS_LISTED>,
+): void {
+  for (const record of records) {
+    takeRecord(update, record);
+  }
+  const listed = new Set(records.map(({life}) => life));
+  for (const worker of [...update.read(WORKERS).values()]) {
+    const isRemoved =
+      removed.includes(worker.id) || (isWhole && !listed.has(worker.life));
+    if (isRemoved && worker.isListed) {
+      changeWorker(update, worker.life, {isListed: false});
+      emitChange(update, worker.life, 'worker-unlisted', '');
+      dropIfUnused(update, worker.life);
+    }
+  }
+  update.dispatchOnce(ROOM_CHANGED, '', undefined);
+}
+
+function takeRecord(update: Update, record: WorkerRecord): void {
+  const known = update.read(WORKERS).get(record.life);
+  if (known === undefined) {
+    update.write(WORKERS).set(record.life, newWorker(record, update.now));
+    emitChange(update, record.life, 'worker-listed', record.pool);
+  } else {
+    if (known.isDraining !== record.isDraining) {
+      const event = record.isDraining ? 'worker-leaving' : 'worker-staying';
+      emitChange(update, record.life, event, record.pool);
+    }
+    changeWorker(update, record.life, {...record, isListed: true});
+  }
+  const worker = update.read(WORKERS).get(record.life);
+  if (worker !== undefined) {
+    holdIfDue(update, worker);
+  }
+}
+
+function newWorker(record: WorkerRecord, now: number): Worker {
+  return {
+    ...record,
+    isListed: true,
+    isHeld: false,
+    clock: undefined,
+    grantedUntil: 0,
+    answeredAt: now,
+    seenEnd: 0,
+    recordedEnd: 0,
+    isHoldOpen: false,
+    nextHoldAt: 0,
+    isSilent: false,
+    failuresInRow: 0,
+    lastFailedJob: '',
+    avoidedUntil: 0,
+  };
+}
+
+/** Forgets an unlisted worker on which nothing can run. */
+function dropIfUnused(update: Update, life: string): void {
+  if (update.read(RUNS).withKey(life).length === 0) {
+    const worker = update.read(WORKERS).get(life);
+    if (worker?.isSilent === true && worker.isHeld) {
+      update.write(WORKERS).delete(life);
+    }
+  }
+}
+
+function emitChange(
+  update: Update,
+  worker: string,
+  event: string,
+  detail: string,
+): void {
+  update.emit(FLEET_EVENT, {event, worker, detail});
+}
--- /dev/null
+++ b/packages/host-links/src/hostLinks.ts
@@ -0,0 +1,117 @@
+import {
+  Client,
+  Server,
+  ServerCredentials,
+  credentials,
+  status,
+} from '@grpc/grpc-js';
+import type {Advice} from '@samphireramp/dispatch';
+import {
+  ADVICE_SERVICE,
+  type AdviseRequest,
+  adviseReplySchema,
+  adviseRequestSchema,
+} from './adviceService';
+
+const RECONNECT_MILLIS = 300;
+
+/** Calls other hosts. */
+export interface HostLinks {
+  advise(address: string, request: AdviseRequest): Promise<Advice>;
+  close(): void;
+}
+
+/** Creates the client side of the links between hosts. */
+export function createHostLinks(): HostLinks {
+  const clients = new Map<string, Client>();
+
+  function clientOf(address: string): Client {
+    const known = clients.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const client = new Client(address, credentials.createInsecure(), {
+      'grpc.initial_reconnect_backoff_ms': RECONNECT_MILLIS,
+      'grpc.max_reconnect_backoff_ms': RECONNECT_MILLIS * 4,
+      // Each client has a connection of its own, so that a new one is fresh.
+      'grpc.use_local_subchannel_pool': 1,
+    });
+    clients.set(address, client);
+    return client;
+  }
+
+  function drop(address: string, client: Client): void {
+    if (clients.get(address) === client) {
+      clients.delete(address);
+    }
+    client.close();
+  }
+
+  return {
+    advise: (address, request) =>
+      new Promise(resolve => {
+        const client = clientOf(address);
+        const {path, requestSerialize, responseDeserialize} =
+          ADVICE_SERVICE.advise;
+        client.makeUnaryRequest(
+          path,
+          requestSerialize,
+          responseDeserialize,
+          request,
+          {deadline: Date.now() + request.timeoutMillis},
+          (error, reply) => {
+            if (error !== null) {
+              // The connection may be silent for good: the next call has its own.
+              drop(address, client);
+              resolve({kind: 'failed', detail: status[error.code]});
+              return;
+            }
+            const parsed = adviseReplySchema.safeParse(reply);
+            resolve(
+              parsed.success
+                ? parsed.data
+                : {kind: 'failed', detail: 'malformed reply'},
+            );
+          },
+        );
+      }),
+    close: () => {
+      for (const client of clients.values()) {
+        client.close();
+      }
+      clients.clear();
+    },
+  };
+}
+
+/** Serves other hosts at an address; resolves once it listens. */
+export async function startHostServer(
+  address: string,
+  advise: (request: AdviseRequest) => Promise<Advice>,
+  onMalformed: () => void,
+): Promise<Server> {
+  const server = new Server();
+  server.addService(ADVICE_SERVICE, {
+    advise: (
+      call: {request: unknown},
+      reply: (error: {code: status} | null, advice?: Advice) => void,
+    ) => {
+      const parsed = adviseRequestSchema.safeParse(call.request);
+      if (!parsed.success) {
+        onMalformed();
+        reply({code: status.INVALID_ARGUMENT});
+        return;
+      }
+      advise(parsed.data).then(
+        advice => reply(null, advice),
+        () => reply({code: status.INTERNAL}),
+      );
+    },
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.bindAsync(address, ServerCredentials.createInsecure(), error =>
+      error ? reject(error) : resolve(),
+    );
+  });
+  return server;
+}
--- /dev/null
+++ b/packages/host-links/src/index.ts
@@ -0,0 +1,3 @@
+/** Calls between hosts over gRPC. */
+export type {AdviseRequest} from './adviceService';
+export {type HostLinks, createHostLinks, startHostServer} from './hostLinks';
--- /dev/null
+++ b/packages/intake/src/index.ts
@@ -0,0 +1,19 @@
+/** Acceptance of jobs and cancels at any host, and what callers see. */
+export {
+  ACCEPTED,
+  type IntakeOptions,
+  createIntakePlugin,
+  partitionOf,
+} from './intakePlugin';
+export {type JobStatus, countPending, jobStatus} from './jobStatus';
+export {
+  ANSWER_CALL,
+  APPEND_REQUESTS,
+  FLUSH_REQUESTS,
+  INTAKE_EVENT,
+  INTAKE_TICK,
+  PLAN_FLUSH,
+  REQUESTS_APPENDED,
+  REQUEST_RECEIVED,
+} from './messages';
+export {type Request, type RequestAnswer, jobIdOf} from './Request';
--- /dev/null
+++ b/packages/intake/src/intakePlugin.ts
@@ -0,0 +1,232 @@
+import {
+  type PayloadOf,
+  type Plugin,
+  type Update,
+  createTableSlice,
+  createValueSlice,
+  mergeUnregister,
+} from '@samphireramp/kernel';
+import {JOB_VIEWS} from '@samphireramp/holding';
+import {isFinal} from '@samphireramp/jobs';
+import {
+  ANSWER_CALL,
+  APPEND_REQUESTS,
+  FLUSH_REQUESTS,
+  INTAKE_EVENT,
+  INTAKE_TICK,
+  PLAN_FLUSH,
+  REQUESTS_APPENDED,
+  REQUEST_RECEIVED,
+} from './messages';
+import {type Request, type RequestAnswer, jobIdOf} from './Request';
+
+/** Requests that come within this time are written together. */
+const GATHER_MILLIS = 3;
+/** First wait for an answer before a batch is sent on another connection. */
+const FIRST_TIMEOUT_MILLIS = 400;
+const NEXT_TIMEOUT_MILLIS = 900;
+/** Callers wait about three seconds; after this they are told of the doubt. */
+const GIVE_UP_MILLIS = 2400;
+/** Refusals by the log after which callers are refused. */
+const TRIES_WHEN_REFUSED = 3;
+const RETRY_AFTER_MILLIS = 1000;
+/** How long a host remembers what it accepted, beside the journal. */
+const ACCEPTED_MEMORY_MILLIS = 60_000;
+
+/** A job that this host accepted itself. */
+export interface AcceptedJob {
+  readonly queue: string;
+  readonly at: number;
+}
+
+interface Waiting {
+  readonly callId: string;
+  readonly request: Request;
+}
+
+interface RequestBatch {
+  readonly id: string;
+  readonly partition: number;
+  readonly waiting: readonly Waiting[];
+  readonly startedAt: number;
+  readonly tries: number;
+  /** Whether any try may be done without an answer. */
+  readonly isInDoubt: boolean;
+}
+
+/** Jobs that this host accepted itself, lately. */
+export const ACCEPTED = createTableSlice<AcceptedJob>('accepted');
+
+const GATHERED = createValueSlice<readonly Waiting[]>('gathered', []);
+const BATCHES = createTableSlice<RequestBatch>('request-batches');
+const BATCH_COUNT = createValueSlice('request-batch-count', 0);
+
+/** What the plug-in is given. */
+export interface IntakeOptions {
+  /** Partitions of the stream of requests. */
+  readonly partitions: number;
+}
+
+/** Accepts jobs and cancels by writing them to the log. */
+export function createIntakePlugin({partitions}: IntakeOptions): Plugin {
+  function onReceived(
+    update: Update,
+    waiting: PayloadOf<typeof REQUEST_RECEIVED>,
+  ): void {
+    if (isSettled(update, waiting.request)) {
+      answer(update, waiting, {kind: 'accepted'}, 'known');
+      return;
+    }
+    const gathered = update.write(GATHERED);
+    if (gathered.get().length === 0) {
+      update.emit(PLAN_FLUSH, {millis: GATHER_MILLIS});
+    }
+    gathered.set([...gathered.get(), waiting]);
+  }
+
+  function flush(update: Update): void {
+    const gathered = update.write(GATHERED);
+    const byPartition = new Map<number, Waiting[]>();
+    for (const waiting of gathered.get()) {
+      const partition = partitionOf(jobIdOf(waiting.request), partitions);
+      const together = byPartition.get(partition) ?? [];
+      byPartition.set(partition, [...together, waiting]);
+    }
+    gathered.set([]);
+    for (const [partition, waiting] of byPartition) {
+      const count = update.write(BATCH_COUNT);
+      count.set(count.get() + 1);
+      send(update, {
+        id: String(count.get()),
+        partition,
+        waiting,
+        startedAt: update.now,
+        tries: 0,
+        isInDoubt: false,
+      });
+    }
+  }
+
+  function send(update: Update, batch: RequestBatch): void {
+    const tries = batch.tries + 1;
+    update.write(BATCHES).set(batch.id, {...batch, tries});
+    update.emit(APPEND_REQUESTS, {
+      batchId: batch.id,
+      // Another partition each time, since single ones may be out of service.
+      partition: (batch.partition + batch.tries) % partitions,
+      requests: batch.waiting.map(({request}) => request),
+      timeoutMillis:
+        batch.tries === 0 ? FIRST_TIMEOUT_MILLIS : NEXT_TIMEOUT_MILLIS,
+    });
+  }
+
+  function onAppended(
+    update: Update,
+    {batchId, outcome}: PayloadOf<typeof REQUESTS_APPENDED>,
+  ): void {
+    const batch = update.read(BATCHES).get(batchId);
+    if (batch === undefined) {
+      return;
+    }
+    if (outcome.kind === 'appended') {
+      accept(update, batch);
+      return;
+    }
+    const isInDoubt = batch.isInDoubt || outcome.kind === 'unknown';
+    const next = {...batch, isInDoubt};
+    const isOver = update.now - batch.startedAt > GIVE_UP_MILLIS;
+    if (isInDoubt ? !isOver : batch.tries < TRIES_WHEN_REFUSED) {
+      send(update, next);
+      return;
+    }
+    const result: RequestAnswer = isInDoubt
+      ? {kind: 'unknown'}
+      : {kind: 'refused', retryAfterMillis: RETRY_AFTER_MILLIS};
+    const detail = 'detail' in outcome ? outcome.detail : outcome.kind;
+    finish(update, batch, result, detail);
+  }
+
+  function accept(update: Update, batch: RequestBatch): void {
+    const accepted = update.write(ACCEPTED);
+    for (const {request} of batch.waiting) {
+      if (request.kind === 'submit') {
+        const {id, policy} = request.job;
+        accepted.set(id, {queue: policy.name, at: update.now});
+      }
+    }
+    finish(update, batch, {kind: 'accepted'}, `tries-${batch.tries}`);
+  }
+
+  function finish(
+    update: Update,
+    batch: RequestBatch,
+    result: RequestAnswer,
+    detail: string,
+  ): void {
+    update.write(BATCHES).delete(batch.id);
+    const millis = Math.round(update.now - batch.startedAt);
+    for (const waiting of batch.waiting) {
+      answer(update, waiting, result, detail, millis);
+    }
+  }
+
+  function answer(
+    update: Update,
+    {callId, request}: Waiting,
+    result: RequestAnswer,
+    detail: string,
+    millis = 0,
+  ): void {
+    update.emit(ANSWER_CALL, {callId, answer: result});
+    update.emit(INTAKE_EVENT, {
+      event: `${request.kind}-${result.kind}`,
+      kind: request.kind,
+      subject: jobIdOf(request),
+      queue: request.kind === 'submit' ? request.job.policy.name : undefined,
+      detail,
+      millis,
+    });
+  }
+
+  function onTick(update: Update): void {
+    const accepted = update.write(ACCEPTED);
+    for (const [jobId, {at}] of [...accepted.entries()]) {
+      if (update.now - at > ACCEPTED_MEMORY_MILLIS) {
+        accepted.delete(jobId);
+      } else {
+        break;
+      }
+    }
+  }
+
+  return kernel =>
+    mergeUnregister(
+      kernel.registerSlice(ACCEPTED),
+      kernel.registerSlice(GATHERED),
+      kernel.registerSlice(BATCHES),
+      kernel.registerSlice(BATCH_COUNT),
+      kernel.registerCommand(REQUEST_RECEIVED, onReceived),
+      kernel.registerCommand(FLUSH_REQUESTS, flush),
+      kernel.registerCommand(REQUESTS_APPENDED, onAppended),
+      kernel.registerCommand(INTAKE_TICK, onTick),
+    );
+}
+
+/** Whether the journal shows already that nothing is left to be kept. */
+function isSettled(update: Update, request: Request): boolean {
+  const jobId = jobIdOf(request);
+  const view = update.read(JOB_VIEWS).get(jobId);
+  if (request.kind === 'submit') {
+    return view !== undefined || update.read(ACCEPTED).has(jobId);
+  }
+  return view !== undefined && isFinal(view.state);
+}
+
+/** The partition that the requests about a job are written to. */
+export function partitionOf(jobId: string, partitions: number): number {
+  let hash = 0;
+  for (let index = 0; index < jobId.length; index++) {
+    hash = (hash * 31 + jobId.charCodeAt(index)) >>> 0;
+  }
+  return hash % partitions;
+}
--- a/packages/kernel/src/Table.ts
+++ b/packages/kernel/src/Table.ts
@@ -7,6 +7,8 @@
   has(id: string): boolean;
   values(): IterableIterator<Row>;
   keys(): IterableIterator<string>;
+  /** Identifiers and rows, in the order in which they were first set. */
+  entries(): IterableIterator<[string, Row]>;
 }
 
 /** A table that can be changed, inside an update. */
@@ -57,6 +59,10 @@
     return this.rows.keys();
   }
 
+  entries(): IterableIterator<[string, Row]> {
+    return this.rows.entries();
+  }
+
   withKey(key: string): Row[] {
     const rows: Row[] = [];
     for (const id of this.idsByKey.get(key) ?? []) {
--- /dev/null
+++ b/packages/kernel/src/Value.ts
@@ -0,0 +1,38 @@
+import type {ChangeRecorder, SliceDefinition} from './Slice';
+
+/** One value of the state. */
+export interface ReadonlyValue<Type> {
+  get(): Type;
+}
+
+/** A value that can be replaced, inside an update. */
+export interface Value<Type> extends ReadonlyValue<Type> {
+  set(next: Type): void;
+}
+
+class RecordedValue<Type> implements Value<Type> {
+  constructor(
+    private readonly recorder: ChangeRecorder,
+    private current: Type,
+  ) {}
+
+  get(): Type {
+    return this.current;
+  }
+
+  set(next: Type): void {
+    const before = this.current;
+    this.recorder.record(() => {
+      this.current = before;
+    });
+    this.current = next;
+  }
+}
+
+/** Defines a slice that is one value, replaced and never changed in place. */
+export function createValueSlice<Type>(
+  name: string,
+  initial: Type,
+): SliceDefinition<ReadonlyValue<Type>, Value<Type>> {
+  return {name, create: recorder => new RecordedValue(recorder, initial)};
+}
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -32,3 +32,4 @@
   type Table,
 } from './Table';
 export {type ChangeRecorder, type SliceDefinition} from './Slice';
+export {createValueSlice, type ReadonlyValue, type Value} from './Value';
--- /dev/null
+++ b/packages/record-codec/src/hostCodec.ts
@@ -0,0 +1,28 @@
+import {type HostRecord, hostRecordSchema} from '@samphireramp/hosts';
+import type {LogRecord, PlacedRecord} from '@samphireramp/stream-log';
+import {parseJson} from './progressCodec';
+
+/** Writes where a host is as a record. */
+export function encodeHost(host: HostRecord): LogRecord {
+  return {key: host.name, value: Buffer.from(JSON.stringify(host))};
+}
+
+/** Reads where hosts are; `onMalformed` is told of each record that is none. */
+export function decodeHosts(
+  records: readonly PlacedRecord[],
+  onMalformed: (key: string) => void,
+): HostRecord[] {
+  const hosts: HostRecord[] = [];
+  for (const {key, value} of records) {
+    if (value.length === 0) {
+      continue;
+    }
+    const parsed = hostRecordSchema.safeParse(parseJson(value));
+    if (parsed.success) {
+      hosts.push(parsed.data);
+    } else {
+      onMalformed(key);
+    }
+  }
+  return hosts;
+}
--- /dev/null
+++ b/packages/record-codec/src/journalCodec.ts
@@ -0,0 +1,63 @@
+import {
+  type JournalEntry,
+  type PlacedEntry,
+  holderRecordSchema,
+} from '@samphireramp/holding';
+import type {LogRecord, PlacedRecord} from '@samphireramp/stream-log';
+import {match} from 'ts-pattern';
+import {decodeProgress, encodeProgress, parseJson} from './progressCodec';
+
+const HOLDER_KEY = 'holder';
+const JOB_PREFIX = 'job.';
+const NOTHING = Buffer.alloc(0);
+
+/** Writes an entry of the journal as a record. */
+export function encodeJournalEntry(entry: JournalEntry): LogRecord {
+  return match(entry)
+    .with({kind: 'holder'}, ({record}) => ({
+      key: HOLDER_KEY,
+      value: Buffer.from(JSON.stringify(record)),
+    }))
+    .with({kind: 'progress'}, ({progress}) => ({
+      key: JOB_PREFIX + progress.jobId,
+      value: encodeProgress(progress),
+    }))
+    .with({kind: 'forgotten'}, ({jobId}) => ({
+      key: JOB_PREFIX + jobId,
+      value: NOTHING,
+    }))
+    .exhaustive();
+}
+
+/** Reads records of the journal; `onMalformed` is told of each that is none. */
+export function decodeJournal(
+  records: readonly PlacedRecord[],
+  onMalformed: (key: string) => void,
+): PlacedEntry[] {
+  const entries: PlacedEntry[] = [];
+  for (const record of records) {
+    const entry = decodeEntry(record);
+    if (entry === undefined) {
+      onMalformed(record.key);
+    } else {
+      entries.push({offset: record.offset, entry});
+    }
+  }
+  return entries;
+}
+
+function decodeEntry({key, value}: LogRecord): JournalEntry | undefined {
+  if (key === HOLDER_KEY) {
+    const parsed = holderRecordSchema.safeParse(parseJson(value));
+    return parsed.success ? {kind: 'holder', record: parsed.data} : undefined;
+  }
+  if (!key.startsWith(JOB_PREFIX)) {
+    return undefined;
+  }
+  const jobId = key.slice(JOB_PREFIX.length);
+  if (value.length === 0) {
+    return {kind: 'forgotten', jobId};
+  }
+  const progress = decodeProgress(jobId, value);
+  return progress && {kind: 'progress', progress};
+}
--- /dev/null
+++ b/packages/record-codec/src/progressCodec.ts
@@ -0,0 +1,117 @@
+import {
+  NEW_TASK,
+  type Occurrence,
+  type Progress,
+  type Task,
+  jobStateSchema,
+} from '@samphireramp/jobs';
+import * as z from 'zod/mini';
+
+/** A task that has never run. */
+const UNTOUCHED = 0;
+/** A task that is done. */
+const DONE = 1;
+
+// Tasks are most of a record, so each is written as short as its phase allows.
+const taskRecordSchema = z.union([
+  z.literal(UNTOUCHED),
+  z.literal(DONE),
+  z.tuple([
+    z.number(), // run
+    z.number(), // failures
+    z.number(), // last failed run
+    z.string(), // checkpoint
+    z.string(), // worker; empty unless placed
+  ]),
+]);
+
+const progressRecordSchema = z.object({
+  queue: z.string(),
+  state: jobStateSchema,
+  received: z.number(),
+  ended: z.optional(z.number()),
+  next: z.number(),
+  occurrences: z.optional(
+    z.array(z.tuple([z.number(), z.array(z.array(taskRecordSchema))])),
+  ),
+});
+
+type TaskRecord = z.infer<typeof taskRecordSchema>;
+type ProgressRecord = z.infer<typeof progressRecordSchema>;
+
+/** Writes progress as short text. */
+export function encodeProgress(progress: Progress): Buffer {
+  const record: ProgressRecord = {
+    queue: progress.queue,
+    state: progress.state,
+    received: progress.receivedAt,
+    ended: progress.endedAt === 0 ? undefined : progress.endedAt,
+    next: progress.nextOccurrence,
+    occurrences:
+      progress.occurrences.length === 0
+        ? undefined
+        : progress.occurrences.map(({number, steps}) => [
+            number,
+            steps.map(tasks => tasks.map(encodeTask)),
+          ]),
+  };
+  return Buffer.from(JSON.stringify(record));
+}
+
+/** Reads progress; undefined if the bytes are not a record of this kind. */
+export function decodeProgress(
+  jobId: string,
+  value: Buffer,
+): Progress | undefined {
+  const parsed = progressRecordSchema.safeParse(parseJson(value));
+  if (!parsed.success) {
+    return undefined;
+  }
+  const record = parsed.data;
+  return {
+    jobId,
+    queue: record.queue,
+    state: record.state,
+    receivedAt: record.received,
+    endedAt: record.ended ?? 0,
+    nextOccurrence: record.next,
+    occurrences: (record.occurrences ?? []).map(
+      ([number, steps]): Occurrence => ({
+        number,
+        steps: steps.map(tasks => tasks.map(decodeTask)),
+      }),
+    ),
+  };
+}
+
+/** Parses JSON; undefined if it is not JSON. */
+export function parseJson(value: Buffer): unknown {
+  try {
+    return JSON.parse(value.toString());
+  } catch {
+    return undefined;
+  }
+}
+
+function encodeTask(task: Task): TaskRecord {
+  if (task.phase === 'done') {
+    return DONE;
+  }
+  if (task.phase === 'open' && task.run === 0) {
+    return UNTOUCHED;
+  }
+  const {run, failures, failedRun, checkpoint, worker} = task;
+  return [run, failures, failedRun, checkpoint, worker];
+}
+
+function decodeTask(record: TaskRecord): Task {
+  if (record === UNTOUCHED) {
+    return NEW_TASK;
+  }
+  if (record === DONE) {
+    return {...NEW_TASK, phase: 'done'};
+  }
+  const [run, failures, failedRun, checkpoint, worker] = record;
+  const phase = worker === '' ? 'open' : 'placed';
+  return {phase, run, failures, failedRun, checkpoint, worker};
+}
--- /dev/null
+++ b/packages/record-codec/src/requestCodec.ts
@@ -0,0 +1,65 @@
+import {jobSchema} from '@samphireramp/jobs';
+import type {Request} from '@samphireramp/intake';
+import type {LogRecord, PlacedRecord} from '@samphireramp/stream-log';
+import {match} from 'ts-pattern';
+import {parseJson} from './progressCodec';
+
+const JOB_PREFIX = 'job.';
+const CANCEL_PREFIX = 'cancel.';
+const NOTHING = Buffer.alloc(0);
+
+/** Writes a request of a caller as a record. */
+export function encodeRequest(request: Request): LogRecord {
+  return match(request)
+    .with({kind: 'submit'}, ({job}) => ({
+      key: JOB_PREFIX + job.id,
+      value: Buffer.from(JSON.stringify(job)),
+    }))
+    .with({kind: 'cancel'}, ({jobId, receivedAt}) => ({
+      key: CANCEL_PREFIX + jobId,
+      value: Buffer.from(JSON.stringify({receivedAt})),
+    }))
+    .exhaustive();
+}
+
+/** Records that drop all that was asked about a job. */
+export function encodeForgottenRequests(jobId: string): LogRecord[] {
+  return [
+    {key: JOB_PREFIX + jobId, value: NOTHING},
+    {key: CANCEL_PREFIX + jobId, value: NOTHING},
+  ];
+}
+
+/** Reads requests; `onMalformed` is told of each record that is none. */
+export function decodeRequests(
+  records: readonly PlacedRecord[],
+  onMalformed: (key: string) => void,
+): Request[] {
+  const requests: Request[] = [];
+  for (const {key, value} of records) {
+    if (value.length === 0) {
+      continue;
+    }
+    const request = decodeRequest(key, value);
+    if (request === undefined) {
+      onMalformed(key);
+    } else {
+      requests.push(request);
+    }
+  }
+  return requests;
+}
+
+function decodeRequest(key: string, value: Buffer): Request | undefined {
+  if (key.startsWith(JOB_PREFIX)) {
+    const parsed = jobSchema.safeParse(parseJson(value));
+    return parsed.success ? {kind: 'submit', job: parsed.data} : undefined;
+  }
+  if (key.startsWith(CANCEL_PREFIX)) {
+    const content = parseJson(value) as {receivedAt?: unknown} | undefined;
+    const receivedAt = Number(content?.receivedAt ?? 0);
+    const jobId = key.slice(CANCEL_PREFIX.length);
+    return {kind: 'cancel', jobId, receivedAt};
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/site-daemon/src/advicePlugin.ts
@@ -0,0 +1,27 @@
+import {ADVISE, ADVISED} from '@samphireramp/dispatch';
+import type {HostLinks} from '@samphireramp/host-links';
+import {HOSTS} from '@samphireramp/hosts';
+import type {Plugin} from '@samphireramp/kernel';
+import type {Adviser} from '@samphireramp/platform';
+
+/** Asks for advice, here or through another host. */
+export function createAdvicePlugin(
+  self: string,
+  adviser: Adviser,
+  links: HostLinks,
+): Plugin {
+  return kernel =>
+    kernel.registerEffect(ADVISE, async call => {
+      const {askId, host, step, workerIds, timeoutMillis} = call;
+      const address = kernel.read(HOSTS).get(host)?.address;
+      const advice =
+        host === self || address === undefined
+          ? await adviser(step, workerIds, timeoutMillis)
+          : await links.advise(address, {
+              ...step,
+              workerIds: [...workerIds],
+              timeoutMillis,
+            });
+      kernel.dispatch(ADVISED, {askId, advice});
+    });
+}
--- /dev/null
+++ b/packages/site-daemon/src/index.ts
@@ -0,0 +1,6 @@
+/** The program of a host on the operators' platform, for those who embed it. */
+export {
+  type SiteHost,
+  type SiteHostOptions,
+  createSiteHost,
+} from './createSiteHost';
--- /dev/null
+++ b/packages/site-daemon/src/logPlugin.ts
@@ -0,0 +1,263 @@
+import {
+  APPEND_JOURNAL,
+  HURRY_JOURNAL,
+  JOURNAL_APPENDED,
+  JOURNAL_READ,
+  heldTerm,
+} from '@samphireramp/holding';
+import {HOSTS_READ} from '@samphireramp/hosts';
+import {
+  APPEND_REQUESTS,
+  REQUESTS_APPENDED,
+  partitionOf,
+} from '@samphireramp/intake';
+import {type Kernel, type Plugin, mergeUnregister} from '@samphireramp/kernel';
+import {
+  CONFIGURATION_IN_FORCE,
+  FOLLOW_SITE,
+  FORGET_REQUESTS,
+  REQUESTS_READ,
+  UNFOLLOW_SITE,
+} from '@samphireramp/dispatch';
+import {WORKERS_LISTED, type WorkerRecord} from '@samphireramp/fleet';
+import {
+  decodeHosts,
+  decodeJournal,
+  decodeRequests,
+  encodeForgottenRequests,
+  encodeJournalEntry,
+  encodeRequest,
+} from '@samphireramp/record-codec';
+import type {
+  AppendOutcome,
+  FollowHandle,
+  PlacedRecord,
+  StreamListener,
+  StreamLog,
+  StreamName,
+} from '@samphireramp/stream-log';
+import type {SiteConfiguration} from '@samphireramp/jobs';
+import type {Log} from '@samphireramp/telemetry';
+
+/** The journal and other streams have one partition. */
+const ONLY_PARTITION = 0;
+/** Pauses between reads, so that a busy stream costs a bounded rate of calls. */
+const JOURNAL_PACE_MILLIS = 40;
+const OWN_JOURNAL_PACE_MILLIS = 1000;
+const REQUESTS_PACE_MILLIS = 10;
+const SLOW_PACE_MILLIS = 300;
+const FORGET_TIMEOUT_MILLIS = 2000;
+
+/** What the plug-in is given. */
+export interface LogPluginOptions {
+  readonly streams: StreamLog;
+  readonly decodeConfiguration: (
+    value: Buffer,
+  ) => SiteConfiguration | undefined;
+  readonly configurationKey: string;
+  readonly decodeWorker: (
+    id: string,
+    value: Buffer,
+  ) => WorkerRecord | undefined;
+  readonly log: Log;
+}
+
+/** Carries records between the log and the decisions. */
+export function createLogPlugin(options: LogPluginOptions): Plugin {
+  const {streams, log} = options;
+  return kernel => {
+    const onMalformed = (stream: StreamName) => (key: string) =>
+      log('record-malformed', {stream, key});
+    const watch = (stream: StreamName, partition = ONLY_PARTITION) =>
+      createWatch(stream, partition, log);
+
+    const journal = streams.follow(
+      {
+        stream: 'progress',
+        partition: ONLY_PARTITION,
+        paceMillis: () =>
+          heldTerm(kernel) === undefined
+            ? JOURNAL_PACE_MILLIS
+            : OWN_JOURNAL_PACE_MILLIS,
+      },
+      watch('progress')((records, end, isWhole) => {
+        const entries = decodeJournal(records, onMalformed('progress'));
+        kernel.dispatch(JOURNAL_READ, {entries, end, isWhole});
+      }),
+    );
+    const configuration = streams.follow(
+      slow('configuration'),
+      watch('configuration')(records =>
+        takeConfiguration(kernel, options, records),
+      ),
+    );
+    const hosts = streams.follow(
+      slow('hosts'),
+      watch('hosts')(records =>
+        kernel.dispatch(HOSTS_READ, {
+          hosts: decodeHosts(records, onMalformed('hosts')),
+        }),
+      ),
+    );
+    let ofHolder: FollowHandle[] = [];
+
+    function followSite(): void {
+      unfollowSite();
+      ofHolder = [followWorkers(kernel, options)];
+      for (let partition = 0; partition < streams.partitions; partition++) {
+        ofHolder.push(
+          streams.follow(
+            {
+              stream: 'requests',
+              partition,
+              paceMillis: () => REQUESTS_PACE_MILLIS,
+            },
+            watch(
+              'requests',
+              partition,
+            )(records =>
+              kernel.dispatch(REQUESTS_READ, {
+                partition,
+                requests: decodeRequests(records, onMalformed('requests')),
+              }),
+            ),
+          ),
+        );
+      }
+    }
+
+    function unfollowSite(): void {
+      ofHolder.forEach(handle => handle.stop());
+      ofHolder = [];
+    }
+
+    return mergeUnregister(
+      () => [journal, configuration, hosts].forEach(each => each.stop()),
+      unfollowSite,
+      kernel.registerEffect(FOLLOW_SITE, followSite),
+      kernel.registerEffect(UNFOLLOW_SITE, unfollowSite),
+      kernel.registerEffect(HURRY_JOURNAL, () => journal.hurry()),
+      kernel.registerEffect(APPEND_JOURNAL, request => {
+        const {batch, at, entries, timeoutMillis} = request;
+        const records = entries.map(encodeJournalEntry);
+        const partition = ONLY_PARTITION;
+        void streams
+          .append({stream: 'progress', partition, records, at, timeoutMillis})
+          .then(outcome => kernel.dispatch(JOURNAL_APPENDED, {batch, outcome}));
+      }),
+      kernel.registerEffect(APPEND_REQUESTS, request => {
+        const {batchId, partition, requests, timeoutMillis} = request;
+        const records = requests.map(encodeRequest);
+        void streams
+          .append({stream: 'requests', partition, records, timeoutMillis})
+          .then((outcome: AppendOutcome) =>
+            kernel.dispatch(REQUESTS_APPENDED, {batchId, outcome}),
+          );
+      }),
+      kernel.registerEffect(FORGET_REQUESTS, ({jobIds}) =>
+        forgetRequests(streams, jobIds, log),
+      ),
+    );
+  };
+}
+
+function slow(stream: StreamName) {
+  const paceMillis = () => SLOW_PACE_MILLIS;
+  return {stream, partition: ONLY_PARTITION, paceMillis};
+}
+
+/** Makes listeners that log when a stream is lost and regained. */
+function createWatch(stream: StreamName, partition: number, log: Log) {
+  let isLost = false;
+  return (onRecords: StreamListener['onRecords']): StreamListener => ({
+    onRecords: (records, end, isWhole) => {
+      if (isLost) {
+        isLost = false;
+        log('stream-regained', {stream, partition, end});
+      }
+      onRecords(records, end, isWhole);
+    },
+    onFailure: detail => {
+      if (!isLost) {
+        isLost = true;
+        log('stream-lost', {stream, partition, detail});
+      }
+    },
+  });
+}
+
+function takeConfiguration(
+  kernel: Kernel,
+  {decodeConfiguration, configurationKey, log}: LogPluginOptions,
+  records: readonly PlacedRecord[],
+): void {
+  for (const {key, value, offset} of records) {
+    if (key !== configurationKey) {
+      continue;
+    }
+    const configuration = decodeConfiguration(value);
+    if (configuration === undefined) {
+      log('record-malformed', {stream: 'configuration', key, offset});
+    } else {
+      kernel.dispatch(CONFIGURATION_IN_FORCE, {configuration});
+    }
+  }
+}
+
+function followWorkers(
+  kernel: Kernel,
+  {streams, decodeWorker, log}: LogPluginOptions,
+): FollowHandle {
+  const listener = createWatch('workers', ONLY_PARTITION, log);
+  const paceMillis = () => SLOW_PACE_MILLIS;
+  return streams.follow(
+    {stream: 'workers', partition: ONLY_PARTITION, paceMillis},
+    listener((records, _, isWhole) => {
+      const latest = new Map<string, Buffer>();
+      for (const {key, value} of records) {
+        latest.set(key, value);
+      }
+      const listed: WorkerRecord[] = [];
+      const removed: string[] = [];
+      for (const [id, value] of latest) {
+        const worker = value.length === 0 ? undefined : decodeWorker(id, value);
+        if (worker !== undefined) {
+          listed.push(worker);
+        } else if (value.length === 0) {
+          removed.push(id);
+        } else {
+          log('record-malformed', {stream: 'workers', key: id});
+        }
+      }
+      if (listed.length + removed.length > 0 || isWhole) {
+        kernel.dispatch(WORKERS_LISTED, {records: listed, removed, isWhole});
+      }
+    }),
+  );
+}
+
+/** A failure only leaves records behind that are read once more. */
+async function forgetRequests(
+  streams: StreamLog,
+  jobIds: readonly string[],
+  log: Log,
+): Promise<void> {
+  const byPartition = new Map<number, string[]>();
+  for (const jobId of jobIds) {
+    const partition = partitionOf(jobId, streams.partitions);
+    byPartition.set(partition, [...(byPartition.get(partition) ?? []), jobId]);
+  }
+  for (const [partition, ids] of byPartition) {
+    const outcome = await streams.append({
+      stream: 'requests',
+      partition,
+      records: ids.flatMap(encodeForgottenRequests),
+      timeoutMillis: FORGET_TIMEOUT_MILLIS,
+    });
+    log('requests-forgotten', {
+      partition,
+      count: ids.length,
+      outcome: outcome.kind,
+    });
+  }
+}
--- /dev/null
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -0,0 +1,95 @@
+import {
+  CONFIGURATION,
+  CONFIGURATION_IN_FORCE,
+  DISPATCH_EVENT,
+  JOBS,
+  activeJobs,
+} from '@samphireramp/dispatch';
+import {FLEET_EVENT, RUNS, WORKERS} from '@samphireramp/fleet';
+import {
+  HOLDING,
+  HOLDING_EVENT,
+  JOB_VIEWS,
+  heldTerm,
+} from '@samphireramp/holding';
+import {INTAKE_EVENT} from '@samphireramp/intake';
+import {type Plugin, mergeUnregister} from '@samphireramp/kernel';
+import type {Log, Metrics} from '@samphireramp/telemetry';
+
+/** What the observer is given. */
+export interface ObserverOptions {
+  readonly metrics: Metrics;
+  readonly log: Log;
+}
+
+/** Turns decisions into logs and metrics; decides nothing. */
+export function createObserverPlugin({metrics, log}: ObserverOptions): Plugin {
+  return kernel =>
+    mergeUnregister(
+      metrics.gauge('active_jobs', () => activeJobs(kernel).length),
+      metrics.gauge('known_jobs', () => kernel.read(JOBS).size),
+      metrics.gauge('job_views', () => kernel.read(JOB_VIEWS).size),
+      metrics.gauge('runs', () => kernel.read(RUNS).size),
+      metrics.gauge('workers', () => kernel.read(WORKERS).size),
+      metrics.gauge('is_holder', () =>
+        heldTerm(kernel) === undefined ? 0 : 1,
+      ),
+      kernel.registerEffect(INTAKE_EVENT, event => {
+        metrics.count('requests', {outcome: event.event});
+        if (event.millis !== undefined) {
+          metrics.time('request', event.millis, {kind: event.kind});
+        }
+        log(event.event, {
+          job: event.subject,
+          queue: event.queue,
+          detail: event.detail,
+          millis: event.millis,
+        });
+      }),
+      kernel.registerEffect(DISPATCH_EVENT, event => {
+        metrics.count('dispatch_events', {event: event.event});
+        if (event.millis !== undefined) {
+          metrics.time(event.event.replaceAll('-', '_'), event.millis);
+        }
+        log(event.event, {
+          subject: event.subject,
+          queue: event.queue,
+          worker: event.worker,
+          detail: event.detail,
+          millis: event.millis,
+          term: heldTerm(kernel),
+        });
+      }),
+      kernel.registerEffect(FLEET_EVENT, event => {
+        metrics.count('fleet_events', {event: event.event});
+        log(event.event, {
+          worker: event.worker,
+          subject: event.subject,
+          detail: event.detail,
+          millis: event.millis,
+          term: heldTerm(kernel),
+        });
+      }),
+      kernel.registerEffect(HOLDING_EVENT, event => {
+        metrics.count('holding_events', {event: event.event});
+        log(event.event, {
+          term: event.term,
+          holder: event.holder,
+          detail: event.detail,
+          silentMillis: event.silentMillis,
+          journalEnd: kernel.read(HOLDING).get().end,
+        });
+      }),
+      kernel.registerCommand(
+        CONFIGURATION_IN_FORCE,
+        (update, {configuration}) => {
+          const before = update.read(CONFIGURATION).get();
+          log('configuration-in-force', {
+            revision: configuration.revision,
+            routes: configuration.routes.length,
+            before: before?.revision,
+          });
+        },
+      ),
+    );
+}
--- /dev/null
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -0,0 +1,38 @@
+import {DISPATCH_TICK, PLACE_WORK, PLAN_PLACING} from '@samphireramp/dispatch';
+import {FLEET_TICK} from '@samphireramp/fleet';
+import {HOLDING_TICK} from '@samphireramp/holding';
+import {FLUSH_REQUESTS, INTAKE_TICK, PLAN_FLUSH} from '@samphireramp/intake';
+import {type Command, type Plugin, mergeUnregister} from '@samphireramp/kernel';
+
+const HOLDING_TICK_MILLIS = 40;
+const FLEET_TICK_MILLIS = 100;
+const DISPATCH_TICK_MILLIS = 100;
+const INTAKE_TICK_MILLIS = 5000;
+/** What happens within this time is placed in one pass. */
+const PLACING_GATHER_MILLIS = 2;
+
+/** Tells the kernel, on the runtime's clock, that things are due. */
+export function createTimersPlugin(): Plugin {
+  return kernel => {
+    const every = (command: Command<void>, millis: number) =>
+      setInterval(() => kernel.dispatch(command, undefined), millis);
+    const timers = [
+      every(HOLDING_TICK, HOLDING_TICK_MILLIS),
+      every(FLEET_TICK, FLEET_TICK_MILLIS),
+      every(DISPATCH_TICK, DISPATCH_TICK_MILLIS),
+      every(INTAKE_TICK, INTAKE_TICK_MILLIS),
+    ];
+    return mergeUnregister(
+      () => timers.forEach(timer => clearInterval(timer)),
+      kernel.registerEffect(PLAN_PLACING, () => {
+        setTimeout(
+          () => kernel.dispatch(PLACE_WORK, undefined),
+          PLACING_GATHER_MILLIS,
+        );
+      }),
+      kernel.registerEffect(PLAN_FLUSH, ({millis}) => {
+        setTimeout(() => kernel.dispatch(FLUSH_REQUESTS, undefined), millis);
+      }),
+    );
+  };
+}
--- /dev/null
+++ b/packages/stream-log/src/index.ts
@@ -0,0 +1,2 @@
+/** The interface to the log that everything lasting is kept in. */
+export * from './StreamLog';
--- a/packages/telemetry/src/Logger.ts
+++ b/packages/telemetry/src/Logger.ts
@@ -1,4 +1,5 @@
 import createDebug from 'debug';
+import {format} from 'node:util';
 
 /** A value that a log line may carry. */
 export type LogValue = string | number | boolean | undefined;
@@ -30,6 +31,11 @@
   };
 }
 
+/** Sends all log lines to `line` in place of standard error. */
+export function writeLogsTo(line: (text: string) => void): void {
+  createDebug.log = (...args: unknown[]) => line(format(...args));
+}
+
 /** Turns on the logs that a pattern names, such as `samphireramp:*`. */
 export function enableLogs(pattern: string): void {
   createDebug.enable(pattern);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -3,6 +3,7 @@
 /** Programs, each built to one file. */
 const PROGRAMS = {
   'samphireramp-entry': 'packages/entry-daemon/src/main.ts',
+  'samphireramp-site': 'packages/site-daemon/src/main.ts',
   samphireramp: 'packages/operator-command/src/main.ts',
   'stand-in': 'stand-ins/src/main.ts',
   demo: 'demo/main.ts',
@@ -12,9 +13,12 @@
 const REQUIRE_BANNER =
   "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);";
 
+// The folder may be named, as the platform's deployment does.
+const [outdir = 'dist'] = process.argv.slice(2);
+
 await build({
   entryPoints: PROGRAMS,
-  outdir: 'dist',
+  outdir,
   outExtension: {'.js': '.mjs'},
   bundle: true,
   platform: 'node',
