A placing pass places each step from its job as it is now

Cause: a pass read the rows of all jobs at its start. Where two steps of one job were ready, the second placing overwrote the first one's, so tasks that were ordered looked open and were placed again (TWICE, LIMIT). Ruled out: repeated starts (both runs had the same number on different workers within 20 ms, from one holder, with no call unanswered). Change: the row is read again before each placing.

--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -27,7 +27,7 @@
   take,
   tasksWhenEmpty,
 } from './candidates';
-import {activeJobs, policyOf, setProgress} from './DispatchState';
+import {JOBS, activeJobs, policyOf, setProgress} from './DispatchState';
 import {DISPATCH_EVENT} from './messages';
 import {placeSoon} from './placeSoon';
 
@@ -294,8 +294,10 @@
 /** Reserves the room, and has the runs ordered once that is durable. */
 function start(update: Update, unit: Unit, choices: readonly Choice[]): void {
   const place = placeOf(unit);
-  const {row, occurrence, stepNumber} = unit;
+  const {occurrence, stepNumber} = unit;
   const tasks = occurrence.steps[stepNumber];
+  // Another step of the job may have been placed in this same pass.
+  const row = update.read(JOBS).get(place.jobId) ?? unit.row;
   const lifeByIndex = new Map(
     choices.map(({index, candidate}) => [index, candidate.worker.life]),
   );
