Advice: the first call names all workers, renewals name all that may

First calls named only workers with room, 1 to 9 of 33, so too few were known to be good. Ruled out: a lack of room (most of it was free). Also: terms begin at 1, since workers take 0 for none; members of a gang that is done are not told to stop.

--- a/packages/dispatch/src/adviceState.ts
+++ b/packages/dispatch/src/adviceState.ts
@@ -63,3 +63,13 @@
   const notBefore = update.now + millis;
   update.write(ADVICE).set(key, {...advice, notBefore});
 }
+
+/** Forgets advice on the steps of jobs that are over. */
+export function dropAdvice(update: Update, jobId: string): void {
+  const advice = update.write(ADVICE);
+  for (const key of [...advice.keys()]) {
+    if (key.startsWith(`${jobId}.`)) {
+      advice.delete(key);
+    }
+  }
+}
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -16,6 +16,7 @@
   newProgress,
   roomOf,
 } from '@samphireramp/jobs';
+import {dropAdvice} from './adviceState';
 import {
   CANCELLED,
   JOBS,
@@ -148,8 +149,13 @@
 ): void {
   const ended = {...progress, occurrences: [], state, endedAt: wallNow};
   setProgress(update, row, ended);
+  dropAdvice(update, row.job.id);
   for (const run of runsOf(update, row.job.id)) {
-    stopRun(update, run, `job-${state}`);
+    // The members of a gang are done together, whoever tells of it first.
+    const {isGang} = row.job.steps[run.place.step];
+    if (state !== 'completed' || !isGang) {
+      stopRun(update, run, `job-${state}`);
+    }
   }
   emitJob(
     update,
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -171,20 +171,32 @@
   if (terms === undefined) {
     return;
   }
-  const unjudged = suitable.filter(({worker}) => !advice.judged.has(worker.id));
-  const withRoom = suitable.filter(
-    candidate =>
-      isPermitted(candidate.worker, unit, advice) &&
-      !hasTicket(candidate.worker, unit, advice, update.now) &&
-      fittingTasks(candidate, unit) > 0,
-  );
-  const isFirst = advice.judged.size === 0;
-  if (isFirst || withRoom.length > 0 || advice.permits.size === 0) {
-    const named = [...withRoom, ...unjudged].map(({worker}) => worker.id);
-    askAdvice(update, self, placeOf(unit), terms, named);
+  const isWanted = (candidate: Candidate) =>
+    !advice.judged.has(candidate.worker.id) ||
+    lacksTicket(update, unit, advice, candidate);
+  const hasRoom = (candidate: Candidate) => fittingTasks(candidate, unit) > 0;
+  const wanted = suitable.filter(isWanted);
+  // Who may run a step never changes, and a call costs little more for each
+  // worker: the first call names all, full ones too.
+  if (advice.judged.size === 0 || wanted.some(hasRoom)) {
+    const ids = wanted.map(({worker}) => worker.id);
+    askAdvice(update, self, placeOf(unit), terms, ids);
   }
 }
 
+/** Whether the step may run there, but only with a new ticket. */
+function lacksTicket(
+  update: Update,
+  unit: Unit,
+  advice: StepAdvice,
+  {worker}: Candidate,
+): boolean {
+  return (
+    isPermitted(worker, unit, advice) &&
+    !hasTicket(worker, unit, advice, update.now)
+  );
+}
+
 function chooseForGang(
   update: Update,
   self: string,
@@ -206,8 +218,8 @@
   const later = spread(permitted, unit);
   if (later !== undefined) {
     // Room is there, only tickets are missing: it is kept until they come.
-    takeAll(unit, later);
     askForMore(update, self, unit, advice, permitted);
+    takeAll(unit, later);
     return [];
   }
   if (wouldFitEmpty(permitted, unit)) {
--- a/packages/holding/src/HolderRecord.ts
+++ b/packages/holding/src/HolderRecord.ts
@@ -5,7 +5,7 @@
   holder: z.string(),
   /** Tells one life of the holder's process from the next. */
   incarnation: z.string(),
-  /** Offset of the claim; workers refuse orders of a lower one. */
+  /** Rises with the offset of the claim; workers refuse orders of a lower one. */
   term: z.number(),
   /** Counts the batches of a term; 0 is the claim. */
   batch: z.number(),
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -66,7 +66,7 @@
     const record: HolderRecord = {
       holder: self,
       incarnation,
-      term: holding.end,
+      term: termOfClaim(holding.end),
       batch: 0,
       isResigned: false,
     };
@@ -270,7 +270,7 @@
       const record: HolderRecord = {
         holder: self,
         incarnation,
-        term: outcome.offset,
+        term: termOfClaim(outcome.offset),
         batch: 0,
         isResigned: false,
       };
@@ -326,7 +326,7 @@
     const isOwn =
       latest?.incarnation === incarnation &&
       latest.batch === 0 &&
-      latest.term >= knownEnd;
+      latest.term >= termOfClaim(knownEnd);
     if (isNew && isOwn && latest !== undefined) {
       begin(update, latest, update.read(HOLDING).get().end);
     }
@@ -382,6 +382,11 @@
     );
 }
 
+/** Workers take 0 for no term at all, so terms begin at 1. */
+function termOfClaim(offset: number): number {
+  return offset + 1;
+}
+
 /** Waits longer for each answer, the longer the log has been out of reach. */
 function timeoutAfter(silentMillis: number): number {
   return Math.min(
