Take-over after half a second of silence; acceptance is hedged

Cause: jobs that came around a kill of the holder waited 1.2 to 1.5 s for the next one, which is more than a short job's whole objective; a host cut off from the store answered 504 after 2.4 s, too late for its caller to try elsewhere. Change: silence 500 ms and four round trips, heartbeat 150 ms; a second try of an append beside the first after 250 ms; a host that has not read the log for 1.2 s refuses at once, before anything is sent.

--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -33,10 +33,12 @@
   RESIGN,
 } from './messages';
 
-/** A holder that is silent for longer may be replaced. */
-export const HOLDER_SILENCE_MILLIS = 1100;
+/** A holder that is silent for longer may be replaced ... */
+export const HOLDER_SILENCE_MILLIS = 500;
+/** ... and for each millisecond of the way to the log, this much later. */
+const SILENCE_MILLIS_PER_TRIP = 4;
 /** An idle holder writes this often. */
-export const HEARTBEAT_MILLIS = 300;
+export const HEARTBEAT_MILLIS = 150;
 /** A journal that was not read for this long says nothing about its holder. */
 const READ_FRESH_MILLIS = 1500;
 /** Without any claim in the journal, how long to wait before the first. */
@@ -54,6 +56,8 @@
 export interface HoldingOptions {
   readonly self: string;
   readonly incarnation: string;
+  /** Running mean of how long a call to the log takes. */
+  readonly roundTripMillis: () => number;
   /** Extra wait before a claim: hosts that suit better wait less. */
   readonly claimDelayMillis: () => number;
 }
@@ -107,7 +111,8 @@
     }
     return latest.isResigned || latest.holder === self
       ? 0
-      : HOLDER_SILENCE_MILLIS;
+      : HOLDER_SILENCE_MILLIS +
+          options.roundTripMillis() * SILENCE_MILLIS_PER_TRIP;
   }
 
   function begin(update: Update, record: HolderRecord, end: number): void {
--- a/packages/intake/src/intakePlugin.ts
+++ b/packages/intake/src/intakePlugin.ts
@@ -6,15 +6,17 @@
   createValueSlice,
   mergeUnregister,
 } from '@samphireramp/kernel';
-import {JOB_VIEWS} from '@samphireramp/holding';
+import {HOLDING, JOB_VIEWS} from '@samphireramp/holding';
 import {isFinal} from '@samphireramp/jobs';
 import {
   ANSWER_CALL,
   APPEND_REQUESTS,
   FLUSH_REQUESTS,
+  HEDGE_REQUESTS,
   INTAKE_EVENT,
   INTAKE_TICK,
   PLAN_FLUSH,
+  PLAN_HEDGE,
   REQUESTS_APPENDED,
   REQUEST_RECEIVED,
 } from './messages';
@@ -22,13 +24,15 @@
 
 /** Requests that come within this time are written together. */
 const GATHER_MILLIS = 3;
-/** First wait for an answer before a batch is sent on another connection. */
-const FIRST_TIMEOUT_MILLIS = 400;
-const NEXT_TIMEOUT_MILLIS = 900;
-/** Callers wait about three seconds; after this they are told of the doubt. */
-const GIVE_UP_MILLIS = 2400;
-/** Refusals by the log after which callers are refused. */
-const TRIES_WHEN_REFUSED = 3;
+/** A batch without an answer is sent once more, beside the first, after this. */
+const HEDGE_MILLIS = 250;
+/** ... and twice as long after each further time. */
+const HEDGE_GROWTH = 2;
+const MOST_TRIES = 4;
+/** Then callers are told of the doubt: they may ask again, at another host. */
+const GIVE_UP_MILLIS = 1600;
+/** Without a read of the log for this long, nothing is sent to it. */
+const OUT_OF_REACH_MILLIS = 1200;
 const RETRY_AFTER_MILLIS = 1000;
 /** How long a host remembers what it accepted, beside the journal. */
 const ACCEPTED_MEMORY_MILLIS = 60_000;
@@ -50,7 +54,9 @@
   readonly waiting: readonly Waiting[];
   readonly startedAt: number;
   readonly tries: number;
-  /** Whether any try may be done without an answer. */
+  /** Tries that have no answer yet. */
+  readonly openTries: number;
+  /** Whether any try may be done though it brought no answer. */
   readonly isInDoubt: boolean;
 }
 
@@ -77,6 +83,14 @@
       answer(update, waiting, {kind: 'accepted'}, 'known');
       return;
     }
+    if (isOutOfReach(update)) {
+      const refused: RequestAnswer = {
+        kind: 'refused',
+        retryAfterMillis: RETRY_AFTER_MILLIS,
+      };
+      answer(update, waiting, refused, 'log-out-of-reach');
+      return;
+    }
     const gathered = update.write(GATHERED);
     if (gathered.get().length === 0) {
       update.emit(PLAN_FLUSH, {millis: GATHER_MILLIS});
@@ -102,6 +116,7 @@
         waiting,
         startedAt: update.now,
         tries: 0,
+        openTries: 0,
         isInDoubt: false,
       });
     }
@@ -109,15 +124,32 @@
 
   function send(update: Update, batch: RequestBatch): void {
     const tries = batch.tries + 1;
-    update.write(BATCHES).set(batch.id, {...batch, tries});
+    const openTries = batch.openTries + 1;
+    update.write(BATCHES).set(batch.id, {...batch, tries, openTries});
+    const sinceStart = update.now - batch.startedAt;
     update.emit(APPEND_REQUESTS, {
       batchId: batch.id,
       // Another partition each time, since single ones may be out of service.
       partition: (batch.partition + batch.tries) % partitions,
       requests: batch.waiting.map(({request}) => request),
-      timeoutMillis:
-        batch.tries === 0 ? FIRST_TIMEOUT_MILLIS : NEXT_TIMEOUT_MILLIS,
+      timeoutMillis: Math.max(1, GIVE_UP_MILLIS - sinceStart),
     });
+    if (tries < MOST_TRIES) {
+      const millis = HEDGE_MILLIS * HEDGE_GROWTH ** batch.tries;
+      update.emit(PLAN_HEDGE, {batchId: batch.id, millis});
+    }
+  }
+
+  function hedge(
+    update: Update,
+    {batchId}: PayloadOf<typeof HEDGE_REQUESTS>,
+  ): void {
+    const batch = update.read(BATCHES).get(batchId);
+    const isOver =
+      batch === undefined || update.now - batch.startedAt >= GIVE_UP_MILLIS;
+    if (!isOver && batch.openTries > 0 && batch.tries < MOST_TRIES) {
+      send(update, batch);
+    }
   }
 
   function onAppended(
@@ -132,14 +164,21 @@
       accept(update, batch);
       return;
     }
-    const isInDoubt = batch.isInDoubt || outcome.kind === 'unknown';
-    const next = {...batch, isInDoubt};
-    const isOver = update.now - batch.startedAt > GIVE_UP_MILLIS;
-    if (isInDoubt ? !isOver : batch.tries < TRIES_WHEN_REFUSED) {
+    const next: RequestBatch = {
+      ...batch,
+      openTries: batch.openTries - 1,
+      isInDoubt: batch.isInDoubt || outcome.kind === 'unknown',
+    };
+    update.write(BATCHES).set(batchId, next);
+    if (next.openTries > 0) {
+      return;
+    }
+    const isOver = update.now - batch.startedAt >= GIVE_UP_MILLIS;
+    if (!isOver && next.tries < MOST_TRIES) {
       send(update, next);
       return;
     }
-    const result: RequestAnswer = isInDoubt
+    const result: RequestAnswer = next.isInDoubt
       ? {kind: 'unknown'}
       : {kind: 'refused', retryAfterMillis: RETRY_AFTER_MILLIS};
     const detail = 'detail' in outcome ? outcome.detail : outcome.kind;
@@ -207,6 +246,7 @@
       kernel.registerSlice(BATCH_COUNT),
       kernel.registerCommand(REQUEST_RECEIVED, onReceived),
       kernel.registerCommand(FLUSH_REQUESTS, flush),
+      kernel.registerCommand(HEDGE_REQUESTS, hedge),
       kernel.registerCommand(REQUESTS_APPENDED, onAppended),
       kernel.registerCommand(INTAKE_TICK, onTick),
     );
@@ -222,6 +262,12 @@
   return view !== undefined && isFinal(view.state);
 }
 
+/** Whether this host seems cut off from the log, so that sending is vain. */
+function isOutOfReach(update: Update): boolean {
+  const {readAt, isCaughtUp} = update.read(HOLDING).get();
+  return isCaughtUp && update.now - readAt > OUT_OF_REACH_MILLIS;
+}
+
 /** The partition that the requests about a job are written to. */
 export function partitionOf(jobId: string, partitions: number): number {
   let hash = 0;
--- a/packages/intake/src/messages.ts
+++ b/packages/intake/src/messages.ts
@@ -11,6 +11,11 @@
 /** The requests gathered so far are to be written. */
 export const FLUSH_REQUESTS = createCommand<void>('flush-requests');
 
+/** A batch may have to be sent once more. */
+export const HEDGE_REQUESTS = createCommand<{readonly batchId: string}>(
+  'hedge-requests',
+);
+
 /** One try to write a batch of requests came to an end. */
 export const REQUESTS_APPENDED = createCommand<{
   readonly batchId: string;
@@ -23,6 +28,12 @@
 /** Has `FLUSH_REQUESTS` run after `millis`. */
 export const PLAN_FLUSH = createEffect<{readonly millis: number}>('plan-flush');
 
+/** Has `HEDGE_REQUESTS` run after `millis`. */
+export const PLAN_HEDGE = createEffect<{
+  readonly batchId: string;
+  readonly millis: number;
+}>('plan-hedge');
+
 /** Writes requests to the log. */
 export const APPEND_REQUESTS = createEffect<{
   readonly batchId: string;
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -39,13 +39,13 @@
 /** Connections to each address; more calls wait for one to be free. */
 const CONNECTIONS_EACH = 48;
 /** A host that has not read the log for this long takes no callers. */
-const READY_READ_MILLIS = 2500;
+const READY_READ_MILLIS = 1500;
 /** Part of the time to stop that callers may still use. */
 const SERVE_SHARE_OF_GRACE = 0.75;
 const ANNOUNCE_TIMEOUT_MILLIS = 1500;
 /** Extra wait before a claim for each millisecond of the way to the log. */
-const CLAIM_MILLIS_PER_TRIP = 8;
-const LONGEST_CLAIM_DELAY_MILLIS = 500;
+const CLAIM_MILLIS_PER_TRIP = 4;
+const LONGEST_CLAIM_DELAY_MILLIS = 400;
 /** Hosts that are alike claim at different moments. */
 const CLAIM_SPREAD_MILLIS = 80;
 /** Added to the time for which ended jobs are kept, for late retries. */
@@ -108,7 +108,12 @@
   // Observers come before the decisions whose state they compare with.
   for (const plugin of [
     createHostsPlugin(),
-    createHoldingPlugin({self, incarnation, claimDelayMillis}),
+    createHoldingPlugin({
+      self,
+      incarnation,
+      roundTripMillis: streams.roundTripMillis,
+      claimDelayMillis,
+    }),
     createIntakePlugin({partitions}),
     createFleetPlugin(),
     createObserverPlugin({metrics, log}),
--- a/packages/site-daemon/src/timersPlugin.ts
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -1,7 +1,7 @@
 import {DISPATCH_TICK, PLACE_WORK, PLAN_PLACING} from '@samphireramp/dispatch';
 import {FLEET_TICK} from '@samphireramp/fleet';
 import {HOLDING_TICK} from '@samphireramp/holding';
-import {FLUSH_REQUESTS, INTAKE_TICK, PLAN_FLUSH} from '@samphireramp/intake';
+import {FLUSH_REQUESTS, HEDGE_REQUESTS, INTAKE_TICK, PLAN_FLUSH, PLAN_HEDGE} from '@samphireramp/intake';
 import {type Command, type Plugin, mergeUnregister} from '@samphireramp/kernel';
 
 const HOLDING_TICK_MILLIS = 40;
@@ -30,6 +30,9 @@
           PLACING_GATHER_MILLIS,
         );
       }),
+      kernel.registerEffect(PLAN_HEDGE, ({batchId, millis}) => {
+        setTimeout(() => kernel.dispatch(HEDGE_REQUESTS, {batchId}), millis);
+      }),
       kernel.registerEffect(PLAN_FLUSH, ({millis}) => {
         setTimeout(() => kernel.dispatch(FLUSH_REQUESTS, undefined), millis);
       }),
