Advice lanes: a busy lane rests 150 ms, this host's own is never left out

Ends of runs that are done have no line of their own any more: they were half of what the log left out.

--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -71,7 +71,7 @@
     return;
   }
   update.write(OPEN_ASKS).delete(askId);
-  closeLane(update, ask.host, advice.kind !== 'answered');
+  closeLane(update, ask.host, advice.kind);
   placeSoon(update);
   const key = stepKey(ask.step);
   update.emit(DISPATCH_EVENT, {
--- a/packages/dispatch/src/adviceLanes.ts
+++ b/packages/dispatch/src/adviceLanes.ts
@@ -4,6 +4,8 @@
   createTableSlice,
 } from '@samphireramp/kernel';
 import {liveHosts} from '@samphireramp/hosts';
+import {match} from 'ts-pattern';
+import type {Advice} from './messages';
 
 /** A call that takes this long or longer is long. */
 const LONG_MILLIS = 250;
@@ -15,8 +17,12 @@
 const SHARE_WITHOUT_MIDDLE = 0.2;
 /** A host whose calls would wait longer gets no more for now. */
 const MOST_WAIT_MILLIS = 1200;
+/** Calls of one host that may wait; the adviser refuses the 33rd. */
+const MOST_OPEN_CALLS = 24;
 /** A host through which a call failed is left out for this long. */
-const FAILED_MILLIS = 3000;
+const FAILED_MILLIS = 1500;
+/** ... and one whose calls the adviser has too many of, for this long. */
+const BUSY_MILLIS = 150;
 
 /** The adviser handles one call of each host at a time: one lane a host. */
 export interface Lane {
@@ -48,7 +54,9 @@
   let bestAt = now + MOST_WAIT_MILLIS;
   for (const host of hosts.slice(first)) {
     const lane = lanes.get(host) ?? NEW_LANE;
-    if (lane.failedUntil > now) {
+    const isFull = lane.openCalls >= MOST_OPEN_CALLS;
+    // This host itself is asked again whatever failed before.
+    if (isFull || (lane.failedUntil > now && host !== self)) {
       continue;
     }
     const startsAt = Math.max(now, lane.freeAt);
@@ -94,7 +102,7 @@
 export function closeLane(
   update: Update,
   host: string,
-  hasFailed: boolean,
+  outcome: Advice['kind'],
 ): void {
   const lanes = update.write(LANES);
   const lane = lanes.get(host) ?? NEW_LANE;
@@ -102,6 +110,13 @@
   lanes.set(host, {
     openCalls,
     freeAt: openCalls === 0 ? update.now : lane.freeAt,
-    failedUntil: hasFailed ? update.now + FAILED_MILLIS : lane.failedUntil,
+    failedUntil: Math.max(
+      lane.failedUntil,
+      match(outcome)
+        .with('answered', () => 0)
+        .with('busy', () => update.now + BUSY_MILLIS)
+        .with('failed', () => update.now + FAILED_MILLIS)
+        .exhaustive(),
+    ),
   });
 }
--- a/packages/dispatch/src/endFlow.ts
+++ b/packages/dispatch/src/endFlow.ts
@@ -61,7 +61,10 @@
 ): void {
   placeSoon(update);
   const found = find(update, place);
-  emitEnd(update, place, life, found ? how : `${how}-unneeded`);
+  // That a job is done tells of all its runs; only other ends need a line.
+  if (how !== 'done') {
+    emitEnd(update, place, life, found ? how : `${how}-unneeded`);
+  }
   if (found === undefined || found.task.phase === 'done') {
     return;
   }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -330,7 +330,8 @@
     event: 'step-placed',
     subject: stepKey(place),
     queue: unit.policy.name,
-    detail: `${choices.length} of ${unit.open.length}`,
+    detail: `${choices.length} of ${unit.open.length} tasks`,
+    worker: [...new Set(lifeByIndex.values())].join(','),
   });
 }
 
--- a/packages/site-daemon/src/timersPlugin.ts
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -1,7 +1,13 @@
 import {DISPATCH_TICK, PLACE_WORK, PLAN_PLACING} from '@samphireramp/dispatch';
 import {FLEET_TICK} from '@samphireramp/fleet';
 import {HOLDING_TICK} from '@samphireramp/holding';
-import {FLUSH_REQUESTS, HEDGE_REQUESTS, INTAKE_TICK, PLAN_FLUSH, PLAN_HEDGE} from '@samphireramp/intake';
+import {
+  FLUSH_REQUESTS,
+  HEDGE_REQUESTS,
+  INTAKE_TICK,
+  PLAN_FLUSH,
+  PLAN_HEDGE,
+} from '@samphireramp/intake';
 import {type Command, type Plugin, mergeUnregister} from '@samphireramp/kernel';
 
 const HOLDING_TICK_MILLIS = 40;
