Models of the platform in virtual time, which watch over its rules

ModelSite runs the product's own plug-ins on models of log, workers and adviser that keep to the platform's protocol; a judge notes LIMIT, TWICE, ORDER, UNASKED, BUDGET, ROUTE, GANG, MIXED, REFUSED and LOST. Random schedules kill, cut and freeze hosts (the holder first), lose and delay appends and orders, cut and restart workers.

--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -7,6 +7,7 @@
 import type {AppendOutcome} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
 import {applyEntry, applyRead} from './applyEntries';
+import {type HoldingOptions, isClaimDue, termOfClaim} from './claimRules';
 import type {HolderRecord} from './HolderRecord';
 import {
   type Batch,
@@ -33,16 +34,8 @@
   RESIGN,
 } from './messages';
 
-/** A holder that is silent for longer may be replaced ... */
-export const HOLDER_SILENCE_MILLIS = 500;
-/** ... and for each millisecond of the way to the log, this much later. */
-const SILENCE_MILLIS_PER_TRIP = 4;
 /** An idle holder writes this often. */
 export const HEARTBEAT_MILLIS = 150;
-/** A journal that was not read for this long says nothing about its holder. */
-const READ_FRESH_MILLIS = 1500;
-/** Without any claim in the journal, how long to wait before the first. */
-const FIRST_CLAIM_MILLIS = 100;
 const CLAIM_RETRY_MILLIS = 250;
 const REFUSED_RETRY_MILLIS = 40;
 const UNKNOWN_RETRY_MILLIS = 5;
@@ -52,16 +45,6 @@
 /** A claim is asked for once, with time for a slow log. */
 const CLAIM_TIMEOUT_MILLIS = 1500;
 
-/** What the plug-in is given. */
-export interface HoldingOptions {
-  readonly self: string;
-  readonly incarnation: string;
-  /** Running mean of how long a call to the log takes. */
-  readonly roundTripMillis: () => number;
-  /** Extra wait before a claim: hosts that suit better wait less. */
-  readonly claimDelayMillis: () => number;
-}
-
 /** Decides who holds the site, and writes the holder's journal. */
 export function createHoldingPlugin(options: HoldingOptions): Plugin {
   const {self, incarnation} = options;
@@ -93,28 +76,6 @@
     });
   }
 
-  function isClaimDue(holding: Holding, now: number): boolean {
-    const {phase, latest, isCaughtUp, isStopping} = holding;
-    if (phase !== 'following' || !isCaughtUp || isStopping) {
-      return false;
-    }
-    if (now - holding.readAt > READ_FRESH_MILLIS || now < holding.nextClaimAt) {
-      return false;
-    }
-    const silence = now - holding.heardAt;
-    return silence > patience(latest) + options.claimDelayMillis();
-  }
-
-  function patience(latest: HolderRecord | undefined): number {
-    if (latest === undefined) {
-      return FIRST_CLAIM_MILLIS;
-    }
-    return latest.isResigned || latest.holder === self
-      ? 0
-      : HOLDER_SILENCE_MILLIS +
-          options.roundTripMillis() * SILENCE_MILLIS_PER_TRIP;
-  }
-
   function begin(update: Update, record: HolderRecord, end: number): void {
     const holding = update.write(HOLDING);
     holding.set({
@@ -379,7 +340,7 @@
       }),
       kernel.registerCommand(HOLDING_TICK, update => {
         const holding = update.read(HOLDING).get();
-        if (isClaimDue(holding, update.now)) {
+        if (isClaimDue(options, holding, update.now)) {
           claim(update, holding);
         }
         write(update);
@@ -387,11 +348,6 @@
     );
 }
 
-/** Workers take 0 for no term at all, so terms begin at 1. */
-function termOfClaim(offset: number): number {
-  return offset + 1;
-}
-
 /** Waits longer for each answer, the longer the log has been out of reach. */
 function timeoutAfter(silentMillis: number): number {
   return Math.min(
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -10,12 +10,8 @@
   recordForgotten,
   recordProgress,
 } from './HoldingState';
-export {
-  HEARTBEAT_MILLIS,
-  HOLDER_SILENCE_MILLIS,
-  type HoldingOptions,
-  createHoldingPlugin,
-} from './holdingPlugin';
+export {HOLDER_SILENCE_MILLIS, type HoldingOptions} from './claimRules';
+export {HEARTBEAT_MILLIS, createHoldingPlugin} from './holdingPlugin';
 export {
   APPEND_JOURNAL,
   HOLDING_BEGAN,
--- a/packages/site-daemon/src/index.ts
+++ b/packages/site-daemon/src/index.ts
@@ -4,3 +4,6 @@
   type SiteHostOptions,
   createSiteHost,
 } from './createSiteHost';
+export {createAdvicePlugin} from './advicePlugin';
+export {createLogPlugin} from './logPlugin';
+export {createWorkersPlugin} from './workersPlugin';
--- /dev/null
+++ b/testing/src/__tests__/unit/sitePromises.test.ts
@@ -0,0 +1,28 @@
+import fc from 'fast-check';
+import t from 'tap';
+import {ALL_FAULTS, runSiteSchedule} from '../../site';
+
+const RUNS = Number(process.env['SITE_RUNS'] ?? 12);
+const SEED = process.env['SITE_SEED'];
+
+void t.test('no schedule of faults breaks a rule of the site', async t => {
+  await fc.assert(
+    fc.asyncProperty(fc.integer({min: 1, max: 1_000_000}), async seed => {
+      const report = await runSiteSchedule(seed, ALL_FAULTS);
+      const findings = [
+        ...report.violations,
+        ...report.unfinished,
+        ...report.errors.map(error => String((error as Error).stack)),
+      ];
+      if (findings.length > 0) {
+        throw new Error(`seed ${seed}: ${findings.slice(0, 5).join('; ')}`);
+      }
+    }),
+    {
+      numRuns: RUNS,
+      seed: SEED === undefined ? 20261204 : Number(SEED),
+      endOnFailure: true,
+    },
+  );
+  t.pass(`${RUNS} schedules`);
+});
--- /dev/null
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -0,0 +1,66 @@
+import t from 'tap';
+import {
+  ModelSite,
+  buildJob,
+  buildPolicy,
+  buildStep,
+  createRandom,
+} from '../../index';
+
+const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
+const ADVICE = {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 2500};
+const POLICIES = [
+  buildPolicy({name: 'urgent', priority: 0}),
+  buildPolicy({name: 'advised', priority: 1, advice: ADVICE}),
+];
+
+function buildSite(workers: number): ModelSite {
+  return new ModelSite({
+    hosts: 2,
+    workers,
+    capacity: CAPACITY,
+    random: createRandom(1),
+    policies: POLICIES,
+    script: (job, place) => ({
+      step: job.steps[place.step],
+      workMillis: job.steps[place.step].estimateMillis,
+      fails: () => false,
+    }),
+  });
+}
+
+void t.test('steps that are ready together are each placed once', async t => {
+  const site = buildSite(4);
+  await site.run(1000);
+  const steps = [buildStep({count: 3}), buildStep({count: 3})];
+  const job = buildJob('00000000000000aa', steps, {receivedAt: 1000});
+  void site.submit(site.hosts[0], job);
+  await site.run(3000);
+  t.equal(site.show(site.hosts[0], job.id), 'completed');
+  t.equal(site.judge.startsOf(job.id), 6);
+  t.same(site.judge.violations, []);
+});
+
+void t.test('a gang that waited gets all its tickets anew', async t => {
+  const site = buildSite(4);
+  await site.run(1000);
+  const wide = {cpuMillis: 7900, memoryMegabytes: 1000, accelerators: 0};
+  const blocker = buildJob(
+    '00000000000000ab',
+    [buildStep({count: 4, need: wide, estimateMillis: 4000})],
+    {policy: POLICIES[0], receivedAt: 1000},
+  );
+  const need = {cpuMillis: 6000, memoryMegabytes: 1000, accelerators: 0};
+  const gang = buildJob(
+    '00000000000000ac',
+    [buildStep({count: 4, need, isGang: true})],
+    {policy: POLICIES[1], receivedAt: 1100},
+  );
+  void site.submit(site.hosts[0], blocker);
+  await site.run(300);
+  void site.submit(site.hosts[0], gang);
+  await site.run(8000);
+  t.equal(site.show(site.hosts[0], blocker.id), 'completed');
+  t.equal(site.show(site.hosts[0], gang.id), 'completed');
+  t.same(site.judge.violations, []);
+});
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -40,3 +40,4 @@
   findingsOf,
 } from './scheduleFixture';
 export {jobHasEnded} from './jobHasEnded';
+export * from './site';
--- /dev/null
+++ b/testing/src/site/Judge.ts
@@ -0,0 +1,239 @@
+import type {EndKind, ListedEnd, StartOrder} from '@samphireramp/fleet';
+import {
+  type Amounts,
+  type Job,
+  type JobState,
+  type RunPlace,
+  type Step,
+  dueAt,
+  taskKey,
+} from '@samphireramp/jobs';
+import type {EventQueue} from '../EventQueue';
+import type {ModelWorker} from './ModelWorker';
+
+/** Callers' cancels must be obeyed within this time in calm weather. */
+const CANCEL_MILLIS = 3000;
+/** Starts may be this early. */
+const EARLY_MILLIS = 250;
+
+/** Promises that the models watch over. */
+export type Rule =
+  | 'LIMIT'
+  | 'TWICE'
+  | 'ORDER'
+  | 'UNASKED'
+  | 'BUDGET'
+  | 'ROUTE'
+  | 'GANG'
+  | 'MIXED'
+  | 'REFUSED'
+  | 'LOST';
+
+interface Submitted {
+  readonly job: Job;
+  readonly maxAttempts: number;
+  acceptedAt: number | undefined;
+  isRefused: boolean;
+  /** Whether anybody asked for its cancelling. */
+  isCancelAsked: boolean;
+  cancelledAt: number | undefined;
+}
+
+/** Sees what the models see, and notes each broken promise. */
+export class Judge {
+  readonly violations: string[] = [];
+  readonly jobs = new Map<string, Submitted>();
+  workers: readonly ModelWorker[] = [];
+  /** Whether faults have been absent long enough for bounds in time. */
+  isCalm = () => false;
+  private readonly running = new Map<string, string>();
+  private readonly doneTasks = new Set<string>();
+  private readonly notedDone = new Set<string>();
+  private readonly failures = new Map<string, Set<number>>();
+  private readonly starts = new Map<string, number>();
+
+  constructor(private readonly queue: EventQueue) {}
+
+  blame(rule: Rule, detail: string): void {
+    this.violations.push(`${Math.round(this.queue.now)} ${rule}: ${detail}`);
+  }
+
+  /** How many runs were started of a job's tasks. */
+  startsOf(jobId: string): number {
+    return this.starts.get(jobId) ?? 0;
+  }
+
+  onStart(
+    {place, checkpoint}: StartOrder,
+    worker: string,
+    step: Step,
+    load: {used: Amounts; capacity: Amounts; need: Amounts},
+  ): void {
+    const key = taskKey(place);
+    this.starts.set(place.jobId, this.startsOf(place.jobId) + 1);
+    if (!fits(load)) {
+      this.blame('LIMIT', `${key} on ${worker}`);
+    }
+    if (this.running.has(key)) {
+      const other = this.running.get(key);
+      this.blame('TWICE', `${key} on ${worker}, runs on ${other}`);
+    }
+    if (this.notedDone.has(key)) {
+      this.blame('TWICE', `${key} on ${worker} after its noted end`);
+    }
+    if (checkpoint !== '' && !step.savesCheckpoints) {
+      this.blame('UNASKED', `${key} with a checkpoint of another task`);
+    }
+    this.running.set(key, worker);
+    const submitted = this.jobs.get(place.jobId);
+    if (submitted === undefined) {
+      this.blame('UNASKED', `${key} of no job`);
+    } else {
+      this.checkJob(submitted, place, key);
+    }
+    const here = [...this.running].filter(
+      ([other, where]) => where === worker && isSameStep(other, key),
+    );
+    if (step.mostOnOneWorker > 0 && here.length > step.mostOnOneWorker) {
+      this.blame('ROUTE', `${key} is one of ${here.length} on ${worker}`);
+    }
+  }
+
+  private checkJob(submitted: Submitted, place: RunPlace, key: string): void {
+    const {job, cancelledAt, isRefused, maxAttempts} = submitted;
+    if (isRefused) {
+      this.blame('REFUSED', key);
+    }
+    const isLate =
+      cancelledAt !== undefined && this.queue.now - cancelledAt > CANCEL_MILLIS;
+    if (isLate && this.isCalm()) {
+      this.blame('UNASKED', `${key} started after its cancel`);
+    }
+    if (this.queue.now < dueAt(job, place.occurrence) - EARLY_MILLIS) {
+      this.blame('ORDER', `${key} before its time`);
+    }
+    const prefix = `${place.jobId}.${place.occurrence}`;
+    for (const before of job.steps[place.step].after) {
+      for (let index = 0; index < job.steps[before].count; index++) {
+        if (!this.doneTasks.has(`${prefix}.${before}.${index}`)) {
+          this.blame('ORDER', `${key} before ${prefix}.${before}.${index}`);
+        }
+      }
+    }
+    if ((this.failures.get(key)?.size ?? 0) >= maxAttempts) {
+      this.blame('BUDGET', `${key} after ${maxAttempts} failed runs`);
+    }
+  }
+
+  onEnd(place: RunPlace, worker: string, how: EndKind): void {
+    const key = taskKey(place);
+    if (this.running.get(key) === worker) {
+      this.running.delete(key);
+    }
+    if (how === 'done') {
+      this.doneTasks.add(key);
+    }
+    if (how === 'alone' && this.isCalm()) {
+      this.blame('GANG', key);
+    }
+  }
+
+  onNoted({place, how}: ListedEnd): void {
+    const key = taskKey(place);
+    if (how === 'done') {
+      this.notedDone.add(key);
+    }
+    if (how === 'failed') {
+      const runs = this.failures.get(key) ?? new Set();
+      this.failures.set(key, runs.add(place.run));
+    }
+  }
+
+  onGone(place: RunPlace, worker: string): void {
+    if (this.running.get(taskKey(place)) === worker) {
+      this.running.delete(taskKey(place));
+    }
+  }
+
+  /** A caller was shown the state of a job. */
+  onShown(jobId: string, state: JobState): void {
+    const submitted = this.jobs.get(jobId);
+    if (submitted === undefined) {
+      this.blame('MIXED', `${jobId} is shown, and nobody handed it in`);
+      return;
+    }
+    if (state === 'cancelled' && !submitted.isCancelAsked) {
+      this.blame('LOST', `${jobId} is shown as cancelled`);
+    }
+    if (state === 'completed') {
+      for (const key of this.tasksOf(submitted.job)) {
+        if (!this.doneTasks.has(key)) {
+          this.blame('MIXED', `${jobId} is completed without ${key}`);
+        }
+      }
+    }
+    if (state === 'failed' && !this.hasFailed(submitted)) {
+      this.blame('LOST', `${jobId} is shown as failed`);
+    }
+  }
+
+  private hasFailed({job, maxAttempts}: Submitted): boolean {
+    return this.tasksOf(job).some(key => {
+      const [, occurrence, step] = key.split('.');
+      const failed = job.steps[Number(step)].isGang
+        ? this.gangFailures(job, occurrence, step)
+        : (this.failures.get(key)?.size ?? 0);
+      return failed >= maxAttempts;
+    });
+  }
+
+  private gangFailures(job: Job, occurrence: string, step: string): number {
+    const runs = new Set<number>();
+    for (let index = 0; index < job.steps[Number(step)].count; index++) {
+      const key = `${job.id}.${occurrence}.${step}.${index}`;
+      this.failures.get(key)?.forEach(run => runs.add(run));
+    }
+    return runs.size;
+  }
+
+  private tasksOf(job: Job): string[] {
+    const keys: string[] = [];
+    for (let occurrence = 0; occurrence < job.occurrences; occurrence++) {
+      job.steps.forEach((step, number) => {
+        for (let index = 0; index < step.count; index++) {
+          keys.push(`${job.id}.${occurrence}.${number}.${index}`);
+        }
+      });
+    }
+    return keys;
+  }
+
+  countGang(place: RunPlace): number {
+    return this.workers.reduce((sum, each) => sum + each.countGang(place), 0);
+  }
+
+  beginGang(place: RunPlace): void {
+    this.workers.forEach(worker => worker.beginGang(place));
+  }
+
+  endGang(place: RunPlace, how: EndKind): void {
+    this.workers.forEach(worker => worker.endGang(place, how));
+  }
+}
+
+function fits(load: {
+  used: Amounts;
+  capacity: Amounts;
+  need: Amounts;
+}): boolean {
+  const {used, capacity, need} = load;
+  return (
+    used.cpuMillis + need.cpuMillis <= capacity.cpuMillis &&
+    used.memoryMegabytes + need.memoryMegabytes <= capacity.memoryMegabytes &&
+    used.accelerators + need.accelerators <= capacity.accelerators
+  );
+}
+
+function isSameStep(a: string, b: string): boolean {
+  return a.slice(0, a.lastIndexOf('.')) === b.slice(0, b.lastIndexOf('.'));
+}
--- /dev/null
+++ b/testing/src/site/ModelCalls.ts
@@ -0,0 +1,120 @@
+import type {StartOrder} from '@samphireramp/fleet';
+import type {RunPlace} from '@samphireramp/jobs';
+import type {EventQueue} from '../EventQueue';
+import type {ModelWorker} from './ModelWorker';
+import type {SiteWeather} from './SiteWeather';
+
+const CALL_MILLIS = 2;
+/** A call for advice takes this long. */
+const ADVICE_MILLIS = 15;
+/** How long a ticket lets starts through. */
+const VALIDITY_MILLIS = 2500;
+
+/** Carries calls of hosts to model workers and the model adviser. */
+export class ModelCalls {
+  constructor(
+    private readonly queue: EventQueue,
+    private readonly weather: () => SiteWeather,
+    private readonly workers: readonly ModelWorker[],
+  ) {}
+
+  private wait(millis: number): Promise<void> {
+    return new Promise(resolve => this.queue.after(millis, resolve));
+  }
+
+  private workerAt(id: string): ModelWorker | undefined {
+    return this.workers.find(worker => worker.id === id);
+  }
+
+  async holdWorker(
+    host: string,
+    call: {
+      id: string;
+      term: number;
+      ackedEnd: number;
+      until: number | undefined;
+      waitMillis: number;
+      timeoutMillis: number;
+    },
+  ) {
+    const worker = this.workerAt(call.id);
+    const silent = {
+      kind: 'failed',
+      failure: 'silent',
+      detail: 'no answer',
+    } as const;
+    await this.wait(CALL_MILLIS);
+    if (!worker?.isUp || !this.weather().canCall(host, call.id)) {
+      await this.wait(call.timeoutMillis);
+      return silent;
+    }
+    const {term, ackedEnd, until, waitMillis} = call;
+    const listing = await worker.hold(term, ackedEnd, until, waitMillis);
+    await this.wait(CALL_MILLIS);
+    if (!worker.isUp || !this.weather().canCall(host, call.id)) {
+      await this.wait(call.timeoutMillis);
+      return silent;
+    }
+    return listing === 'fenced'
+      ? ({kind: 'failed', failure: 'fenced', detail: 'status 409'} as const)
+      : ({kind: 'held', listing} as const);
+  }
+
+  async startRun(
+    host: string,
+    call: {id: string; term: number; until: number; timeoutMillis: number},
+    order: StartOrder,
+  ) {
+    const {term, until} = call;
+    return this.order(host, call, worker => {
+      if (worker.life !== order.life) {
+        return 'other-life' as const;
+      }
+      return worker.start(order, term, until);
+    });
+  }
+
+  async stopRun(
+    host: string,
+    call: {id: string; term: number; timeoutMillis: number},
+    place: RunPlace,
+  ) {
+    return this.order(host, call, worker => worker.stop(place, call.term));
+  }
+
+  /** Carries an order out, at times late and without an answer. */
+  private async order<Outcome>(
+    host: string,
+    call: {id: string; timeoutMillis: number},
+    carryOut: (worker: ModelWorker) => Outcome,
+  ): Promise<Outcome | 'silent'> {
+    const worker = this.workerAt(call.id);
+    await this.wait(CALL_MILLIS);
+    const isLost = this.weather().losesOrderAnswer();
+    if (!worker?.isUp || !this.weather().canCall(host, call.id)) {
+      await this.wait(call.timeoutMillis);
+      return 'silent';
+    }
+    if (isLost) {
+      this.queue.after(this.weather().orderDelayMillis(), () => {
+        if (worker.isUp) {
+          carryOut(worker);
+        }
+      });
+      await this.wait(call.timeoutMillis);
+      return 'silent';
+    }
+    const outcome = carryOut(worker);
+    await this.wait(CALL_MILLIS);
+    return outcome;
+  }
+
+  async advise(workerIds: readonly string[]) {
+    await this.wait(ADVICE_MILLIS);
+    return {
+      kind: 'answered',
+      permits: workerIds.map(workerId => ({workerId, ticket: 'ticket'})),
+      validityMillis: VALIDITY_MILLIS,
+    } as const;
+  }
+}
--- /dev/null
+++ b/testing/src/site/index.ts
@@ -0,0 +1,13 @@
+/** Models of the platform in virtual time, which watch over its rules. */
+export {Judge, type Rule} from './Judge';
+export {buildJob, buildPolicy, buildStep} from './jobFixture';
+export {ModelLog, type LogWeather} from './ModelLog';
+export {type ModelHost, ModelSite, type ModelSiteOptions} from './ModelSite';
+export {FAIR, type SiteWeather} from './SiteWeather';
+export {ModelWorker, type TaskScript} from './ModelWorker';
+export {
+  ALL_FAULTS,
+  type SiteFaults,
+  type SiteReport,
+  runSiteSchedule,
+} from './runSiteSchedule';
