--- a/packages/fleet/src/holdFlow.ts
+++ b/packages/fleet/src/holdFlow.ts
@@ -44,7 +44,11 @@
   if (term === undefined || !isDue || !update.read(MAY_HOLD).get()) {
     return;
   }
-  const until = worker.clock && leaseEnd(worker.clock, update.now);
+  // A silent worker gets no longer lease, so that its leases surely lapse.
+  const until =
+    worker.clock === undefined || worker.isSilent
+      ? undefined
+      : leaseEnd(worker.clock, update.now);
   const mayWait =
     worker.isHeld && !worker.isSilent && worker.seenEnd === worker.recordedEnd;
   const isIdle = update.read(RUNS).withKey(worker.life).length === 0;
--- a/packages/holding/src/claimRules.ts
+++ b/packages/holding/src/claimRules.ts
@@ -33,6 +33,10 @@
   if (now - holding.readAt > READ_FRESH_MILLIS || now < holding.nextClaimAt) {
     return false;
   }
+  if (latest?.holder === options.self) {
+    // An earlier life of this host held the site, and surely does no more.
+    return true;
+  }
   const silence = now - holding.heardAt;
   return silence > patience(options, latest) + options.claimDelayMillis();
 }
@@ -44,7 +48,7 @@
   if (latest === undefined) {
     return FIRST_CLAIM_MILLIS;
   }
-  return latest.isResigned || latest.holder === options.self
+  return latest.isResigned
     ? 0
     : HOLDER_SILENCE_MILLIS +
         options.roundTripMillis() * SILENCE_MILLIS_PER_TRIP;
--- a/packages/site-daemon/src/logPlugin.ts
+++ b/packages/site-daemon/src/logPlugin.ts
@@ -42,11 +42,21 @@
 /** The journal and other streams have one partition. */
 const ONLY_PARTITION = 0;
 /** Pauses between reads, so that a busy stream costs a bounded rate of calls. */
-const JOURNAL_PACE_MILLIS = 40;
+const JOURNAL_PACE_MILLIS = 100;
 const OWN_JOURNAL_PACE_MILLIS = 1000;
 const REQUESTS_PACE_MILLIS = 10;
 const SLOW_PACE_MILLIS = 300;
 const FORGET_TIMEOUT_MILLIS = 2000;
+/** How long a busy stream's read waits: a silent one is noticed soon. */
+const BUSY_WAIT_MILLIS = 400;
+const RARE_WAIT_MILLIS = 1000;
+
+/** How streams with few records are followed. */
+const RARE = {
+  partition: ONLY_PARTITION,
+  paceMillis: () => SLOW_PACE_MILLIS,
+  waitMillis: RARE_WAIT_MILLIS,
+};
 
 /** What the plug-in is given. */
 export interface LogPluginOptions {
@@ -75,6 +85,7 @@
       {
         stream: 'progress',
         partition: ONLY_PARTITION,
+        waitMillis: BUSY_WAIT_MILLIS,
         paceMillis: () =>
           heldTerm(kernel) === undefined
             ? JOURNAL_PACE_MILLIS
@@ -86,30 +97,31 @@
       }),
     );
     const configuration = streams.follow(
-      slow('configuration'),
+      {stream: 'configuration', ...RARE},
       watch('configuration')(records =>
         takeConfiguration(kernel, options, records),
       ),
     );
-    const hosts = streams.follow(
-      slow('hosts'),
-      watch('hosts')(records =>
-        kernel.dispatch(HOSTS_READ, {
-          hosts: decodeHosts(records, onMalformed('hosts')),
-        }),
-      ),
-    );
     let ofHolder: FollowHandle[] = [];
 
     function followSite(): void {
       unfollowSite();
-      ofHolder = [followWorkers(kernel, options)];
+      const hosts = streams.follow(
+        {stream: 'hosts', ...RARE},
+        watch('hosts')(records =>
+          kernel.dispatch(HOSTS_READ, {
+            hosts: decodeHosts(records, onMalformed('hosts')),
+          }),
+        ),
+      );
+      ofHolder = [hosts, followWorkers(kernel, options)];
       for (let partition = 0; partition < streams.partitions; partition++) {
         ofHolder.push(
           streams.follow(
             {
               stream: 'requests',
               partition,
+              waitMillis: BUSY_WAIT_MILLIS,
               paceMillis: () => REQUESTS_PACE_MILLIS,
             },
             watch(
@@ -132,7 +144,7 @@
     }
 
     return mergeUnregister(
-      () => [journal, configuration, hosts].forEach(each => each.stop()),
+      () => [journal, configuration].forEach(each => each.stop()),
       unfollowSite,
       kernel.registerEffect(FOLLOW_SITE, followSite),
       kernel.registerEffect(UNFOLLOW_SITE, unfollowSite),
@@ -161,11 +173,6 @@
   };
 }
 
-function slow(stream: StreamName) {
-  const paceMillis = () => SLOW_PACE_MILLIS;
-  return {stream, partition: ONLY_PARTITION, paceMillis};
-}
-
 /** Makes listeners that log when a stream is lost and regained. */
 function createWatch(stream: StreamName, partition: number, log: Log) {
   let isLost = false;
@@ -209,9 +216,8 @@
   {streams, decodeWorker, log}: LogPluginOptions,
 ): FollowHandle {
   const listener = createWatch('workers', ONLY_PARTITION, log);
-  const paceMillis = () => SLOW_PACE_MILLIS;
   return streams.follow(
-    {stream: 'workers', partition: ONLY_PARTITION, paceMillis},
+    {stream: 'workers', ...RARE},
     listener((records, _, isWhole) => {
       const latest = new Map<string, Buffer>();
       for (const {key, value} of records) {
--- a/packages/stream-log/src/StreamLog.ts
+++ b/packages/stream-log/src/StreamLog.ts
@@ -55,6 +55,8 @@
   readonly partition: number;
   /** Least milliseconds from one answer with records to the next call. */
   readonly paceMillis: () => number;
+  /** How long a read waits for a record, in milliseconds. */
+  readonly waitMillis: number;
 }
 
 /** A stream that is being followed. */
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -204,6 +204,11 @@
     this.log.put('workers', worker.id, Buffer.from(entry));
   }
 
+  /** Removes a worker's entry from the list. */
+  unlist(worker: ModelWorker): void {
+    this.log.put('workers', worker.id, Buffer.alloc(0));
+  }
+
   private ask(
     host: ModelHost,
     request: Request,
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -46,6 +46,7 @@
 export class ModelWorker {
   life: string;
   isUp = true;
+  isGone = false;
   isStuck = false;
   failsAll = false;
   private fence = 0;
@@ -92,6 +93,13 @@
     return (this.queue.now - this.clockZero) * this.clockRate;
   }
 
+  /** Leaves for good, without a word. */
+  leave(): void {
+    this.restart();
+    this.isUp = false;
+    this.isGone = true;
+  }
+
   /** Loses everything that runs, and begins another life under its id. */
   restart(): void {
     const lost = this.runs;
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -7,6 +7,8 @@
 const STORM_MILLIS = 12_000;
 const CALM_MILLIS = 60_000;
 const SHOW_MILLIS = 50;
+/** The entry of a silent worker goes after this. */
+const ENTRY_MILLIS = 4500;
 /** Bounds in time hold from this long after the last fault. */
 const CONTACT_MILLIS = 5000;
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
@@ -20,6 +22,7 @@
   readonly lostAppends: boolean;
   readonly workerCuts: number;
   readonly workerRestarts: number;
+  readonly workersGone: number;
   readonly workersStuck: number;
   readonly workersFailing: number;
   readonly lostOrders: boolean;
@@ -35,6 +38,7 @@
   lostAppends: true,
   workerCuts: 2,
   workerRestarts: 2,
+  workersGone: 1,
   workersStuck: 1,
   workersFailing: 1,
   lostOrders: true,
@@ -139,12 +143,19 @@
   });
   forTimes(faults.workerRestarts, () => {
     const worker = pick(site.workers);
-    worker.isUp = false;
-    worker.restart();
-    at(between(100, 3000), () => {
-      worker.isUp = true;
-      site.list(worker);
-    });
+    if (!worker.isGone) {
+      worker.isUp = false;
+      worker.restart();
+      at(between(100, 3000), () => {
+        worker.isUp = !worker.isGone;
+        site.list(worker);
+      });
+    }
+  });
+  forTimes(faults.workersGone, () => {
+    const worker = pick(site.workers);
+    worker.leave();
+    at(ENTRY_MILLIS, () => site.unlist(worker));
   });
   const spoil = (times: number, change: (worker: ModelWorker) => () => void) =>
     forTimes(times, () => at(between(500, 5000), change(pick(site.workers))));
