--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -11,6 +11,7 @@
   type Progress,
   type QueuePolicy,
   type SiteConfiguration,
+  type Step,
   isFinal,
   longestChainMillis,
 } from '@samphireramp/jobs';
@@ -72,3 +73,11 @@
   update.write(JOBS).set(row.job.id, {...row, progress});
   recordProgress(update, progress);
 }
+
+/**
+ * Whether a run that does not get on tells that its worker stands still. The
+ * members of a gang all wait for the one that does, and a service never ends.
+ */
+export function mayStall(step: Step): boolean {
+  return !step.isService && !step.isGang;
+}
--- a/packages/dispatch/src/endFlow.ts
+++ b/packages/dispatch/src/endFlow.ts
@@ -7,6 +7,7 @@
   RUN_VOID,
   adoptRun,
   avoidWorker,
+  countDuration,
   countFailure,
   countSuccess,
   stopRun,
@@ -56,7 +57,7 @@
 /** Decides what the end of a run means for its task. */
 export function onRunEnded(
   update: Update,
-  {life, place, how, checkpoint}: PayloadOf<typeof RUN_ENDED>,
+  {life, place, how, checkpoint, ranMillis}: PayloadOf<typeof RUN_ENDED>,
   wallClock: () => number,
 ): void {
   placeSoon(update);
@@ -70,6 +71,9 @@
   }
   if (how === 'done' && !found.step.isService) {
     countSuccess(update, life);
+    if (ranMillis !== undefined && checkpoint === '' && !found.step.isGang) {
+      countDuration(update, life, ranMillis, found.step.estimateMillis);
+    }
     onDone(update, found, place, wallClock());
     return;
   }
@@ -196,7 +200,7 @@
   const found = find(update, place);
   const step = update.read(JOBS).get(place.jobId)?.job.steps[place.step];
   const need = step ? roomOf(step) : wholeRoom(update, life);
-  adoptRun(update, place, life, need);
+  adoptRun(update, place, life, need, false);
   const isWanted =
     found?.task.phase === 'placed' &&
     found.task.run === place.run &&
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -22,6 +22,7 @@
   JOBS,
   type JobRow,
   activeJobs,
+  mayStall,
   newJobRow,
   setProgress,
 } from './DispatchState';
@@ -78,7 +79,9 @@
       tasks.forEach((task, index) => {
         if (task.phase === 'placed') {
           const place = {jobId: job.id, occurrence, step, index, run: task.run};
-          adoptRun(update, place, task.worker, roomOf(job.steps[step]));
+          const itsStep = job.steps[step];
+          const need = roomOf(itsStep);
+          adoptRun(update, place, task.worker, need, mayStall(itsStep));
         }
       });
     });
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -27,7 +27,13 @@
   take,
   tasksWhenEmpty,
 } from './candidates';
-import {JOBS, activeJobs, policyOf, setProgress} from './DispatchState';
+import {
+  JOBS,
+  activeJobs,
+  mayStall,
+  policyOf,
+  setProgress,
+} from './DispatchState';
 import {DISPATCH_EVENT} from './messages';
 import {placeSoon} from './placeSoon';
 
@@ -351,7 +357,7 @@
     return;
   }
   const place = {...step, index, run: task.run};
-  reserveRun(update, place, worker.life, unit.need);
+  reserveRun(update, place, worker.life, unit.need, mayStall(unit.step));
   const advice = update.read(ADVICE).get(stepKey(step)) ?? NO_ADVICE;
   const order: StartOrder = {
     place,
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -41,6 +41,7 @@
   place: RunPlace,
   life: string,
   need: Amounts,
+  mayStall: boolean,
 ): void {
   update.write(RUNS).set(runKey(place), {
     place,
@@ -52,6 +53,7 @@
     startedAt: undefined,
     percent: 0,
     progressedAt: update.now,
+    mayStall,
     checkpoint: '',
   });
 }
@@ -62,8 +64,9 @@
   place: RunPlace,
   life: string,
   need: Amounts,
+  mayStall: boolean,
 ): void {
-  reserveRun(update, place, life, need);
+  reserveRun(update, place, life, need, mayStall);
   changeRun(update, runKey(place), {phase: 'running', startedAt: update.now});
 }
 
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -17,6 +17,8 @@
   readonly percent: number;
   /** When `percent` last rose. */
   readonly progressedAt: number;
+  /** Whether it should get on; a service may stand still. */
+  readonly mayStall: boolean;
   /** The newest checkpoint listed; empty for none. */
   readonly checkpoint: string;
 }
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -46,6 +46,15 @@
   readonly failuresInRow: number;
   /** The job whose run failed last. */
   readonly lastFailedJob: string;
+  /**
+   * How much longer than estimated tasks take here, as a running mean of binary
+   * logarithms.
+   */
+  readonly slowness: number;
+  /** Runs that `slowness` rests on. */
+  readonly slownessRuns: number;
+  /** Whether it left the list on its own while it answered. */
+  readonly hasLeft: boolean;
   /** New work is kept away until then. */
   readonly avoidedUntil: number;
 }
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -26,6 +26,8 @@
   orderStart,
   repeatStops,
 } from './startFlow';
+import {stopStalled} from './stalledRuns';
+import {FLEET_SLOWNESS} from './workerHealth';
 import {onWorkersListed} from './workerList';
 
 /** Keeps the workers' leases, and takes in what they tell. */
@@ -33,6 +35,7 @@
   return kernel =>
     mergeUnregister(
       kernel.registerSlice(MAY_HOLD),
+      kernel.registerSlice(FLEET_SLOWNESS),
       kernel.registerSlice(WORKERS),
       kernel.registerSlice(RUNS),
       kernel.registerCommand(WORKERS_LISTED, onWorkersListed),
@@ -57,6 +60,7 @@
     lapseIfSilent(update, worker);
   }
   repeatStops(update);
+  stopStalled(update);
 }
 
 /** Another holder learns all of this anew from the workers. */
--- a/packages/fleet/src/holdFlow.ts
+++ b/packages/fleet/src/holdFlow.ts
@@ -117,9 +117,11 @@
       continue;
     }
     seenEnd = number;
-    update.write(RUNS).delete(runKey(place));
     const {life} = worker;
-    update.dispatch(RUN_ENDED, {life, place, how, checkpoint});
+    const startedAt = update.read(RUNS).get(runKey(place))?.startedAt;
+    const ranMillis = startedAt && update.now - startedAt;
+    update.write(RUNS).delete(runKey(place));
+    update.dispatch(RUN_ENDED, {life, place, how, checkpoint, ranMillis});
   }
   if (seenEnd > worker.seenEnd) {
     // Acknowledged only after what follows from the ends is durable.
@@ -192,7 +194,9 @@
     return;
   }
   const isGone =
-    failure === 'other-life' || (failure === 'closed' && !worker.isListed);
+    failure === 'other-life' ||
+    worker.hasLeft ||
+    (failure === 'closed' && !worker.isListed);
   if (isGone) {
     loseWorker(update, worker, failure);
     return;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -16,4 +16,9 @@
 export {voidRun} from './holdFlow';
 export {stopRun} from './startFlow';
 export type {ClockReading, EndKind, Worker, WorkerRecord} from './Worker';
-export {avoidWorker, countFailure, countSuccess} from './workerHealth';
+export {
+  avoidWorker,
+  countDuration,
+  countFailure,
+  countSuccess,
+} from './workerHealth';
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -97,6 +97,8 @@
   readonly place: RunPlace;
   readonly how: EndKind;
   readonly checkpoint: string;
+  /** How long it was seen to run; undefined if it was never seen. */
+  readonly ranMillis: number | undefined;
 }>('run-ended');
 
 /** A run surely is not there, without an end that tells how. */
--- a/packages/fleet/src/workerHealth.ts
+++ b/packages/fleet/src/workerHealth.ts
@@ -1,4 +1,4 @@
-import type {Update} from '@samphireramp/kernel';
+import {type Update, createValueSlice} from '@samphireramp/kernel';
 import {WORKERS, changeWorker} from './FleetState';
 import {FLEET_EVENT} from './messages';
 
@@ -47,6 +47,46 @@
   }
 }
 
+/** Weight of a new run in a running mean of one worker, and of all. */
+const WORKER_WEIGHT = 0.35;
+const FLEET_WEIGHT = 0.02;
+/** A worker is slow from this many times the fleet's mean on ... */
+const SLOW_TIMES = 3.5;
+/** ... if so many runs say so. */
+const RUNS_TO_BE_SLOW = 4;
+const SLOW_AVOID_MILLIS = 3000;
+
+/** How much longer than estimated tasks take on all workers, as logarithm. */
+export const FLEET_SLOWNESS = createValueSlice('fleet-slowness', 0);
+
+/** Counts how long a run took, against its estimate. */
+export function countDuration(
+  update: Update,
+  life: string,
+  ranMillis: number,
+  estimateMillis: number,
+): void {
+  const worker = update.read(WORKERS).get(life);
+  if (worker === undefined || estimateMillis <= 0) {
+    return;
+  }
+  const ratio = Math.log2(Math.max(1, ranMillis) / estimateMillis);
+  const fleet = update.write(FLEET_SLOWNESS);
+  fleet.set(fleet.get() + (ratio - fleet.get()) * FLEET_WEIGHT);
+  const before = worker.slownessRuns === 0 ? fleet.get() : worker.slowness;
+  const slowness = before + (ratio - before) * WORKER_WEIGHT;
+  const slownessRuns = worker.slownessRuns + 1;
+  const isSlow =
+    slownessRuns >= RUNS_TO_BE_SLOW &&
+    slowness - fleet.get() > Math.log2(SLOW_TIMES);
+  if (isSlow) {
+    changeWorker(update, life, {slowness: 0, slownessRuns: 0});
+    avoidWorker(update, life, SLOW_AVOID_MILLIS, 'slow');
+  } else {
+    changeWorker(update, life, {slowness, slownessRuns});
+  }
+}
+
 /** Keeps new work away from a worker for a time. */
 export function avoidWorker(
   update: Update,
--- a/packages/fleet/src/workerList.ts
+++ b/packages/fleet/src/workerList.ts
@@ -1,9 +1,12 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
 import {RUNS, WORKERS, changeWorker} from './FleetState';
-import {holdIfDue} from './holdFlow';
+import {holdIfDue, loseWorker} from './holdFlow';
 import {FLEET_EVENT, ROOM_CHANGED, WORKERS_LISTED} from './messages';
 import type {Worker, WorkerRecord} from './Worker';
 
+/** An entry that goes this soon after an answer does not go for silence. */
+const ANSWERED_LATELY_MILLIS = 3000;
+
 /** Takes in changes of the list of workers. */
 export function onWorkersListed(
   update: Update,
@@ -17,9 +20,13 @@
     const isRemoved =
       removed.includes(worker.id) || (isWhole && !listed.has(worker.life));
     if (isRemoved && worker.isListed) {
-      changeWorker(update, worker.life, {isListed: false});
+      // A silent worker's entry goes after seconds; one that leaves goes at once.
+      const hasLeft =
+        worker.isDraining &&
+        update.now - worker.answeredAt < ANSWERED_LATELY_MILLIS;
+      changeWorker(update, worker.life, {isListed: false, hasLeft});
       emitChange(update, worker.life, 'worker-unlisted', '');
-      dropIfUnused(update, worker.life);
+      dropIfOver(update, worker.life);
     }
   }
   update.dispatchOnce(ROOM_CHANGED, '', undefined);
@@ -35,7 +42,11 @@
       const event = record.isDraining ? 'worker-leaving' : 'worker-staying';
       emitChange(update, record.life, event, record.pool);
     }
-    changeWorker(update, record.life, {...record, isListed: true});
+    changeWorker(update, record.life, {
+      ...record,
+      isListed: true,
+      hasLeft: false,
+    });
   }
   const worker = update.read(WORKERS).get(record.life);
   if (worker !== undefined) {
@@ -58,17 +69,21 @@
     isSilent: false,
     failuresInRow: 0,
     lastFailedJob: '',
+    slowness: 0,
+    slownessRuns: 0,
+    hasLeft: false,
     avoidedUntil: 0,
   };
 }
 
-/** Forgets an unlisted worker on which nothing can run. */
-function dropIfUnused(update: Update, life: string): void {
-  if (update.read(RUNS).withKey(life).length === 0) {
-    const worker = update.read(WORKERS).get(life);
-    if (worker?.isSilent === true && worker.isHeld) {
-      update.write(WORKERS).delete(life);
-    }
+/** Forgets an unlisted worker on which nothing runs any more. */
+function dropIfOver(update: Update, life: string): void {
+  const worker = update.read(WORKERS).get(life);
+  if (worker === undefined || !worker.isSilent) {
+    return;
+  }
+  if (worker.hasLeft || update.read(RUNS).withKey(life).length === 0) {
+    loseWorker(update, worker, worker.hasLeft ? 'left' : 'unlisted');
   }
 }
 
