--- a/packages/dispatch/src/endFlow.ts
+++ b/packages/dispatch/src/endFlow.ts
@@ -114,19 +114,19 @@
   wallNow: number,
 ): void {
   const {row, step, task} = found;
-  if (task.failures === 0) {
+  if (task.failedRuns.length === 0) {
     countFailure(update, life, place.jobId);
   }
   const count = (before: Task): Task =>
-    before.failedRun === place.run
+    before.failedRuns.includes(place.run)
       ? before
-      : {...before, failures: before.failures + 1, failedRun: place.run};
+      : {...before, failedRuns: [...before.failedRuns, place.run]};
   const reopened = reopen(found, place, '');
   // A run of a gang fails once, however many of its members do.
   const progress = step.isGang
     ? changeStep(reopened, place, count)
     : changeTask(reopened, place, count);
-  const failures = taskAt(progress, place)?.failures ?? 0;
+  const failures = taskAt(progress, place)?.failedRuns.length ?? 0;
   if (failures >= policyOf(update, row.job).maxAttempts) {
     endJob(update, row, progress, 'failed', wallNow);
   } else {
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -6,10 +6,8 @@
   phase: z.enum(['open', 'placed', 'done']),
   /** Number of its last run; 0 before the first. */
   run: z.number(),
-  /** Runs that ended as failed. */
-  failures: z.number(),
-  /** The last run that was counted as failed; 0 for none. */
-  failedRun: z.number(),
+  /** Numbers of its runs that ended as failed. */
+  failedRuns: z.array(z.number()),
   /** Where the next run may resume; empty for the beginning. */
   checkpoint: z.string(),
   /** The life of a worker that the run is placed on; empty unless placed. */
@@ -49,8 +47,7 @@
 export const NEW_TASK: Task = {
   phase: 'open',
   run: 0,
-  failures: 0,
-  failedRun: 0,
+  failedRuns: [],
   checkpoint: '',
   worker: '',
 };
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -18,8 +18,7 @@
   z.literal(DONE),
   z.tuple([
     z.number(), // run
-    z.number(), // failures
-    z.number(), // last failed run
+    z.array(z.number()), // failed runs
     z.string(), // checkpoint
     z.string(), // worker; empty unless placed
   ]),
@@ -100,8 +99,8 @@
   if (task.phase === 'open' && task.run === 0) {
     return UNTOUCHED;
   }
-  const {run, failures, failedRun, checkpoint, worker} = task;
-  return [run, failures, failedRun, checkpoint, worker];
+  const {run, failedRuns, checkpoint, worker} = task;
+  return [run, failedRuns, checkpoint, worker];
 }
 
 function decodeTask(record: TaskRecord): Task {
@@ -111,7 +110,7 @@
   if (record === DONE) {
     return {...NEW_TASK, phase: 'done'};
   }
-  const [run, failures, failedRun, checkpoint, worker] = record;
+  const [run, failedRuns, checkpoint, worker] = record;
   const phase = worker === '' ? 'open' : 'placed';
-  return {phase, run, failures, failedRun, checkpoint, worker};
+  return {phase, run, failedRuns, checkpoint, worker};
 }
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -1,3 +1,4 @@
+import {RUN_ENDED} from '@samphireramp/fleet';
 import t from 'tap';
 import {
   ModelSite,
@@ -64,3 +65,37 @@
   t.equal(site.show(site.hosts[0], gang.id), 'completed');
   t.same(site.judge.violations, []);
 });
+
+void t.test('ends listed again after a take-over count once', async t => {
+  const job = buildJob('00000000000000ad', [buildStep()], {receivedAt: 1000});
+  const site = new ModelSite({
+    hosts: 1,
+    workers: 2,
+    capacity: CAPACITY,
+    random: createRandom(1),
+    policies: [job.policy],
+    script: (_, place) => ({
+      step: job.steps[0],
+      workMillis: place.run < 3 ? 200 : 3000,
+      fails: run => run < 3,
+    }),
+  });
+  await site.run(1000);
+  void site.submit(site.hosts[0], job);
+  await site.run(1500);
+  const {kernel} = site.hosts[0];
+  for (const run of [2, 1]) {
+    const place = {jobId: job.id, occurrence: 0, step: 0, index: 0, run};
+    kernel.dispatch(RUN_ENDED, {
+      life: 'worker-0@1',
+      place,
+      how: 'failed',
+      checkpoint: '',
+      ranMillis: undefined,
+    });
+  }
+  await site.run(4000);
+  t.equal(site.judge.startsOf(job.id), 3);
+  t.equal(site.show(site.hosts[0], job.id), 'completed');
+  t.same(site.judge.violations, []);
+});
