--- /dev/null
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -0,0 +1,93 @@
+import type {Progress, Task} from '@samphireramp/jobs';
+import {buildJob, buildStep} from '@samphireramp/testing';
+import fc from 'fast-check';
+import t from 'tap';
+import {
+  decodeJournal,
+  decodeProgress,
+  decodeRequests,
+  encodeForgottenRequests,
+  encodeJournalEntry,
+  encodeProgress,
+  encodeRequest,
+} from '../../index';
+
+const placed = fc.record({
+  run: fc.integer({min: 1, max: 9}),
+  failedRuns: fc.array(fc.integer({min: 1, max: 9}), {maxLength: 3}),
+  checkpoint: fc.string(),
+  worker: fc.constantFrom('', 'i-1@7'),
+});
+const task: fc.Arbitrary<Task> = fc.oneof(
+  fc.constantFrom<Task>(
+    {phase: 'open', run: 0, failedRuns: [], checkpoint: '', worker: ''},
+    {phase: 'done', run: 0, failedRuns: [], checkpoint: '', worker: ''},
+  ),
+  placed.map(each => ({
+    ...each,
+    phase: each.worker === '' ? ('open' as const) : ('placed' as const),
+  })),
+);
+const progress: fc.Arbitrary<Progress> = fc.record({
+  jobId: fc.constant('00000000000000aa'),
+  queue: fc.string(),
+  state: fc.constantFrom(
+    'queued' as const,
+    'running' as const,
+    'failed' as const,
+  ),
+  receivedAt: fc.nat(),
+  endedAt: fc.nat(),
+  occurrences: fc.array(
+    fc.record({number: fc.nat(9), steps: fc.array(fc.array(task))}),
+    {maxLength: 3},
+  ),
+  nextOccurrence: fc.nat(9),
+});
+
+void t.test('progress is read back as it was written', async t => {
+  fc.assert(
+    fc.property(progress, each => {
+      t.same(decodeProgress(each.jobId, encodeProgress(each)), each);
+    }),
+    {numRuns: 100},
+  );
+});
+
+void t.test('bytes that are no progress are told apart', async t => {
+  t.equal(decodeProgress('x', Buffer.from('{"state":"lost"}')), undefined);
+  const malformed: string[] = [];
+  const records = [
+    {key: 'job.x', value: Buffer.from('['), offset: 0},
+    {key: 'stranger', value: Buffer.from('{}'), offset: 1},
+    {key: 'job.y', value: Buffer.alloc(0), offset: 2},
+  ];
+  const entries = decodeJournal(records, key => malformed.push(key));
+  t.same(malformed, ['job.x', 'stranger']);
+  t.same(entries, [{offset: 2, entry: {kind: 'forgotten', jobId: 'y'}}]);
+});
+
+void t.test('the holder record is read back', async t => {
+  const record = {
+    holder: 'host',
+    incarnation: 'life',
+    term: 7,
+    batch: 3,
+    isResigned: false,
+  };
+  const written = encodeJournalEntry({kind: 'holder', record});
+  const [read] = decodeJournal([{...written, offset: 4}], () => undefined);
+  t.same(read, {offset: 4, entry: {kind: 'holder', record}});
+});
+
+void t.test('requests are read back, forgotten ones are none', async t => {
+  const job = buildJob('00000000000000aa', [buildStep({count: 3})]);
+  const cancel = {kind: 'cancel', jobId: job.id, receivedAt: 9} as const;
+  const written = [
+    encodeRequest({kind: 'submit', job}),
+    encodeRequest(cancel),
+    ...encodeForgottenRequests('00000000000000ab'),
+  ].map((record, offset) => ({...record, offset}));
+  const read = decodeRequests(written, key => t.fail(key));
+  t.same(read, [{kind: 'submit', job}, cancel]);
+});
--- a/packages/telemetry/src/lineWriter.ts
+++ b/packages/telemetry/src/lineWriter.ts
@@ -50,6 +50,9 @@
       gathered.push(text);
     },
     flush: () => {
+      if (backlogBytes() > MOST_BACKLOG_BYTES) {
+        return;
+      }
       if (unreported > 0 && left >= 1) {
         gathered.push(`event=log-lines-left-out count=${unreported}`);
         unreported = 0;
