--- a/testing/src/EventQueue.ts
+++ b/testing/src/EventQueue.ts
@@ -5,8 +5,15 @@
   readonly run: () => void;
 }
 
+/** Time as the models know it, virtual or real, in milliseconds. */
+export interface Timeline {
+  readonly now: number;
+  /** Plans `run` after a delay. */
+  after(delay: number, run: () => void): void;
+}
+
 /** Virtual time: runs what is planned, in order, without waiting. */
-export class EventQueue {
+export class EventQueue implements Timeline {
   now = 0;
   private readonly heap: QueuedEvent[] = [];
   private planned = 0;
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -17,7 +17,7 @@
   type SiteProcess,
   type SiteWorker,
 } from './startSite';
-export {EventQueue} from './EventQueue';
+export {EventQueue, type Timeline} from './EventQueue';
 export {createRandom} from './seededRandom';
 export {VirtualHost} from './VirtualHost';
 export {
--- a/testing/src/site/Judge.ts
+++ b/testing/src/site/Judge.ts
@@ -8,7 +8,7 @@
   dueAt,
   taskKey,
 } from '@samphireramp/jobs';
-import type {EventQueue} from '../EventQueue';
+import type {Timeline} from '../EventQueue';
 import type {ModelWorker} from './ModelWorker';
 
 /** Callers' cancels must be obeyed within this time in calm weather. */
@@ -52,7 +52,7 @@
   private readonly failures = new Map<string, Set<number>>();
   private readonly starts = new Map<string, number>();
 
-  constructor(private readonly queue: EventQueue) {}
+  constructor(private readonly queue: Timeline) {}
 
   blame(rule: Rule, detail: string): void {
     this.violations.push(`${Math.round(this.queue.now)} ${rule}: ${detail}`);
--- a/testing/src/site/ModelCalls.ts
+++ b/testing/src/site/ModelCalls.ts
@@ -1,6 +1,6 @@
 import type {StartOrder} from '@samphireramp/fleet';
 import type {RunPlace} from '@samphireramp/jobs';
-import type {EventQueue} from '../EventQueue';
+import type {Timeline} from '../EventQueue';
 import type {ModelWorker} from './ModelWorker';
 import type {SiteWeather} from './SiteWeather';
 
@@ -13,7 +13,7 @@
 /** Carries calls of hosts to model workers and the model adviser. */
 export class ModelCalls {
   constructor(
-    private readonly queue: EventQueue,
+    private readonly queue: Timeline,
     private readonly weather: () => SiteWeather,
     private readonly workers: readonly ModelWorker[],
   ) {}
--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -8,7 +8,7 @@
   StreamLog,
   StreamName,
 } from '@samphireramp/stream-log';
-import type {EventQueue} from '../EventQueue';
+import type {Timeline} from '../EventQueue';
 
 const APPEND_MILLIS = 4;
 const READ_POLL_MILLIS = 3;
@@ -29,7 +29,7 @@
   private readonly partitions = new Map<string, PlacedRecord[]>();
 
   constructor(
-    private readonly queue: EventQueue,
+    private readonly queue: Timeline,
     private readonly weather: LogWeather,
     readonly partitionCount: number,
   ) {}
@@ -87,7 +87,8 @@
     });
   }
 
-  private carryOut(request: AppendRequest): AppendOutcome {
+  /** Appends if the condition holds. */
+  carryOut(request: Omit<AppendRequest, 'timeoutMillis'>): AppendOutcome {
     const {stream, partition, at} = request;
     const records = this.records(stream, partition);
     if (at !== undefined && at !== records.length) {
@@ -138,7 +139,8 @@
   }
 }
 
-function newestOf(records: readonly PlacedRecord[]): PlacedRecord[] {
+/** The newest record of each key that was not dropped. */
+export function newestOf(records: readonly PlacedRecord[]): PlacedRecord[] {
   const newest = new Map<string, PlacedRecord>();
   for (const record of records) {
     newest.set(record.key, record);
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -14,7 +14,7 @@
   runKey,
   taskKey,
 } from '@samphireramp/jobs';
-import type {EventQueue} from '../EventQueue';
+import type {Timeline} from '../EventQueue';
 import type {Judge} from './Judge';
 
 const STOP_MILLIS = 60;
@@ -64,7 +64,7 @@
     readonly capacity: Amounts,
     /** The speed of its clock: 0.98 to 1.02. */
     private readonly clockRate: number,
-    private readonly queue: EventQueue,
+    private readonly queue: Timeline,
     private readonly judge: Judge,
     private readonly scriptOf: (place: RunPlace) => TaskScript | undefined,
   ) {
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -11,3 +11,13 @@
   type SiteReport,
   runSiteSchedule,
 } from './runSiteSchedule';
+export {
+  type Platform,
+  type PlatformOptions,
+  startPlatform,
+} from './startPlatform';
+export {
+  type SiteProcessHost,
+  type SiteProcesses,
+  startSiteProcesses,
+} from './startSiteProcesses';
--- /dev/null
+++ b/testing/src/site/startSiteProcesses.ts
@@ -0,0 +1,109 @@
+import {type ChildProcess, spawn} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {findFreePorts} from '../findFreePorts';
+import type {Platform} from './startPlatform';
+
+const HOST = '127.0.0.1';
+const PORTS_OF_HOST = 4;
+const GRACE_SECONDS = 2;
+
+/** A host of the system as a process of its own. */
+export interface SiteProcessHost {
+  readonly name: string;
+  readonly callerAddress: string;
+  readonly readinessAddress: string;
+  readonly metricsAddress: string;
+  readonly settingsFile: string;
+  process: ChildProcess;
+  /** Everything it wrote to standard output. */
+  output: string;
+  /** Resolves with the exit status, or the signal that ended it. */
+  ended: Promise<number | string>;
+}
+
+/** Hosts of the system on a stand-in of the platform. */
+export interface SiteProcesses {
+  readonly hosts: readonly SiteProcessHost[];
+  restart(host: SiteProcessHost): void;
+  stop(): Promise<void>;
+}
+
+/** Starts hosts as separate processes of the built program. */
+export async function startSiteProcesses(
+  platform: Platform,
+  count: number,
+  program: string,
+): Promise<SiteProcesses> {
+  const folder = mkdtempSync(join(tmpdir(), 'samphireramp-site-'));
+  const ports = await findFreePorts(count * PORTS_OF_HOST);
+  const hosts: SiteProcessHost[] = [];
+  for (let index = 0; index < count; index++) {
+    const [caller, readiness, internal, metrics] = ports.splice(
+      0,
+      PORTS_OF_HOST,
+    );
+    const name = `host-${index}`;
+    const settingsFile = join(folder, `${name}.json`);
+    const settings = {
+      node_name: name,
+      ip: HOST,
+      zone: 'zone-a',
+      region: 'region-a',
+      listen_addresses: {
+        frontend: `${HOST}:${caller}`,
+        readiness: `${HOST}:${readiness}`,
+      },
+      internal_port_range: [internal, internal],
+      bounds: {grace_period_s: GRACE_SECONDS, status_s: 120},
+      advice: platform.adviserAddress,
+      platform: {address: platform.storeAddress, parts: platform.partitions},
+    };
+    writeFileSync(settingsFile, JSON.stringify(settings));
+    const host: SiteProcessHost = {
+      name,
+      callerAddress: `${HOST}:${caller}`,
+      readinessAddress: `${HOST}:${readiness}`,
+      metricsAddress: `${HOST}:${metrics}`,
+      settingsFile,
+      output: '',
+      ...launch(program, settingsFile, metrics),
+    };
+    watch(host);
+    hosts.push(host);
+  }
+  return {
+    hosts,
+    restart: host => {
+      const port = Number(host.metricsAddress.split(':')[1]);
+      Object.assign(host, launch(program, host.settingsFile, port));
+      watch(host);
+    },
+    stop: async () => {
+      for (const host of hosts) {
+        host.process.kill('SIGKILL');
+        await host.ended;
+      }
+      rmSync(folder, {recursive: true, force: true});
+    },
+  };
+}
+
+function launch(program: string, settingsFile: string, metricsPort: number) {
+  const child = spawn(
+    process.execPath,
+    [program, `--node-file=${settingsFile}`, `--metrics-port=${metricsPort}`],
+    {stdio: ['ignore', 'pipe', 'inherit']},
+  );
+  const ended = new Promise<number | string>(resolve => {
+    child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
+  });
+  return {process: child, ended};
+}
+
+function watch(host: SiteProcessHost): void {
+  host.process.stdout?.on('data', (bytes: Buffer) => {
+    host.output += bytes.toString();
+  });
+}
