--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -1,4 +1,9 @@
-import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
+import {
+  type Plugin,
+  type Update,
+  createValueSlice,
+  mergeUnregister,
+} from '@samphireramp/kernel';
 import {
   HOLDING,
   HOLDING_BEGAN,
@@ -36,6 +41,12 @@
 import {PLACING_PLANNED, placeSoon} from './placeSoon';
 import {placeWork} from './placing';
 
+/** Jobs that ended long ago are looked for this often. */
+const FORGET_EVERY_MILLIS = 5000;
+
+/** When jobs that ended were last looked for. */
+const FORGOT_AT = createValueSlice('forgot-at', 0);
+
 /** What the plug-in is given. */
 export interface DispatchOptions {
   /** The name of this host. */
@@ -74,7 +85,11 @@
       return;
     }
     beginDue(update, wallClock());
-    forgetEnded(update, wallClock(), keepEndedMillis);
+    const forgotAt = update.write(FORGOT_AT);
+    if (update.now - forgotAt.get() > FORGET_EVERY_MILLIS) {
+      forgotAt.set(update.now);
+      forgetEnded(update, wallClock(), keepEndedMillis);
+    }
     voidLapsed(update);
     placeSoon(update);
   }
@@ -84,8 +99,8 @@
       ...[JOBS, CANCELLED, CONFIGURATION, PARTITIONS_READ].map(slice =>
         kernel.registerSlice(slice as typeof JOBS),
       ),
-      ...[ADVICE, LANES, OPEN_ASKS, ASK_COUNT, PLACING_PLANNED].map(slice =>
-        kernel.registerSlice(slice as typeof ADVICE),
+      ...[ADVICE, LANES, OPEN_ASKS, ASK_COUNT, PLACING_PLANNED, FORGOT_AT].map(
+        slice => kernel.registerSlice(slice as typeof ADVICE),
       ),
       kernel.registerCommand(CONFIGURATION_IN_FORCE, onConfiguration),
       kernel.registerCommand(HOLDING_BEGAN, update => {
