--- a/testing/src/__tests__/process/siteProcesses.test.ts
+++ b/testing/src/__tests__/process/siteProcesses.test.ts
@@ -96,6 +96,7 @@
     job: buildJob(id, steps, {policy: buildPolicy()}),
     maxAttempts: 3,
     acceptedAt: undefined,
+    openTries: 0,
     isRefused: false,
     isCancelAsked: false,
     cancelledAt: undefined,
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -99,3 +99,27 @@
   t.equal(site.show(site.hosts[0], job.id), 'completed');
   t.same(site.judge.violations, []);
 });
+
+void t.test('a job in doubt is not told to be refused', async t => {
+  const site = buildSite(2);
+  await site.run(1000);
+  let appends = 0;
+  site.weather = {
+    ...site.weather,
+    // The first append is done without an answer, then the log refuses.
+    losesAnswer: () => ++appends === 1,
+    reach: host => (host === 'host-0' && appends > 0 ? 'refuses' : 'answers'),
+  };
+  const holder = site.holder();
+  const host = site.hosts.find(({name}) => name === 'host-0');
+  if (host === undefined || holder === undefined || holder === host) {
+    t.fail('host-0 is to be a host that does not hold the site');
+    return;
+  }
+  const job = buildJob('00000000000000ae', [buildStep()], {receivedAt: 1000});
+  const answer = site.submit(host, job);
+  await site.run(5000);
+  t.equal((await answer)?.kind, 'unknown');
+  t.equal(site.judge.startsOf(job.id), 1);
+  t.same(site.judge.violations, []);
+});
--- a/testing/src/site/Judge.ts
+++ b/testing/src/site/Judge.ts
@@ -33,6 +33,9 @@
   readonly job: Job;
   readonly maxAttempts: number;
   acceptedAt: number | undefined;
+  /** Tries to hand it in that may still come to something. */
+  openTries: number;
+  /** Whether every try that has ended was refused. */
   isRefused: boolean;
   /** Whether anybody asked for its cancelling. */
   isCancelAsked: boolean;
@@ -100,8 +103,8 @@
   }
 
   private checkJob(submitted: Submitted, place: RunPlace, key: string): void {
-    const {job, cancelledAt, isRefused, maxAttempts} = submitted;
-    if (isRefused) {
+    const {job, cancelledAt, isRefused, openTries, maxAttempts} = submitted;
+    if (isRefused && openTries === 0) {
       this.blame('REFUSED', key);
     }
     const isLate =
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -139,12 +139,16 @@
       job,
       maxAttempts: job.policy.maxAttempts,
       acceptedAt: undefined,
-      isRefused: false,
+      openTries: 0,
+      isRefused: true,
       isCancelAsked: false,
       cancelledAt: undefined,
     };
     this.judge.jobs.set(job.id, known);
+    known.openTries++;
     const answer = await this.ask(host, {kind: 'submit', job});
+    known.openTries--;
+    known.isRefused &&= answer?.kind === 'refused';
     if (answer?.kind === 'accepted') {
       known.acceptedAt = this.queue.now;
     }
