--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -32,13 +32,7 @@
   createIntakePlugin,
   jobStatus,
 } from '@samphireramp/intake';
-import type {
-  Amounts,
-  Job,
-  QueuePolicy,
-  RunPlace,
-  SiteConfiguration,
-} from '@samphireramp/jobs';
+import type {Amounts, Job, QueuePolicy, RunPlace} from '@samphireramp/jobs';
 import {type Kernel, createKernel, mergeUnregister} from '@samphireramp/kernel';
 import {
   createAdvicePlugin,
@@ -46,6 +40,7 @@
   createWorkersPlugin,
 } from '@samphireramp/site-daemon';
 import {EventQueue} from '../EventQueue';
+import {buildConfiguration} from './jobFixture';
 import {Judge} from './Judge';
 import {ModelCalls} from './ModelCalls';
 import {ModelLog} from './ModelLog';
@@ -324,7 +319,7 @@
       ),
       createLogPlugin({
         streams: this.log.viewOf(name, isAlive),
-        decodeConfiguration: () => this.configuration(),
+        decodeConfiguration: () => buildConfiguration(this.options.policies),
         configurationKey: CONFIGURATION_KEY,
         decodeWorker: (_, value) =>
           JSON.parse(value.toString()) as WorkerRecord,
@@ -370,7 +365,7 @@
     };
     this.queue.after(random() * TICK_MILLIS, tick);
     kernel.dispatch(CONFIGURATION_IN_FORCE, {
-      configuration: this.configuration(),
+      configuration: buildConfiguration(this.options.policies),
     });
   }
 
@@ -387,17 +382,4 @@
       }
     });
   }
-
-  private configuration(): SiteConfiguration {
-    return {
-      revision: 1,
-      maxBodyBytes: 262_144,
-      pools: [{name: 'pool', guardsRoom: false}],
-      routes: this.options.policies.map(policy => ({
-        hostName: 'example',
-        pathPrefix: `/${policy.name}/`,
-        policy,
-      })),
-    };
-  }
 }
--- a/testing/src/site/jobFixture.ts
+++ b/testing/src/site/jobFixture.ts
@@ -2,6 +2,7 @@
   type Job,
   NO_AMOUNTS,
   type QueuePolicy,
+  type SiteConfiguration,
   type Step,
 } from '@samphireramp/jobs';
 
@@ -56,3 +57,19 @@
     ...change,
   };
 }
+
+/** A configuration with a route to each queue. */
+export function buildConfiguration(
+  policies: readonly QueuePolicy[],
+): SiteConfiguration {
+  return {
+    revision: 1,
+    maxBodyBytes: 262_144,
+    pools: [{name: 'pool', guardsRoom: false}],
+    routes: policies.map(policy => ({
+      hostName: 'example',
+      pathPrefix: `/${policy.name}/`,
+      policy,
+    })),
+  };
+}
