--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -1,7 +1,6 @@
 import {type Worker, WORKERS, roomLeft} from '@samphireramp/fleet';
 import {
   type Amounts,
-  type JobState,
   type Occurrence,
   type QueuePolicy,
   type Step,
@@ -36,12 +35,6 @@
   readonly need: Amounts;
 }
 
-/** Why nothing of a unit could be placed now, for those who ask. */
-export type WaitReason = 'advice' | 'room' | 'workers' | 'hold-off';
-
-/** States in which a job is worked on. */
-export const WORKED_ON: readonly JobState[] = ['queued', 'running'];
-
 /** Workers that may get new work now, with the room that they have left. */
 export function listCandidates(state: StateReader, now: number): Candidate[] {
   const candidates: Candidate[] = [];
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -24,11 +24,10 @@
 }
 
 /**
- * `reserved`: waits for the journal; `ordered`: the order is out; `doubtful`:
- * orders had no answer; `running`: confirmed; `stopping`: told to stop.
+ * `reserved`: waits for the journal; `ordered`: the order is out; `running`:
+ * confirmed; `stopping`: told to stop, until its end is listed.
  */
-export type RunPhase =
-  'reserved' | 'ordered' | 'doubtful' | 'running' | 'stopping';
+export type RunPhase = 'reserved' | 'ordered' | 'running' | 'stopping';
 
 /** What a start carries beside its place. */
 export interface StartOrder {
--- a/packages/record-codec/src/hostCodec.ts
+++ b/packages/record-codec/src/hostCodec.ts
@@ -1,6 +1,6 @@
 import {type HostRecord, hostRecordSchema} from '@samphireramp/hosts';
 import type {LogRecord, PlacedRecord} from '@samphireramp/stream-log';
-import {parseJson} from './progressCodec';
+import {parseJson} from './parseJson';
 
 /** Writes where a host is as a record. */
 export function encodeHost(host: HostRecord): LogRecord {
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -5,7 +5,8 @@
 } from '@samphireramp/holding';
 import type {LogRecord, PlacedRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
-import {decodeProgress, encodeProgress, parseJson} from './progressCodec';
+import {parseJson} from './parseJson';
+import {decodeProgress, encodeProgress} from './progressCodec';
 
 const HOLDER_KEY = 'holder';
 const JOB_PREFIX = 'job.';
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -6,6 +6,7 @@
   jobStateSchema,
 } from '@samphireramp/jobs';
 import * as z from 'zod/mini';
+import {parseJson} from './parseJson';
 
 /** A task that has never run. */
 const UNTOUCHED = 0;
@@ -83,15 +84,6 @@
   };
 }
 
-/** Parses JSON; undefined if it is not JSON. */
-export function parseJson(value: Buffer): unknown {
-  try {
-    return JSON.parse(value.toString());
-  } catch {
-    return undefined;
-  }
-}
-
 function encodeTask(task: Task): TaskRecord {
   if (task.phase === 'done') {
     return DONE;
--- a/packages/record-codec/src/requestCodec.ts
+++ b/packages/record-codec/src/requestCodec.ts
@@ -2,7 +2,7 @@
 import type {Request} from '@samphireramp/intake';
 import type {LogRecord, PlacedRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
-import {parseJson} from './progressCodec';
+import {parseJson} from './parseJson';
 
 const JOB_PREFIX = 'job.';
 const CANCEL_PREFIX = 'cancel.';
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -64,6 +64,8 @@
   readonly settings: () => HostSettings;
   readonly metricsPort: number;
   readonly random: () => number;
+  /** Log lines that were left out since the start. */
+  readonly logLinesLeftOut: () => number;
 }
 
 /** Starts a host of the system. */
@@ -74,6 +76,7 @@
   const {name: self, zone, region, partitions} = settings();
   const log = createLogger('host');
   const metrics = createMetrics('samphireramp');
+  metrics.gauge('log_lines_left_out', options.logLinesLeftOut);
   const now = () => performance.now();
   const wallClock = () => Date.now();
   const startedAt = now();
--- a/packages/site-daemon/src/main.ts
+++ b/packages/site-daemon/src/main.ts
@@ -1,5 +1,6 @@
 import {type HostSettings, decodeHostSettings} from '@samphireramp/platform';
 import {
+  type LineWriter,
   createLineWriter,
   createLogger,
   enableLogs,
@@ -25,19 +26,19 @@
     return;
   }
   const {settings} = read.value;
-  const flushLogs = startLogs(settings);
+  const logs = startLogs(settings);
   const host = readNodeFile(settings.nodeFile);
   if (typeof host === 'string') {
     fail(`${settings.nodeFile}: ${host}`);
     return;
   }
-  await run(settings, host, flushLogs);
+  await run(settings, host, logs);
 }
 
 async function run(
   own: SiteSettings,
   first: HostSettings,
-  flushLogs: () => void,
+  logs: LineWriter,
 ): Promise<void> {
   const log = createLogger('daemon');
   let current = first;
@@ -45,13 +46,14 @@
     settings: () => current,
     metricsPort: own.metricsPort,
     random: Math.random,
+    logLinesLeftOut: logs.leftOut,
   });
   let isStopping = false;
   const onStop = () => {
     if (!isStopping) {
       isStopping = true;
       void host.stop().then(() => {
-        flushLogs();
+        logs.flush();
         process.exit(0);
       });
     }
@@ -78,7 +80,7 @@
 }
 
 /** Logs go to standard output, gathered, and never hold up the program. */
-function startLogs({logs, logLinesPerSecond}: SiteSettings): () => void {
+function startLogs({logs, logLinesPerSecond}: SiteSettings): LineWriter {
   const writer = createLineWriter({
     write: text => void process.stdout.write(text),
     backlogBytes: () => process.stdout.writableLength,
@@ -88,7 +90,7 @@
   writeLogsTo(writer.line);
   enableLogs(logs);
   setInterval(writer.flush, LOG_FLUSH_MILLIS).unref();
-  return writer.flush;
+  return writer;
 }
 
 function fail(message: string): void {
