--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -13,6 +13,13 @@
   'journal',
   'routing',
   'decisions',
+  'jobs',
+  'stream-log',
+  'holding',
+  'intake',
+  'fleet',
+  'dispatch',
+  'hosts',
 ];
 
 const TRANSPORT_IMPORTS = [
@@ -28,6 +35,9 @@
   '@samphireramp/caller-http',
   '@samphireramp/peer-grpc',
   '@samphireramp/platform-client',
+  '@samphireramp/platform',
+  '@samphireramp/host-links',
+  '@samphireramp/record-codec',
 ];
 
 const INTERNALS = {
