A task that takes nearly a whole worker is not kept out by the urgent share

Found by reading: a tenth of each worker is kept for the most urgent work, so a task of another queue that needs more than nine tenths never ran. Seen to fail first: 'a task that takes nearly a whole worker runs'.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -70,9 +70,12 @@
   const {need, step, policy} = unit;
   const {capacity} = candidate.worker;
   const isUrgent = policy.priority === URGENT_PRIORITY;
-  const kept = isUrgent ? 0 : URGENT_SHARE;
-  const cpu = candidate.cpuMillis - capacity.cpuMillis * kept;
-  const memory = candidate.memoryMegabytes - capacity.memoryMegabytes * kept;
+  const kept = (amount: number, needed: number) =>
+    isUrgent ? 0 : keptForUrgent(amount, needed);
+  const cpu = candidate.cpuMillis - kept(capacity.cpuMillis, need.cpuMillis);
+  const memory =
+    candidate.memoryMegabytes -
+    kept(capacity.memoryMegabytes, need.memoryMegabytes);
   const byRoom = Math.min(
     times(cpu, need.cpuMillis),
     times(memory, need.memoryMegabytes),
@@ -85,6 +88,12 @@
   return Math.max(0, Math.min(byRoom, byLimit, unit.open.length));
 }
 
+/** What of an amount is kept free, unless the task needs nearly all of it. */
+function keptForUrgent(amount: number, needed: number): number {
+  const share = amount * URGENT_SHARE;
+  return needed > amount - share ? 0 : share;
+}
+
 /** How many tasks of a unit an empty worker has room for. */
 export function tasksWhenEmpty(worker: Worker, unit: Unit): number {
   return fittingTasks({worker, ...worker.capacity}, unit);
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -123,3 +123,17 @@
   t.equal(site.judge.startsOf(job.id), 1);
   t.same(site.judge.violations, []);
 });
+
+void t.test('a task that takes nearly a whole worker runs', async t => {
+  const site = buildSite(2);
+  await site.run(1000);
+  const need = {cpuMillis: 7900, memoryMegabytes: 15_900, accelerators: 0};
+  const job = buildJob('00000000000000af', [buildStep({count: 3, need})], {
+    policy: POLICIES[1],
+    receivedAt: 1000,
+  });
+  void site.submit(site.hosts[0], job);
+  await site.run(5000);
+  t.equal(site.show(site.hosts[0], job.id), 'completed');
+  t.same(site.judge.violations, []);
+});
