--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -83,14 +83,23 @@
 /** Something waits to be written to the journal. */
 export const JOURNAL_DUE = createCommand<void>('journal-due');
 
-/** Has the progress of a job written with the next batch. */
+/**
+ * Has the progress of a job written with the next batch. A host that does not
+ * hold the site has nothing to write, now or in a later term.
+ */
 export function recordProgress(update: Update, progress: Progress): void {
+  if (heldTerm(update) === undefined) {
+    return;
+  }
   update.write(UNWRITTEN).set(progress.jobId, {kind: 'progress', progress});
   update.dispatchOnce(JOURNAL_DUE, '', undefined);
 }
 
 /** Has a job dropped from the journal with the next batch. */
 export function recordForgotten(update: Update, jobId: string): void {
+  if (heldTerm(update) === undefined) {
+    return;
+  }
   update.write(UNWRITTEN).set(jobId, {kind: 'forgotten', jobId});
   update.dispatchOnce(JOURNAL_DUE, '', undefined);
 }
@@ -101,6 +110,9 @@
   command: Command<Payload>,
   payload: Payload,
 ): void {
+  if (heldTerm(update) === undefined) {
+    return;
+  }
   const holding = update.write(HOLDING);
   const current = holding.get();
   const followUp = {command: command as Command<unknown>, payload};
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -83,10 +83,13 @@
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
 
-/** When an occurrence is due, in milliseconds since 1970. */
+/**
+ * When an occurrence is due, in milliseconds since 1970. A job without times is
+ * always due: hosts' clocks differ, so when it was handed in tells nothing here.
+ */
 export function dueAt(job: Job, occurrence: number): number {
   return job.firstDueAt === 0
-    ? job.receivedAt
+    ? 0
     : job.firstDueAt + occurrence * job.intervalMillis;
 }
 
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -137,3 +137,13 @@
   t.equal(site.show(site.hosts[0], job.id), 'completed');
   t.same(site.judge.violations, []);
 });
+
+void t.test('a job from a host whose clock is ahead runs at once', async t => {
+  const site = buildSite(2);
+  await site.run(1000);
+  const receivedAt = 1000 + 60_000;
+  const job = buildJob('00000000000000b0', [buildStep()], {receivedAt});
+  void site.submit(site.hosts[0], job);
+  await site.run(2000);
+  t.equal(site.show(site.hosts[0], job.id), 'completed');
+});
