--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -32,7 +32,7 @@
 );
 
 /** Ids of jobs that were cancelled, also of those not seen yet. */
-export const CANCELLED = createTableSlice<{readonly at: number}>('cancelled');
+export const CANCELLED = createTableSlice<true>('cancelled');
 
 /** The configuration in force; undefined before the first. */
 export const CONFIGURATION = createValueSlice<SiteConfiguration | undefined>(
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -138,7 +138,7 @@
   return (advice.permits.get(worker.id)?.validUntil ?? 0) > now;
 }
 
-/** The unit's need, rack and all, worked out once for a pass. */
+/** Makes the unit of a step; undefined if none of it may start now. */
 export function makeUnit(
   row: JobRow,
   policy: QueuePolicy,
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -1,4 +1,5 @@
 import {
+  type PayloadOf,
   type Plugin,
   type Update,
   createValueSlice,
@@ -65,7 +66,7 @@
 
   function onRequests(
     update: Update,
-    payload: Parameters<typeof takeRequests>[1],
+    payload: PayloadOf<typeof REQUESTS_READ>,
   ): void {
     if (heldTerm(update) === undefined) {
       return;
@@ -96,12 +97,16 @@
 
   return kernel =>
     mergeUnregister(
-      ...[JOBS, CANCELLED, CONFIGURATION, PARTITIONS_READ].map(slice =>
-        kernel.registerSlice(slice as typeof JOBS),
-      ),
-      ...[ADVICE, LANES, OPEN_ASKS, ASK_COUNT, PLACING_PLANNED, FORGOT_AT].map(
-        slice => kernel.registerSlice(slice as typeof ADVICE),
-      ),
+      kernel.registerSlice(JOBS),
+      kernel.registerSlice(CANCELLED),
+      kernel.registerSlice(CONFIGURATION),
+      kernel.registerSlice(PARTITIONS_READ),
+      kernel.registerSlice(ADVICE),
+      kernel.registerSlice(LANES),
+      kernel.registerSlice(OPEN_ASKS),
+      kernel.registerSlice(ASK_COUNT),
+      kernel.registerSlice(PLACING_PLANNED),
+      kernel.registerSlice(FORGOT_AT),
       kernel.registerCommand(CONFIGURATION_IN_FORCE, onConfiguration),
       kernel.registerCommand(HOLDING_BEGAN, update => {
         forgetSite(update);
@@ -153,11 +158,10 @@
 }
 
 function forgetSite(update: Update): void {
-  const slices = [JOBS, CANCELLED, PARTITIONS_READ, ADVICE, LANES, OPEN_ASKS];
-  for (const slice of slices) {
-    const table = update.write(slice as typeof JOBS);
-    for (const key of [...table.keys()]) {
-      table.delete(key);
-    }
-  }
+  update.write(JOBS).clear();
+  update.write(CANCELLED).clear();
+  update.write(PARTITIONS_READ).clear();
+  update.write(ADVICE).clear();
+  update.write(LANES).clear();
+  update.write(OPEN_ASKS).clear();
 }
--- a/packages/dispatch/src/endFlow.ts
+++ b/packages/dispatch/src/endFlow.ts
@@ -84,6 +84,18 @@
   setProgress(update, found.row, reopen(found, place, checkpoint));
 }
 
+/** Changes what a run stands for: all tasks of a gang, else its own. */
+function changeTasksOf(
+  progress: Progress,
+  step: Step,
+  place: RunPlace,
+  change: (task: Task) => Task,
+): Progress {
+  return step.isGang
+    ? changeStep(progress, place, change)
+    : changeTask(progress, place, change);
+}
+
 function onDone(
   update: Update,
   {row, step, task}: Found,
@@ -100,9 +112,7 @@
   if (isOtherRun) {
     stopOther(update, {...place, run: task.run});
   }
-  const progress = step.isGang
-    ? changeStep(row.progress, place, done)
-    : changeTask(row.progress, place, done);
+  const progress = changeTasksOf(row.progress, step, place, done);
   settleProgress(update, row, progress, wallNow);
 }
 
@@ -123,9 +133,7 @@
       : {...before, failedRuns: [...before.failedRuns, place.run]};
   const reopened = reopen(found, place, '');
   // A run of a gang fails once, however many of its members do.
-  const progress = step.isGang
-    ? changeStep(reopened, place, count)
-    : changeTask(reopened, place, count);
+  const progress = changeTasksOf(reopened, step, place, count);
   const failures = taskAt(progress, place)?.failedRuns.length ?? 0;
   if (failures >= policyOf(update, row.job).maxAttempts) {
     endJob(update, row, progress, 'failed', wallNow);
@@ -154,9 +162,7 @@
   }
   const keep = (before: Task): Task =>
     before.phase === 'done' ? before : {...before, checkpoint};
-  return step.isGang
-    ? changeStep(progress, place, keep)
-    : changeTask(progress, place, keep);
+  return changeTasksOf(progress, step, place, keep);
 }
 
 /** Makes a task ready for another run after one that surely is not there. */
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -42,7 +42,7 @@
     if (request.kind === 'submit') {
       takeJob(update, request.job, wallClock());
     } else if (!update.read(CANCELLED).has(request.jobId)) {
-      update.write(CANCELLED).set(request.jobId, {at: update.now});
+      update.write(CANCELLED).set(request.jobId, true);
       cancelJob(update, request.jobId, wallClock());
     }
   }
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -65,11 +65,7 @@
 
 /** Another holder learns all of this anew from the workers. */
 function forgetAll(update: Update): void {
-  for (const slice of [WORKERS, RUNS]) {
-    const table = update.write(slice as typeof WORKERS);
-    for (const key of [...table.keys()]) {
-      table.delete(key);
-    }
-  }
+  update.write(WORKERS).clear();
+  update.write(RUNS).clear();
   update.write(MAY_HOLD).set(false);
 }
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -113,10 +113,7 @@
       heardAt: update.now,
       nextClaimAt: update.now + CLAIM_RETRY_MILLIS,
     });
-    const unwritten = update.write(UNWRITTEN);
-    for (const key of [...unwritten.keys()]) {
-      unwritten.delete(key);
-    }
+    update.write(UNWRITTEN).clear();
     update.emit(HURRY_JOURNAL, undefined);
     update.emit(HOLDING_EVENT, {
       event: 'holding-ended',
@@ -152,9 +149,7 @@
       {kind: 'holder', record},
       ...unwritten.values(),
     ];
-    for (const key of [...unwritten.keys()]) {
-      unwritten.delete(key);
-    }
+    unwritten.clear();
     const batch: Batch = {
       number: record.batch,
       entries,
--- a/packages/kernel/src/Table.ts
+++ b/packages/kernel/src/Table.ts
@@ -15,6 +15,8 @@
 export interface Table<Row> extends ReadonlyTable<Row> {
   set(id: string, row: Row): void;
   delete(id: string): void;
+  /** Deletes all rows. */
+  clear(): void;
 }
 
 /** A table whose rows can also be found by a key that each may have. */
@@ -89,6 +91,12 @@
     this.put(id, undefined);
   }
 
+  clear(): void {
+    for (const id of [...this.rows.keys()]) {
+      this.delete(id);
+    }
+  }
+
   private put(id: string, row: Row | undefined): void {
     this.reindex(id, this.rows.get(id), row);
     if (row === undefined) {
