Earlier lives of a worker are given up once a later one is listed

Cause: the list of workers brought the entry of a worker that had begun anew under its id; the row of its life before stayed beside the new one until a hold was answered. A hold for the earlier life names only the id, so it reached the new life and acknowledged, with the earlier life's count, ends that nobody had seen. Their tasks ran once more: TWICE.

How it was found: the model of the site was too kind. Its adviser let all workers run everything, at once, through one host, and no host was ever told to stop. It now forbids two workers of six to each step, answers one call of a host after another, checks tickets at the start, and hosts are stopped and started again in turn.

Test first: "a worker that begins anew is not held as it was before" failed with both lives in the table. A hold already on its way may still be late; that can't be seen from here.

--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -5,6 +5,8 @@
   readonly id: string;
   /** Tells one life of the worker from the next under the same id. */
   readonly life: string;
+  /** Milliseconds since 1970 at which this life began; 0 if it does not tell. */
+  readonly bornAt: number;
   /** HOST:PORT of its interface. */
   readonly address: string;
   readonly zone: string;
--- a/packages/fleet/src/workerList.ts
+++ b/packages/fleet/src/workerList.ts
@@ -34,6 +34,7 @@
 
 function takeRecord(update: Update, record: WorkerRecord): void {
   const known = update.read(WORKERS).get(record.life);
+  loseEarlierLives(update, record);
   if (known === undefined) {
     update.write(WORKERS).set(record.life, newWorker(record, update.now));
     emitChange(update, record.life, 'worker-listed', record.pool);
@@ -54,6 +55,18 @@
   }
 }
 
+/**
+ * A hold meant for an earlier life would reach the new one, and drop ends that
+ * nobody has seen: earlier lives are given up as soon as a later one is listed.
+ */
+function loseEarlierLives(update: Update, record: WorkerRecord): void {
+  for (const worker of [...update.read(WORKERS).values()]) {
+    if (worker.id === record.id && worker.bornAt < record.bornAt) {
+      loseWorker(update, worker, 'reborn');
+    }
+  }
+}
+
 function newWorker(record: WorkerRecord, now: number): Worker {
   return {
     ...record,
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -1,4 +1,4 @@
-import {RUN_ENDED} from '@samphireramp/fleet';
+import {RUN_ENDED, WORKERS} from '@samphireramp/fleet';
 import t from 'tap';
 import {
   ModelSite,
@@ -147,3 +147,51 @@
   await site.run(2000);
   t.equal(site.show(site.hosts[0], job.id), 'completed');
 });
+
+void t.test(
+  'a waiting gang asks about workers it has not asked about',
+  async t => {
+    const site = buildSite(1);
+    await site.run(1000);
+    const need = {cpuMillis: 3000, memoryMegabytes: 1000, accelerators: 0};
+    const wide = {...need, cpuMillis: 7900};
+    const blocker = buildJob(
+      '00000000000000b0',
+      [buildStep({need: wide, estimateMillis: 60_000})],
+      {policy: POLICIES[0], receivedAt: 1000},
+    );
+    const gang = buildJob(
+      '00000000000000b1',
+      [buildStep({count: 2, need, isGang: true})],
+      {policy: POLICIES[1], receivedAt: 1300},
+    );
+    void site.submit(site.hosts[0], blocker);
+    await site.run(300);
+    void site.submit(site.hosts[0], gang);
+    await site.run(1000);
+    site.addWorker('worker-1', 'rack-1');
+    await site.run(3000);
+    t.equal(site.show(site.hosts[0], gang.id), 'completed');
+    t.equal(site.show(site.hosts[0], blocker.id), 'running');
+    t.same(site.judge.violations, []);
+  },
+);
+
+void t.test(
+  'a worker that begins anew is not held as it was before',
+  async t => {
+    const site = buildSite(2);
+    await site.run(1000);
+    const [worker] = site.workers;
+    site.weather = {...site.weather, canCall: (_, id) => id !== worker.id};
+    worker.restart();
+    site.list(worker);
+    await site.run(50);
+    const rows = [...(site.holder()?.kernel.read(WORKERS).values() ?? [])];
+    // A hold for the life before would drop ends of the new one unseen.
+    t.same(
+      rows.filter(({id}) => id === worker.id).map(({life}) => life),
+      [worker.life],
+    );
+  },
+);
--- a/testing/src/site/ModelCalls.ts
+++ b/testing/src/site/ModelCalls.ts
@@ -1,14 +1,14 @@
+import type {Advice} from '@samphireramp/dispatch';
 import type {StartOrder} from '@samphireramp/fleet';
+import type {AdviseRequest} from '@samphireramp/host-links';
 import type {RunPlace} from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
+import type {ModelAdviser} from './ModelAdviser';
+import type {ModelHost} from './ModelHost';
 import type {ModelWorker} from './ModelWorker';
 import type {SiteWeather} from './SiteWeather';
 
 const CALL_MILLIS = 2;
-/** A call for advice takes this long. */
-const ADVICE_MILLIS = 15;
-/** How long a ticket lets starts through. */
-const VALIDITY_MILLIS = 2500;
 
 /** Carries calls of hosts to model workers and the model adviser. */
 export class ModelCalls {
@@ -16,6 +16,8 @@
     private readonly queue: Timeline,
     private readonly weather: () => SiteWeather,
     private readonly workers: readonly ModelWorker[],
+    private readonly hosts: readonly ModelHost[],
+    private readonly adviser: ModelAdviser,
   ) {}
 
   private wait(millis: number): Promise<void> {
@@ -109,12 +111,29 @@
     return outcome;
   }
 
-  async advise(workerIds: readonly string[]) {
-    await this.wait(ADVICE_MILLIS);
-    return {
-      kind: 'answered',
-      permits: workerIds.map(workerId => ({workerId, ticket: 'ticket'})),
-      validityMillis: VALIDITY_MILLIS,
-    } as const;
+  /** Has another host ask for advice; it may be gone, or go meanwhile. */
+  async adviseThrough(address: string, call: AdviseRequest): Promise<Advice> {
+    const other = this.hosts.find(({name}) => name === address);
+    const kernel = other?.kernel;
+    const isThere = () =>
+      other !== undefined &&
+      other.isUp &&
+      !other.isFrozen &&
+      other.kernel === kernel;
+    const failed = (detail: string): Advice => ({kind: 'failed', detail});
+    await this.wait(CALL_MILLIS);
+    if (!isThere()) {
+      return failed('UNAVAILABLE');
+    }
+    const late = this.wait(call.timeoutMillis).then(() =>
+      failed('DEADLINE_EXCEEDED'),
+    );
+    const answer = this.adviser
+      .advise(address, call, call.workerIds)
+      .then(async advice => {
+        await this.wait(CALL_MILLIS);
+        return isThere() ? advice : failed('UNAVAILABLE');
+      });
+    return Promise.race([answer, late]);
   }
 }
--- /dev/null
+++ b/testing/src/site/ModelHost.ts
@@ -0,0 +1,27 @@
+import type {Amounts, Job, QueuePolicy, RunPlace} from '@samphireramp/jobs';
+import type {Kernel} from '@samphireramp/kernel';
+import type {TaskScript} from './ModelWorker';
+import type {SiteWeather} from './SiteWeather';
+
+/** What a model site is made of. */
+export interface ModelSiteOptions {
+  readonly hosts: number;
+  readonly workers: number;
+  readonly capacity: Amounts;
+  readonly random: () => number;
+  readonly weather?: Partial<SiteWeather>;
+  readonly policies: readonly QueuePolicy[];
+  /** Workers that the adviser forbids to each step of a queue with advice. */
+  readonly forbiddenWorkers?: number;
+  /** What a task does when it runs. */
+  readonly script: (job: Job, place: RunPlace) => TaskScript;
+}
+
+/** A host of a model site. */
+export interface ModelHost {
+  readonly name: string;
+  kernel: Kernel;
+  isUp: boolean;
+  isFrozen: boolean;
+  unregister: () => void;
+}
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -16,6 +16,7 @@
 import {
   HOLDING_EVENT,
   HOLDING_TICK,
+  RESIGN,
   createHoldingPlugin,
   heldTerm,
 } from '@samphireramp/holding';
@@ -32,7 +33,7 @@
   createIntakePlugin,
   jobStatus,
 } from '@samphireramp/intake';
-import type {Amounts, Job, QueuePolicy, RunPlace} from '@samphireramp/jobs';
+import type {Job} from '@samphireramp/jobs';
 import {type Kernel, createKernel, mergeUnregister} from '@samphireramp/kernel';
 import {
   createAdvicePlugin,
@@ -44,7 +45,9 @@
 import {Judge} from './Judge';
 import {ModelCalls} from './ModelCalls';
 import {ModelLog} from './ModelLog';
-import {ModelWorker, type TaskScript} from './ModelWorker';
+import type {ModelHost, ModelSiteOptions} from './ModelHost';
+import {ModelWorker} from './ModelWorker';
+import {ModelAdviser} from './ModelAdviser';
 import {FAIR, type SiteWeather} from './SiteWeather';
 
 const TICK_MILLIS = 20;
@@ -53,27 +56,6 @@
 /** Real turns of the loop after each event, for promises to settle. */
 const SETTLING_TURNS = 2;
 
-/** What a model site is made of. */
-export interface ModelSiteOptions {
-  readonly hosts: number;
-  readonly workers: number;
-  readonly capacity: Amounts;
-  readonly random: () => number;
-  readonly weather?: Partial<SiteWeather>;
-  readonly policies: readonly QueuePolicy[];
-  /** What a task does when it runs. */
-  readonly script: (job: Job, place: RunPlace) => TaskScript;
-}
-
-/** A host of a model site. */
-export interface ModelHost {
-  readonly name: string;
-  kernel: Kernel;
-  isUp: boolean;
-  isFrozen: boolean;
-  unregister: () => void;
-}
-
 /** The product's decisions on models of the platform, in virtual time. */
 export class ModelSite {
   readonly queue = new EventQueue();
@@ -84,11 +66,8 @@
   readonly errors: unknown[] = [];
   readonly events: string[] = [];
   weather: SiteWeather;
-  private readonly platform = new ModelCalls(
-    this.queue,
-    () => this.weather,
-    this.workers,
-  );
+  private readonly platform: ModelCalls;
+  private readonly adviser: ModelAdviser;
   private calls = 0;
   private lives = 0;
 
@@ -103,6 +82,19 @@
       },
       PARTITIONS,
     );
+    this.adviser = new ModelAdviser(
+      this.queue,
+      this.workers,
+      jobId => this.judge.jobs.get(jobId)?.job.policy.advice,
+      options.forbiddenWorkers ?? 0,
+    );
+    this.platform = new ModelCalls(
+      this.queue,
+      () => this.weather,
+      this.workers,
+      this.hosts,
+      this.adviser,
+    );
     this.log.put('configuration', CONFIGURATION_KEY, Buffer.from('{}'));
     for (let index = 0; index < options.workers; index++) {
       this.addWorker(`worker-${index}`, `rack-${index % 2}`);
@@ -187,6 +179,17 @@
     host.unregister();
   }
 
+  /** Tells a host to stop; it goes on for a while, then its process ends. */
+  stop(host: ModelHost, graceMillis: number): void {
+    const {kernel} = host;
+    kernel.dispatch(RESIGN, undefined);
+    this.queue.after(graceMillis, () => {
+      if (host.isUp && host.kernel === kernel) {
+        this.kill(host);
+      }
+    });
+  }
+
   restart(host: ModelHost): void {
     this.kill(host);
     const fresh = this.newHost(host.name);
@@ -228,10 +231,11 @@
     });
   }
 
-  private addWorker(id: string, rack: string): void {
+  /** Adds a worker that nobody knows of yet. */
+  addWorker(id: string, rack: string): void {
     const {capacity, random, script} = this.options;
     const rate = 0.98 + random() * 0.04;
-    const worker = new ModelWorker(
+    const worker: ModelWorker = new ModelWorker(
       id,
       rack,
       capacity,
@@ -242,6 +246,7 @@
         const job = this.judge.jobs.get(place.jobId)?.job;
         return job && script(job, place);
       },
+      order => this.adviser.accepts(order.ticket, order.place, worker),
     );
     this.workers.push(worker);
     this.list(worker);
@@ -311,9 +316,9 @@
       ),
       createAdvicePlugin(
         name,
-        (_, workerIds) => this.platform.advise(workerIds),
+        (step, workerIds) => this.adviser.advise(name, step, workerIds),
         {
-          advise: (_, {workerIds}) => this.platform.advise(workerIds),
+          advise: (address, call) => this.platform.adviseThrough(address, call),
           close: () => undefined,
         },
       ),
@@ -358,7 +363,14 @@
         kernel.dispatch(FLEET_TICK, undefined);
         kernel.dispatch(DISPATCH_TICK, undefined);
         kernel.dispatch(HOSTS_READ, {
-          hosts: [{name, address: name, zone: 'zone-a', region: 'region-a'}],
+          hosts: this.hosts
+            .filter(other => other.isUp)
+            .map(other => ({
+              name: other.name,
+              address: other.name,
+              zone: 'zone-a',
+              region: 'region-a',
+            })),
         });
       }
       this.queue.after(TICK_MILLIS, tick);
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -67,6 +67,7 @@
     private readonly queue: Timeline,
     private readonly judge: Judge,
     private readonly scriptOf: (place: RunPlace) => TaskScript | undefined,
+    private readonly acceptsTicket: (order: StartOrder) => boolean = () => true,
   ) {
     this.life = `${id}@1`;
     this.clockZero = queue.now;
@@ -78,6 +79,7 @@
     return {
       id: this.id,
       life: this.life,
+      bornAt: Number(this.life.split('@')[1]),
       address: this.id,
       zone: 'zone-a',
       rack: this.rack,
@@ -146,6 +148,9 @@
       this.judge.blame('UNASKED', `${taskKey(place)} was never asked for`);
       return 'malformed';
     }
+    if (!this.acceptsTicket(order)) {
+      return 'bad-ticket';
+    }
     this.judge.onStart(order, this.id, script.step, this.load(script.step));
     const base = checkpoint === '' ? 0 : Number(checkpoint);
     this.runs.push({
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -2,7 +2,8 @@
 export {Judge, type Rule} from './Judge';
 export {buildJob, buildPolicy, buildStep} from './jobFixture';
 export {ModelLog, type LogWeather} from './ModelLog';
-export {type ModelHost, ModelSite, type ModelSiteOptions} from './ModelSite';
+export type {ModelHost, ModelSiteOptions} from './ModelHost';
+export {ModelSite} from './ModelSite';
 export {FAIR, type SiteWeather} from './SiteWeather';
 export {ModelWorker, type TaskScript} from './ModelWorker';
 export {
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -1,7 +1,8 @@
 import {type Job, type Step, isFinal} from '@samphireramp/jobs';
 import {createRandom} from '../seededRandom';
 import {buildJob, buildPolicy, buildStep} from './jobFixture';
-import {type ModelHost, ModelSite} from './ModelSite';
+import type {ModelHost} from './ModelHost';
+import {ModelSite} from './ModelSite';
 import type {ModelWorker} from './ModelWorker';
 
 const STORM_MILLIS = 12_000;
@@ -16,6 +17,8 @@
 /** Which faults a schedule may draw. */
 export interface SiteFaults {
   readonly hostKills: number;
+  /** Times that all hosts are stopped and started again, one by one. */
+  readonly hostRolls: number;
   readonly hostCuts: number;
   readonly hostFreezes: number;
   readonly logOutages: number;
@@ -32,6 +35,7 @@
 /** All kinds of faults, a few of each. */
 export const ALL_FAULTS: SiteFaults = {
   hostKills: 3,
+  hostRolls: 1,
   hostCuts: 2,
   hostFreezes: 2,
   logOutages: 1,
@@ -71,6 +75,10 @@
       name: 'advised',
       advice: {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 2500},
     }),
+    buildPolicy({
+      name: 'slowly-advised',
+      advice: {decisionMillis: 390, perWorkerMillis: 6, validityMillis: 2000},
+    }),
   ];
   const cutFromLog = new Map<string, 'refuses' | 'silent'>();
   const cutFromWorkers = new Set<string>();
@@ -80,6 +88,7 @@
     hosts: 3,
     workers: 6,
     capacity: CAPACITY,
+    forbiddenWorkers: 2,
     random,
     policies,
     weather: {
@@ -118,6 +127,16 @@
     site.kill(host);
     at(between(100, 2500), () => site.restart(host));
   });
+  forTimes(faults.hostRolls, () => {
+    const graceMillis = between(200, 1500);
+    const gapMillis = between(100, 2000);
+    site.hosts.forEach((host, index) =>
+      at(index * gapMillis, () => {
+        site.stop(host, graceMillis);
+        at(graceMillis + between(100, 800), () => site.restart(host));
+      }),
+    );
+  });
   forTimes(faults.hostCuts, () => {
     const {name} = faultyHost();
     cutFromLog.set(name, random() < 0.5 ? 'refuses' : 'silent');
