A waiting gang asks about workers it has not asked about yet

Change: while such a gang waits, it asks about each worker that nobody asked about yet, once these have room; the room it waits for is kept as before.

--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -229,6 +229,9 @@
     return [];
   }
   if (wouldFitEmpty(permitted, unit)) {
+    // Others may have room sooner, if only these were there to be asked about.
+    const others = suitable.filter(({worker}) => !advice.judged.has(worker.id));
+    askForMore(update, self, unit, advice, others);
     // Room that is free now waits for the rest, so that the gang's turn comes.
     for (const candidate of permitted) {
       take(candidate, unit, fittingTasks(candidate, unit));
