What the platform made needless is removed; demo, command and benchmarks remade

In their place, on the path that runs: the demo (three processes, a chain, a gang and a service, the holder killed, a cancel, a wrong request, SIGTERM, no broken promise); the operators' command (status, explain a job from the logs, check of files); the benchmarks (slopes of decisions, idle host, take-over); the sensitivity test: a log that appends without its condition, workers that obey every holder, workers that keep no lease, each noticed by the judge, and a sound site with none. The tests of the old path have these and the random schedules of the site in their place.

--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,104 +1,127 @@
 import {
-  type CallerAnswer,
-  callEntry,
-  startSite,
+  type HostAnswer,
+  ONE_QUEUE_CONFIGURATION,
+  type Platform,
+  type SiteProcessHost,
+  buildStep,
+  callHost,
+  cancelAt,
+  findHolder,
+  readinessOf,
+  startPlatform,
+  startSiteProcesses,
+  stateAt,
+  submitAt,
   waitFor,
-  type Site,
 } from '@samphireramp/testing';
-import {dirname} from 'node:path';
-import {fileURLToPath} from 'node:url';
+import {join} from 'node:path';
 
 const PATIENCE_MILLIS = 30_000;
+const HOSTS = 3;
+const WORKERS = 4;
+const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
+
+const CHAIN = [
+  buildStep({count: 4, estimateMillis: 400}),
+  buildStep({count: 2, estimateMillis: 400, after: [0]}),
+];
+const GANG = [buildStep({count: 4, estimateMillis: 800, isGang: true})];
+const SERVICE = [buildStep({count: 2, isService: true})];
 
 function say(line: string): void {
   process.stdout.write(`${line}\n`);
 }
 
-function show(what: string, {status, body}: CallerAnswer): void {
-  say(`${what}: ${status} ${JSON.stringify(body)}`);
+function show(what: string, {status, text}: HostAnswer): void {
+  say(`${what}: ${status} ${text.trim()}`);
 }
 
-/** Follows a job until it has ended. */
-async function follow(site: Site, key: string): Promise<string> {
-  const address = site.hosts[site.hosts.length - 1].callerAddress;
+/** Follows a job at a host until it is in a wanted state. */
+async function follow(
+  host: SiteProcessHost,
+  id: string,
+  wanted: string,
+): Promise<boolean> {
   let state = '';
-  await waitFor(async () => {
-    const path = `/v1/jobs/${encodeURIComponent(key)}`;
-    const {body} = await callEntry(address, 'GET', path);
-    const status = body['status'] as {state: string; tasks: unknown};
-    if (status.state !== state) {
-      state = status.state;
-      say(`  job ${key}: ${state} ${JSON.stringify(status.tasks)}`);
+  return waitFor(async () => {
+    const now = await stateAt(host, id);
+    if (now !== state) {
+      state = now;
+      say(`  job ${id} at ${host.name}: ${state}`);
     }
-    return state !== 'queued' && state !== 'running';
+    return state === wanted;
   }, PATIENCE_MILLIS);
-  return state;
 }
 
-async function runJob(
-  site: Site,
-  workload: string,
-  member: string,
-  tasks: number,
-): Promise<string> {
-  const address = site.hosts[0].callerAddress;
-  const request = {workload, member, tasks, input: {runMillis: 800}};
-  const answer = await callEntry(address, 'POST', '/v1/jobs', request);
-  show(`${workload} of ${tasks} tasks`, answer);
-  const status = answer.body['status'] as {key: string};
-  return follow(site, status.key);
+/** Takes jobs of each kind through a site that loses its holder meanwhile. */
+async function play(
+  platform: Platform,
+  hosts: readonly SiteProcessHost[],
+  holder: SiteProcessHost,
+): Promise<boolean> {
+  const [first, second] = hosts.filter(host => host !== holder);
+  const [chain, gang, service] = ['a1', 'a2', 'a3'].map(id =>
+    id.padStart(16, '0'),
+  );
+  show('a job of two steps', await submitAt(platform, first, chain, CHAIN));
+  show('the same again', await submitAt(platform, second, chain, CHAIN));
+  const isChainDone = await follow(second, chain, 'completed');
+
+  show('a gang of four', await submitAt(platform, first, gang, GANG));
+  show('a service', await submitAt(platform, first, service, SERVICE));
+  await follow(second, gang, 'running');
+  say(`${holder.name} holds the site and is killed`);
+  holder.process.kill('SIGKILL');
+  await holder.ended;
+  const isGangDone = await follow(second, gang, 'completed');
+  const isServing = await follow(second, service, 'running');
+  show('cancel of the service', await cancelAt(platform, first, service));
+  const isCancelled = await follow(second, service, 'cancelled');
+
+  const wrong = await callHost(first.callerAddress, 'POST', '/queue/zz', {});
+  show('a wrong request', wrong);
+  first.process.kill('SIGTERM');
+  const status = await first.ended;
+  say(`${first.name} was told to stop and ended with status ${status}`);
+  say(`broken promises: ${platform.judge.violations.join('; ') || 'none'}`);
+  return (
+    isChainDone &&
+    isGangDone &&
+    isServing &&
+    isCancelled &&
+    wrong.status === 400 &&
+    status === 0 &&
+    platform.judge.violations.length === 0
+  );
 }
 
-/** Serves every kind of work over a site of two zones, then stops it. */
+/** Starts a platform of stand-ins and a site on it, and stops both. */
 async function main(): Promise<boolean> {
-  const site = await startSite({
-    zones: ['tema', 'osu'],
-    hostsInZone: 2,
-    workersInZone: 3,
-    programs: dirname(fileURLToPath(import.meta.url)),
+  const platform = await startPlatform({
+    workers: WORKERS,
+    capacity: CAPACITY,
+    configuration: ONE_QUEUE_CONFIGURATION,
+    script: (job, place) => {
+      const step = job.steps[place.step];
+      const workMillis = step.isService ? Infinity : step.estimateMillis;
+      return {step, workMillis, fails: () => false};
+    },
   });
+  const program = join(import.meta.dirname, 'samphireramp-site.mjs');
+  const site = await startSiteProcesses(platform, HOSTS, program);
   try {
-    const parts = `${site.hosts.length} entry hosts, ${site.workers.length} workers, a log and a host list`;
-    say(`started ${parts}, each a process of its own`);
-    const applied = await site.command(
-      'apply',
-      site.declarationFile,
-      `--log-url=${site.logUrl}`,
-      '--author=demo',
-      ...site.hosts.map(host => `--host=${host.statusAddress}`),
-    );
-    say(`apply: ${applied.errors.trim()}; ${applied.output.trim()}`);
-    const request = {workload: 'slot-check', member: 'till', input: {slot: 7}};
-    const answers: CallerAnswer[] = [];
+    say(`${HOSTS} hosts, each a process, on a platform of ${WORKERS} workers`);
     for (const host of site.hosts) {
-      const path = '/v1/requests';
-      const answer = await callEntry(host.callerAddress, 'POST', path, request);
-      show(`slot check at ${host.name}`, answer);
-      answers.push(answer);
+      await waitFor(
+        async () => (await readinessOf(host)) === 200,
+        PATIENCE_MILLIS,
+      );
     }
-    const batch = await runJob(site, 'reconciliation', 'desk', 4);
-    const atOnce = await runJob(site, 'route-plan', 'planner', 3);
-    const wrong = await callEntry(
-      site.hosts[0].callerAddress,
-      'POST',
-      '/v1/requests',
-      {workload: 7},
-    );
-    show('a wrong request', wrong);
-    const [first] = site.hosts;
-    first.process.kill('SIGTERM');
-    const status = await first.ended;
-    say(`${first.name} was told to stop and ended with status ${status}`);
-    return (
-      applied.status === 0 &&
-      answers.every(answer => answer.status === 200) &&
-      batch === 'succeeded' &&
-      atOnce === 'succeeded' &&
-      wrong.status === 400 &&
-      status === 0
-    );
+    const holder = await findHolder(site, PATIENCE_MILLIS);
+    return holder !== undefined && (await play(platform, site.hosts, holder));
   } finally {
     await site.stop();
+    platform.stop();
   }
 }
 
--- a/packages/operator-command/src/CommandError.ts
+++ b/packages/operator-command/src/CommandError.ts
@@ -3,8 +3,6 @@
   done: 0,
   failed: 1,
   wrongInput: 2,
-  lostRace: 3,
-  notInForce: 4,
 } as const;
 
 /** A fault that ends the command, in one line, with what to do next. */
--- a/packages/operator-command/src/hostStatus.ts
+++ b/packages/operator-command/src/hostStatus.ts
@@ -1,67 +1,37 @@
-import {requestJson} from '@samphireramp/platform-client';
-import * as z from 'zod/mini';
+import {request} from 'undici';
 
-const TIMEOUT_MILLIS = 2000;
+/** How long a host may take to answer. */
+const ANSWER_MILLIS = 3000;
+const SERIES = /^samphireramp_(\S+) (\S+)$/gm;
 
-/** What an entry host tells about itself. */
-export const hostStatusSchema = z.object({
-  host: z.string(),
-  zone: z.string(),
-  revision: z.int(),
-  holding: z.array(z.string()),
-  hosts: z.array(
-    z.object({
-      name: z.string(),
-      zone: z.string(),
-      isAlive: z.boolean(),
-      revision: z.int(),
-    }),
-  ),
-  shards: z.array(
-    z.object({
-      shardId: z.string(),
-      phase: z.string(),
-      term: z.int(),
-      isRecovered: z.boolean(),
-      queued: z.int(),
-    }),
-  ),
-  workers: z.array(
-    z.object({
-      worker: z.string(),
-      shardId: z.string(),
-      leaseMillisLeft: z.number(),
-      leaving: z.boolean(),
-    }),
-  ),
-  tasks: z.int(),
-});
-
-/** What an entry host tells about itself. */
-export type HostStatus = z.infer<typeof hostStatusSchema>;
-
-/** The answer of one host, or why there is none. */
-export interface HostReport {
+/** How a host stands, by its metrics. */
+export interface HostStatus {
   readonly address: string;
-  readonly status: HostStatus | undefined;
-  readonly detail: string;
-}
-
-/** Asks hosts for their status. */
-export function readStatuses(
-  addresses: readonly string[],
-): Promise<HostReport[]> {
-  return Promise.all(addresses.map(readStatus));
+  /** Why nothing is known; undefined if the host answered. */
+  readonly failure: string | undefined;
+  readonly isHolder: boolean;
+  /** Values by the name of their series. */
+  readonly values: ReadonlyMap<string, number>;
 }
 
-async function readStatus(address: string): Promise<HostReport> {
-  const result = await requestJson({
-    url: `http://${address}/status`,
-    method: 'GET',
-    schema: hostStatusSchema,
-    timeoutMillis: TIMEOUT_MILLIS,
-  });
-  return result.isOk()
-    ? {address, status: result.value, detail: ''}
-    : {address, status: undefined, detail: result.error.message};
+/** Reads the metrics of a host. */
+export async function readStatus(address: string): Promise<HostStatus> {
+  try {
+    const answer = await request(`http://${address}/metrics`, {
+      signal: AbortSignal.timeout(ANSWER_MILLIS),
+    });
+    const text = await answer.body.text();
+    const values = new Map(
+      [...text.matchAll(SERIES)].map(([, name, value]) => [
+        name,
+        Number(value),
+      ]),
+    );
+    const failure =
+      answer.statusCode === 200 ? undefined : `status ${answer.statusCode}`;
+    return {address, failure, isHolder: values.get('is_holder') === 1, values};
+  } catch (error) {
+    const failure = (error as Error).message;
+    return {address, failure, isHolder: false, values: new Map()};
+  }
 }
--- a/packages/operator-command/src/index.ts
+++ b/packages/operator-command/src/index.ts
@@ -1,19 +1,6 @@
-/** The operators' command, for those who embed it. */
+/** The operators' command: how a site stands, and why a job waits. */
 export {CommandError, EXIT} from './CommandError';
-export {
-  applyFile,
-  checkFile,
-  explainJob,
-  showDifference,
-  showHistory,
-  showStatus,
-  type ApplyOptions,
-  type CommandOutput,
-} from './commands';
-export {publish, readHistory} from './configurationLog';
-export {
-  formatFault,
-  parseDeclaration,
-  readDeclaration,
-  type FileFault,
-} from './readDeclaration';
+export {checkConfiguration, checkSettings} from './checkFiles';
+export {type Story, explainJob} from './explainJob';
+export {type LogLine, parseLogLine} from './logLines';
+export {type HostStatus, readStatus} from './hostStatus';
--- a/packages/operator-command/src/main.ts
+++ b/packages/operator-command/src/main.ts
@@ -1,26 +1,19 @@
-import {userInfo} from 'node:os';
+import {readFileSync} from 'node:fs';
+import {basename} from 'node:path';
 import yargs from 'yargs';
 import {CommandError, EXIT} from './CommandError';
-import {
-  type CommandOutput,
-  applyFile,
-  checkFile,
-  explainJob,
-  showDifference,
-  showHistory,
-  showStatus,
-} from './commands';
+import {checkConfiguration, checkSettings} from './checkFiles';
+import {explainJob} from './explainJob';
+import {type HostStatus, readStatus} from './hostStatus';
+import {type LogLine, parseLogLine} from './logLines';
 
-const APPLY_WAIT_MILLIS = 30_000;
+const STANDARD_INPUT = 0;
+/** Series that a status line shows, in this order. */
+const SHOWN = ['workers', 'runs', 'active_jobs', 'known_jobs', 'job_views'];
 
-function createOutput(format: string): CommandOutput {
-  return {
-    result: (text, value) => {
-      const shown = format === 'json' ? JSON.stringify(value) : text;
-      process.stdout.write(`${shown}\n`);
-    },
-    progress: line => void process.stderr.write(`${line}\n`),
-  };
+function print(format: string, text: string, value: unknown): void {
+  const shown = format === 'json' ? JSON.stringify(value) : text;
+  process.stdout.write(`${shown}\n`);
 }
 
 /** Ends with one line on the error stream and a documented exit status. */
@@ -31,96 +24,130 @@
     error instanceof CommandError ? error.exitStatus : EXIT.failed;
 }
 
+function readLogs(paths: readonly string[]): LogLine[] {
+  const files = paths.length > 0 ? paths : [undefined];
+  return files.flatMap(path => {
+    const text = readText(path);
+    const source = path === undefined ? '-' : basename(path, '.log');
+    return text
+      .split('\n')
+      .map(line => parseLogLine(line, source))
+      .filter(line => line !== undefined);
+  });
+}
+
+function readText(path: string | undefined): string {
+  try {
+    return readFileSync(path ?? STANDARD_INPUT, 'utf8');
+  } catch (error) {
+    throw new CommandError((error as Error).message, EXIT.wrongInput);
+  }
+}
+
+function explain(job: string, paths: readonly string[], format: string): void {
+  const story = explainJob(job, readLogs(paths));
+  if (story === undefined) {
+    const message = `no line names ${job}: are the logs of all hosts here?`;
+    throw new CommandError(message, EXIT.failed);
+  }
+  const lines = story.lines.map(({at, source, event, fields}) => {
+    const pairs = Object.entries(fields).map(
+      ([key, value]) => `${key}=${value}`,
+    );
+    return `${new Date(at).toISOString()} ${source} ${event} ${pairs.join(' ')}`;
+  });
+  print(format, [...lines, `${job}: ${story.verdict}`].join('\n'), story);
+}
+
+async function showStatus(
+  addresses: readonly string[],
+  format: string,
+): Promise<void> {
+  const hosts = await Promise.all(addresses.map(readStatus));
+  const values = hosts.map(host => ({
+    ...host,
+    values: Object.fromEntries(host.values),
+  }));
+  print(format, hosts.map(formatStatus).join('\n'), values);
+  const holders = hosts.filter(({isHolder}) => isHolder).length;
+  if (hosts.some(({failure}) => failure !== undefined) || holders > 1) {
+    process.exitCode = EXIT.failed;
+  }
+}
+
+function formatStatus({
+  address,
+  failure,
+  isHolder,
+  values,
+}: HostStatus): string {
+  if (failure !== undefined) {
+    return `${address} no answer: ${failure}`;
+  }
+  const shown = SHOWN.map(name => `${name}=${values.get(name) ?? 0}`);
+  return `${address} ${isHolder ? 'holds the site' : 'follows'} ${shown.join(' ')}`;
+}
+
+function checkHost(path: string, format: string): void {
+  const settings = checkSettings(path);
+  const {name, zone, region} = settings;
+  print(format, `${path}: host ${name} in ${zone}, ${region}`, settings);
+}
+
+function checkQueues(path: string, format: string): void {
+  const configuration = checkConfiguration(path);
+  const {revision, routes, pools} = configuration;
+  const lines = routes.map(
+    ({policy, pathPrefix}) =>
+      `  ${policy.name} at ${pathPrefix} on ${policy.pool}, priority ${policy.priority}`,
+  );
+  const title = `${path}: revision ${revision}, ${routes.length} queues, ${pools.length} pools`;
+  print(format, [title, ...lines].join('\n'), configuration);
+}
+
 const parser = yargs(process.argv.slice(2))
   .scriptName('samphireramp')
-  .usage('$0 <command>: declares what a site runs, and shows how it stands')
-  .env('SAMPHIRERAMP')
+  .usage('$0 <command>: shows how a site stands and why a job waits')
   .option('output', {
     choices: ['text', 'json'] as const,
     default: 'text' as const,
     description: 'form of the result',
   })
   .command(
-    'check <file>',
-    'check a declaration file, offline',
-    command => command.positional('file', {type: 'string', demandOption: true}),
-    argv => checkFile(argv.file, createOutput(argv.output)),
-  )
-  .command(
-    'diff <file>',
-    'show what applying a file would change',
+    'status <hosts..>',
+    'show how hosts stand, by their metrics addresses (HOST:PORT)',
     command =>
-      command
-        .positional('file', {type: 'string', demandOption: true})
-        .option('log-url', {type: 'string', demandOption: true}),
-    argv => showDifference(argv.file, argv.logUrl, createOutput(argv.output)),
+      command.positional('hosts', {
+        type: 'string',
+        array: true,
+        demandOption: true,
+      }),
+    argv => showStatus(argv.hosts, argv.output),
   )
   .command(
-    'apply <file>',
-    'apply a file as a whole and wait until it is in force',
+    'explain <job> [logs..]',
+    "tell what became of a job, from hosts' logs or standard input",
     command =>
       command
-        .positional('file', {type: 'string', demandOption: true})
-        .option('log-url', {type: 'string', demandOption: true})
-        .option('author', {type: 'string', default: userInfo().username})
-        .option('expect', {
-          type: 'number',
-          description: 'revision that must be in force',
-        })
-        .option('host', {
-          type: 'array',
-          string: true,
-          default: [] as string[],
-          description: 'status address of a host to wait for',
-        })
-        .option('wait-millis', {type: 'number', default: APPLY_WAIT_MILLIS}),
-    argv =>
-      applyFile(
-        {
-          file: argv.file,
-          logUrl: argv.logUrl,
-          author: argv.author,
-          expected: argv.expect,
-          hosts: argv.host,
-          waitMillis: argv.waitMillis,
-        },
-        createOutput(argv.output),
-      ),
-  )
-  .command(
-    'history',
-    'show who changed what, and what became of it',
-    command => command.option('log-url', {type: 'string', demandOption: true}),
-    argv => showHistory(argv.logUrl, createOutput(argv.output)),
+        .positional('job', {type: 'string', demandOption: true})
+        .positional('logs', {type: 'string', array: true}),
+    argv => explain(argv.job, argv.logs ?? [], argv.output),
   )
   .command(
-    'status',
-    'show hosts, shards and queues',
-    command =>
-      command.option('host', {
-        type: 'array',
-        string: true,
-        demandOption: true,
-        description: 'status address of a host',
-      }),
-    argv => showStatus(argv.host, createOutput(argv.output)),
+    'check-settings <file>',
+    "check a host's settings file, offline",
+    command => command.positional('file', {type: 'string', demandOption: true}),
+    argv => checkHost(argv.file, argv.output),
   )
   .command(
-    'explain <key>',
-    'tell why a job waits',
-    command =>
-      command
-        .positional('key', {type: 'string', demandOption: true})
-        .option('caller', {
-          type: 'string',
-          demandOption: true,
-          description: 'caller address of a host',
-        }),
-    argv => explainJob(argv.caller, argv.key, createOutput(argv.output)),
+    'check-configuration <file>',
+    'check a configuration of queues and pools, offline',
+    command => command.positional('file', {type: 'string', demandOption: true}),
+    argv => checkQueues(argv.file, argv.output),
   )
-  .completion('completion', 'print a completion script for the shell')
-  .demandCommand(1, 'name a command; see --help')
+  .demandCommand(1, 'name a command; --help lists them')
   .strict()
+  .exitProcess(false)
   .fail((message, error) => {
     throw error ?? new CommandError(message, EXIT.wrongInput);
   });
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,10 +2,8 @@
 
 /** Programs, each built to one file. */
 const PROGRAMS = {
-  'samphireramp-entry': 'packages/entry-daemon/src/main.ts',
   'samphireramp-site': 'packages/site-daemon/src/main.ts',
   samphireramp: 'packages/operator-command/src/main.ts',
-  'stand-in': 'stand-ins/src/main.ts',
   demo: 'demo/main.ts',
 };
 
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -225,6 +225,11 @@
     }
   }
 
+  /** How many runs are here. */
+  countRuns(): number {
+    return this.runs.length;
+  }
+
   /** How many members of a gang's run are here. */
   countGang(place: RunPlace): number {
     return this.runs.filter(run => isSameGang(run.place, place)).length;
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -1,6 +1,11 @@
 /** Models of the platform in virtual time, which watch over its rules. */
 export {Judge, type Rule} from './Judge';
-export {buildJob, buildPolicy, buildStep} from './jobFixture';
+export {
+  buildConfiguration,
+  buildJob,
+  buildPolicy,
+  buildStep,
+} from './jobFixture';
 export {ModelLog, type LogWeather} from './ModelLog';
 export type {ModelHost, ModelSiteOptions} from './ModelHost';
 export {ModelSite} from './ModelSite';
@@ -12,6 +17,16 @@
   type SiteReport,
   runSiteSchedule,
 } from './runSiteSchedule';
+export {
+  type HostAnswer,
+  ONE_QUEUE_CONFIGURATION,
+  callHost,
+  cancelAt,
+  findHolder,
+  readinessOf,
+  stateAt,
+  submitAt,
+} from './siteClient';
 export {
   type Platform,
   type PlatformOptions,
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -58,10 +58,14 @@
   readonly site: ModelSite;
 }
 
-/** Runs one random schedule: a storm with faults, then calm. */
+/**
+ * Runs one random schedule: a storm with faults, then calm. `prepare` may
+ * change the site before it begins.
+ */
 export async function runSiteSchedule(
   seed: number,
   faults: SiteFaults,
+  prepare: (site: ModelSite) => void = () => undefined,
 ): Promise<SiteReport> {
   const random = createRandom(seed);
   const between = (least: number, most: number) =>
@@ -107,6 +111,7 @@
       fails: run => failingJobs.has(job.id) && run % 3 !== 0,
     }),
   });
+  prepare(site);
   site.judge.isCalm = () => site.queue.now > STORM_MILLIS + CONTACT_MILLIS;
   const {queue} = site;
   const at = (millis: number, run: () => void) => queue.after(millis, run);
