Steps that wait long are told of in the log, with what they lack

Cause: the log of a job that waits ended with "advised"; that it waited, and for what, had to be worked out from the lines of other jobs.

Change: each second the holder looks through the steps that wait, and tells of up to five that have waited for two seconds or more: how many workers suit, were asked about and may run it, and the room they have. At most five lines a second, and one pass over waiting steps.

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -41,6 +41,7 @@
 } from './messages';
 import {PLACING_PLANNED, placeSoon} from './placeSoon';
 import {placeWork} from './placing';
+import {WAITING_SINCE, WAITS_LOOKED_AT, reportWaits} from './waits';
 
 /** Jobs that ended long ago are looked for this often. */
 const FORGET_EVERY_MILLIS = 5000;
@@ -92,6 +93,7 @@
       forgetEnded(update, wallClock(), keepEndedMillis);
     }
     voidLapsed(update);
+    reportWaits(update);
     placeSoon(update);
   }
 
@@ -107,6 +109,8 @@
       kernel.registerSlice(ASK_COUNT),
       kernel.registerSlice(PLACING_PLANNED),
       kernel.registerSlice(FORGOT_AT),
+      kernel.registerSlice(WAITS_LOOKED_AT),
+      kernel.registerSlice(WAITING_SINCE),
       kernel.registerCommand(CONFIGURATION_IN_FORCE, onConfiguration),
       kernel.registerCommand(HOLDING_BEGAN, update => {
         forgetSite(update);
@@ -164,4 +168,5 @@
   update.write(ADVICE).clear();
   update.write(LANES).clear();
   update.write(OPEN_ASKS).clear();
+  update.write(WAITING_SINCE).clear();
 }
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -10,7 +10,6 @@
   type Progress,
   type StepPlace,
   changeStep,
-  isStepReady,
   stepKey,
 } from '@samphireramp/jobs';
 import {askAdvice} from './adviceFlow';
@@ -22,20 +21,14 @@
   hasTicket,
   isPermitted,
   listCandidates,
-  makeUnit,
   suits,
   take,
   tasksWhenEmpty,
 } from './candidates';
-import {
-  JOBS,
-  activeJobs,
-  mayStall,
-  policyOf,
-  setProgress,
-} from './DispatchState';
+import {JOBS, mayStall, setProgress} from './DispatchState';
 import {DISPATCH_EVENT} from './messages';
 import {placeSoon} from './placeSoon';
+import {placeOf, unitsInOrder} from './waitingUnits';
 
 /** Units placed in one pass before the loop turns to other things. */
 const MOST_PLACED = 64;
@@ -74,33 +67,6 @@
   }
 }
 
-function unitsInOrder(update: Update): Unit[] {
-  const units: Unit[] = [];
-  for (const row of activeJobs(update)) {
-    const policy = policyOf(update, row.job);
-    for (const occurrence of row.progress.occurrences) {
-      row.job.steps.forEach((_, stepNumber) => {
-        if (isStepReady(row.job, occurrence, stepNumber)) {
-          const unit = makeUnit(row, policy, occurrence, stepNumber);
-          if (unit !== undefined) {
-            units.push(unit);
-          }
-        }
-      });
-    }
-  }
-  return units.sort(
-    (a, b) =>
-      a.policy.priority - b.policy.priority ||
-      a.row.objectiveAt - b.row.objectiveAt,
-  );
-}
-
-function placeOf({row, occurrence, stepNumber}: Unit): StepPlace {
-  const {id: jobId} = row.job;
-  return {jobId, occurrence: occurrence.number, step: stepNumber};
-}
-
 function chooseForTasks(
   update: Update,
   self: string,
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -195,3 +195,24 @@
     );
   },
 );
+
+void t.test(
+  'a step that waits long is told of, with what it lacks',
+  async t => {
+    const site = buildSite(2);
+    await site.run(1000);
+    const wide = {cpuMillis: 9000, memoryMegabytes: 1000, accelerators: 0};
+    const job = buildJob('00000000000000b2', [buildStep({need: wide})], {
+      policy: POLICIES[0],
+      receivedAt: 1000,
+    });
+    void site.submit(site.hosts[0], job);
+    await site.run(6000);
+    const told = site.events.filter(line => line.includes('step-waits'));
+    t.ok(told.length >= 1 && told.length <= 4, `told ${told.length} times`);
+    t.match(
+      told[0],
+      /1 tasks, 2 workers suit, 0 asked about, 2 may, room for 0/,
+    );
+  },
+);
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -26,6 +26,8 @@
   readonly workerCuts: number;
   readonly workerRestarts: number;
   readonly workersGone: number;
+  /** Workers that say so, go on for a while, and leave. */
+  readonly workersLeaving: number;
   readonly workersStuck: number;
   readonly workersFailing: number;
   readonly lostOrders: boolean;
@@ -43,6 +45,7 @@
   workerCuts: 2,
   workerRestarts: 2,
   workersGone: 1,
+  workersLeaving: 1,
   workersStuck: 1,
   workersFailing: 1,
   lostOrders: true,
@@ -90,7 +93,7 @@
   let isStormy = true;
   const site = new ModelSite({
     hosts: 3,
-    workers: 6,
+    workers: 7,
     capacity: CAPACITY,
     forbiddenWorkers: 2,
     random,
@@ -181,6 +184,16 @@
     worker.leave();
     at(ENTRY_MILLIS, () => site.unlist(worker));
   });
+  forTimes(faults.workersLeaving, () => {
+    const worker = pick(site.workers);
+    if (worker.isUp) {
+      site.list(worker, true);
+      at(between(500, 3000), () => {
+        worker.leave();
+        site.unlist(worker);
+      });
+    }
+  });
   const spoil = (times: number, change: (worker: ModelWorker) => () => void) =>
     forTimes(times, () => at(between(500, 5000), change(pick(site.workers))));
   spoil(faults.workersStuck, worker => {
