A soak of the real programs; early signals no longer end the daemon

The soak starts the built daemon as processes on the stand-in of the platform and does what a seed draws from outside: SIGKILL, SIGTERM, SIGHUP, SIGSTOP, rounds of restarts; links to the store, the adviser, workers and from callers slow, refused, deaf or mute, or reset; the store and orders busy, silent, answered never, carried out late; workers that start anew or stand still; configurations in series. The stand-in's adviser is the model's now: it forbids workers, has one lane a host and checks tickets at the start.

Cause: the handlers were set after the host had started, and a signal that nobody takes ends the process; a reload during a restart killed the new process. Change: the first module that loads takes the signals and keeps them until the daemon listens.

--- /dev/null
+++ b/packages/site-daemon/src/__tests__/unit/signals.test.ts
@@ -0,0 +1,11 @@
+import t from 'tap';
+import {type DaemonSignal, listenToSignals} from '../../signals';
+
+void t.test('a signal that comes too early is kept, not fatal', async t => {
+  const seen: DaemonSignal[] = [];
+  process.emit('SIGHUP');
+  listenToSignals(signal => seen.push(signal));
+  t.same(seen, ['SIGHUP']);
+  process.emit('SIGTERM');
+  t.same(seen, ['SIGHUP', 'SIGTERM']);
+});
--- a/packages/site-daemon/src/main.ts
+++ b/packages/site-daemon/src/main.ts
@@ -1,3 +1,5 @@
+// First, so that it loads before the libraries do.
+import {listenToSignals} from './signals';
 import {type HostSettings, decodeHostSettings} from '@samphireramp/platform';
 import {
   type LineWriter,
@@ -49,7 +51,7 @@
     logLinesLeftOut: logs.leftOut,
   });
   let isStopping = false;
-  const onStop = () => {
+  const stop = () => {
     if (!isStopping) {
       isStopping = true;
       void host.stop().then(() => {
@@ -58,9 +60,7 @@
       });
     }
   };
-  process.on('SIGTERM', onStop);
-  process.on('SIGINT', onStop);
-  process.on('SIGHUP', () => {
+  const reload = () => {
     const next = readNodeFile(own.nodeFile);
     if (typeof next === 'string') {
       log('reload-refused', {file: own.nodeFile, detail: next});
@@ -68,7 +68,8 @@
     }
     current = next;
     log('reloaded', {file: own.nodeFile, store: next.storeAddress});
-  });
+  };
+  listenToSignals(signal => (signal === 'SIGHUP' ? reload() : stop()));
 }
 
 function readNodeFile(path: string): HostSettings | string {
--- a/testing/src/__tests__/process/siteProcesses.test.ts
+++ b/testing/src/__tests__/process/siteProcesses.test.ts
@@ -1,13 +1,15 @@
 import {spawnSync} from 'node:child_process';
 import t from 'tap';
 import {
-  ONE_QUEUE_CONFIGURATION,
   type Platform,
   type SiteProcessHost,
   type SiteProcesses,
+  QUEUE,
+  buildJob,
   buildStep,
   callHost,
   cancelAt,
+  encodeConfiguration,
   findHolder,
   readinessOf,
   startPlatform,
@@ -18,6 +20,7 @@
 } from '../../index';
 
 const PROGRAM = 'dist/samphireramp-site.mjs';
+const HOSTS = 3;
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
 const STEPS = [buildStep({count: 2}), buildStep({count: 2, after: [0]})];
 const WORK_MILLIS = 400;
@@ -31,15 +34,16 @@
 ): Promise<{platform: Platform; site: SiteProcesses}> {
   const platform = await startPlatform({
     workers: 3,
+    hosts: HOSTS,
     capacity: CAPACITY,
-    configuration: ONE_QUEUE_CONFIGURATION,
+    configuration: encodeConfiguration([QUEUE], 3),
     script: (job, place) => ({
       step: job.steps[place.step],
       workMillis,
       fails: () => false,
     }),
   });
-  const site = await startSiteProcesses(platform, 3, PROGRAM);
+  const site = await startSiteProcesses(platform, HOSTS, PROGRAM);
   for (const host of site.hosts) {
     await until(async () => (await readinessOf(host)) === 200);
   }
@@ -63,20 +67,22 @@
     platform.stop();
   });
   const [first, second] = site.hosts;
-  const id = '00000000000000a1';
-  t.equal((await submitAt(platform, first, id, STEPS)).status, 200);
+  const job = buildJob('00000000000000a1', STEPS, {policy: QUEUE});
+  t.equal((await submitAt(platform, first.callerAddress, job)).status, 200);
   t.equal(
-    (await submitAt(platform, second, id, STEPS)).status,
+    (await submitAt(platform, second.callerAddress, job)).status,
     200,
     'a repeat',
   );
-  await until(async () => (await stateAt(second, id)) === 'completed');
+  await until(
+    async () => (await stateAt(second.callerAddress, job)) === 'completed',
+  );
   // Each host shows its own copy of the journal, which it reads by itself.
   await until(
-    async () => (await stateAt(first, id)) === 'completed',
+    async () => (await stateAt(first.callerAddress, job)) === 'completed',
     VISIBLE_MILLIS,
   );
-  t.equal(platform.judge.startsOf(id), 4);
+  t.equal(platform.judge.startsOf(job.id), 4);
   t.same(platform.judge.violations, []);
 
   const {callerAddress} = first;
@@ -105,20 +111,26 @@
     throw new Error('no host holds the site');
   }
   const other = site.hosts.find(host => host !== holder) as SiteProcessHost;
-  const ids = ['00000000000000b1', '00000000000000b2', '00000000000000b3'];
-  for (const id of ids) {
-    t.equal((await submitAt(platform, other, id, STEPS)).status, 200);
+  const jobs = ['b1', 'b2', 'b3'].map(id =>
+    buildJob(id.padStart(16, '0'), STEPS, {policy: QUEUE}),
+  );
+  for (const job of jobs) {
+    t.equal((await submitAt(platform, other.callerAddress, job)).status, 200);
   }
-  await until(async () => (await stateAt(other, ids[0])) === 'running');
+  await until(
+    async () => (await stateAt(other.callerAddress, jobs[0])) === 'running',
+  );
   holder.process.kill('SIGKILL');
   t.equal(await holder.ended, 'SIGKILL');
-  for (const id of ids) {
-    await until(async () => (await stateAt(other, id)) === 'completed');
-    t.equal(platform.judge.startsOf(id), 4);
+  for (const job of jobs) {
+    await until(
+      async () => (await stateAt(other.callerAddress, job)) === 'completed',
+    );
+    t.equal(platform.judge.startsOf(job.id), 4);
   }
   site.restart(holder);
   await until(async () => (await readinessOf(holder)) === 200);
-  t.equal(await stateAt(holder, ids[0]), 'completed');
+  t.equal(await stateAt(holder.callerAddress, jobs[0]), 'completed');
   t.same(platform.judge.violations, []);
 });
 
@@ -129,17 +141,25 @@
     platform.stop();
   });
   const [first, second] = site.hosts;
-  const id = '00000000000000c1';
-  await submitAt(platform, first, id, STEPS);
-  await until(async () => (await stateAt(second, id)) === 'running');
-  const cancelled = await cancelAt(platform, second, id);
+  const job = buildJob('00000000000000c1', STEPS, {policy: QUEUE});
+  await submitAt(platform, first.callerAddress, job);
+  await until(
+    async () => (await stateAt(second.callerAddress, job)) === 'running',
+  );
+  const cancelled = await cancelAt(platform, second.callerAddress, job);
   t.equal(cancelled.status, 200);
-  await until(async () => (await stateAt(first, id)) === 'cancelled');
+  await until(
+    async () => (await stateAt(first.callerAddress, job)) === 'cancelled',
+  );
   first.process.kill('SIGHUP');
   await until(async () => first.output.includes('event=reloaded'));
   first.process.kill('SIGTERM');
   await until(async () => (await readinessOf(first)) === 503);
-  t.equal(await stateAt(first, id), 'cancelled', 'served while it stops');
+  t.equal(
+    await stateAt(first.callerAddress, job),
+    'cancelled',
+    'served while it stops',
+  );
   t.equal(await first.ended, 0);
   t.match(
     first.output,
--- /dev/null
+++ b/testing/src/__tests__/process/soak.test.ts
@@ -0,0 +1,27 @@
+import t from 'tap';
+import {REGRESSION_SEEDS, runSoak} from '../../index';
+
+const FIRST_SEED = 20_261_204;
+
+function run(seed: number) {
+  return runSoak({
+    seed,
+    program: 'dist/samphireramp-site.mjs',
+    stormMillis: 6000,
+    faultEveryMillis: 500,
+    jobs: 20,
+  });
+}
+
+void t.test('a short soak shows no broken promise', async t => {
+  const {findings, accepted, faults} = await run(FIRST_SEED);
+  t.same(findings, [], faults.join('; '));
+  t.ok(accepted > 0);
+});
+
+for (const {seed, cause} of REGRESSION_SEEDS) {
+  void t.test(`seed ${seed}: ${cause}`, async t => {
+    const {findings, faults} = await run(seed);
+    t.same(findings, [], faults.join('; '));
+  });
+}
--- a/testing/src/index.ts
+++ b/testing/src/index.ts
@@ -4,3 +4,4 @@
 export {createRandom} from './seededRandom';
 export {waitFor} from './waitFor';
 export * from './site';
+export * from './soak';
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -15,18 +15,22 @@
   ALL_FAULTS,
   type SiteFaults,
   type SiteReport,
+  drawSteps,
   runSiteSchedule,
 } from './runSiteSchedule';
 export {
   type HostAnswer,
-  ONE_QUEUE_CONFIGURATION,
+  QUEUE,
+  announceJob,
   callHost,
   cancelAt,
+  encodeConfiguration,
   findHolder,
   readinessOf,
   stateAt,
   submitAt,
 } from './siteClient';
+export type {CallFate, PlatformWeather} from './platformWeather';
 export {
   type Platform,
   type PlatformOptions,
--- /dev/null
+++ b/testing/src/site/platformWeather.ts
@@ -0,0 +1,53 @@
+import type {Hono} from 'hono';
+import type {ModelWorker} from './ModelWorker';
+
+/**
+ * What becomes of a call: `busy` and `silent` calls are not carried out, `lost`
+ * ones are without an answer, and `late` ones so after a while.
+ */
+export type CallFate = 'answered' | 'busy' | 'silent' | 'lost' | 'late';
+
+/** How the platform treats calls just now. */
+export interface PlatformWeather {
+  store(): CallFate;
+  /** Starts and stops of runs at a worker. */
+  order(worker: ModelWorker): CallFate;
+  /** Milliseconds after which a late call is carried out. */
+  lateMillis(): number;
+}
+
+/** Weather in which every call is answered. */
+export const CALM_PLATFORM: PlatformWeather = {
+  store: () => 'answered',
+  order: () => 'answered',
+  lateMillis: () => 0,
+};
+
+/** Has calls of an application meet their fates. */
+export function meetFate(
+  app: Hono,
+  paths: string,
+  fate: () => CallFate,
+  weather: PlatformWeather,
+): void {
+  app.use(paths, async (context, next) => {
+    const met = fate();
+    if (met === 'answered') {
+      return next();
+    }
+    if (met === 'busy') {
+      return context.json({}, 503);
+    }
+    if (met !== 'silent') {
+      // The body comes whole before the caller gives up.
+      await context.req.arrayBuffer();
+      if (met === 'late') {
+        await new Promise(resolve => {
+          setTimeout(resolve, weather.lateMillis()).unref();
+        });
+      }
+      await next();
+    }
+    return new Promise<Response>(() => undefined);
+  });
+}
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -271,7 +271,8 @@
   };
 }
 
-function drawSteps(
+/** Draws the steps of a job. */
+export function drawSteps(
   random: () => number,
   between: (least: number, most: number) => number,
 ): Step[] {
--- a/testing/src/site/siteClient.ts
+++ b/testing/src/site/siteClient.ts
@@ -1,34 +1,46 @@
-import {type Step, jobSchema} from '@samphireramp/jobs';
+import type {Job, QueuePolicy, Step} from '@samphireramp/jobs';
 import {request} from 'undici';
 import {waitFor} from '../waitFor';
-import {buildJob, buildPolicy} from './jobFixture';
+import {buildPolicy} from './jobFixture';
 import type {Platform} from './startPlatform';
 import type {SiteProcessHost, SiteProcesses} from './startSiteProcesses';
 
 const QUEUE_HOST = 'jobs.example';
-const QUEUE_PREFIX = '/queue/';
-const MOST_ATTEMPTS = 3;
 const CALL_MILLIS = 5000;
 
-/** A configuration with one queue, in the platform's own format. */
-export const ONE_QUEUE_CONFIGURATION = {
-  version: 3,
-  routes: [
-    {
-      name: 'queue',
+/** The one queue of most tests with processes. */
+export const QUEUE = buildPolicy({
+  priority: 0,
+  targetMillis: 500,
+  advice: {decisionMillis: 5, perWorkerMillis: 1, validityMillis: 2500},
+});
+
+/** A configuration with some queues, in the platform's own format. */
+export function encodeConfiguration(
+  policies: readonly QueuePolicy[],
+  version: number,
+): object {
+  return {
+    version,
+    routes: policies.map(policy => ({
+      name: policy.name,
       host: QUEUE_HOST,
-      path_prefix: QUEUE_PREFIX,
-      service: 'pool',
-      priority: 0,
-      max_attempts: MOST_ATTEMPTS,
-      stretch: 2,
-      target_latency_ms: 500,
-      advice: {decision_ms: 5, per_worker_ms: 1, validity_ms: 2500},
-    },
-  ],
-  services: [{name: 'pool', rejects_overload: false}],
-  limits: {max_body_bytes: 10_000},
-};
+      path_prefix: `/${policy.name}/`,
+      service: policy.pool,
+      priority: policy.priority,
+      max_attempts: policy.maxAttempts,
+      stretch: policy.stretch,
+      target_latency_ms: policy.targetMillis,
+      advice: policy.advice && {
+        decision_ms: policy.advice.decisionMillis,
+        per_worker_ms: policy.advice.perWorkerMillis,
+        validity_ms: policy.advice.validityMillis,
+      },
+    })),
+    services: [{name: 'pool', rejects_overload: false}],
+    limits: {max_body_bytes: 10_000},
+  };
+}
 
 /** What a host answered. */
 export interface HostAnswer {
@@ -52,54 +64,73 @@
   return {status: answer.statusCode, text: await answer.body.text()};
 }
 
-/** Tells the judge of a job, and hands it in at a host. */
-export function submitAt(
-  platform: Platform,
-  host: SiteProcessHost,
-  id: string,
-  steps: readonly Step[],
-): Promise<HostAnswer> {
-  const job = jobSchema.parse(buildJob(id, steps, {policy: buildPolicy()}));
-  platform.judge.jobs.set(id, {
+/** Tells the judge of a job that a caller is about to hand in. */
+export function announceJob(platform: Platform, job: Job) {
+  const known = platform.judge.jobs.get(job.id) ?? {
     job,
-    maxAttempts: MOST_ATTEMPTS,
+    maxAttempts: job.policy.maxAttempts,
     acceptedAt: undefined,
     openTries: 0,
-    isRefused: false,
+    isRefused: true,
     isCancelAsked: false,
     cancelledAt: undefined,
-  });
-  return callHost(host.callerAddress, 'POST', `${QUEUE_PREFIX}${id}`, {
-    specification: job.input,
-    steps: steps.map(encodeStep),
-  });
+  };
+  platform.judge.jobs.set(job.id, known);
+  return known;
 }
 
-/** Cancels a job at a host. */
-export function cancelAt(
+/** Hands a job in at a host. Throws if no answer comes. */
+export async function submitAt(
   platform: Platform,
-  host: SiteProcessHost,
-  id: string,
+  address: string,
+  job: Job,
 ): Promise<HostAnswer> {
-  const asked = platform.judge.jobs.get(id);
-  if (asked !== undefined) {
-    asked.isCancelAsked = true;
+  const known = announceJob(platform, job);
+  known.openTries++;
+  let isRefused = false;
+  try {
+    const answer = await callHost(address, 'POST', pathOf(job), {
+      specification: job.input,
+      steps: job.steps.map(encodeStep),
+    });
+    isRefused = answer.status === 503 || answer.status === 429;
+    if (answer.status === 200) {
+      known.acceptedAt ??= performance.now();
+    }
+    return answer;
+  } finally {
+    known.openTries--;
+    known.isRefused &&= isRefused;
   }
-  return callHost(host.callerAddress, 'DELETE', `${QUEUE_PREFIX}${id}`);
+}
+
+/** Cancels a job at a host. Throws if no answer comes. */
+export async function cancelAt(
+  platform: Platform,
+  address: string,
+  job: Job,
+): Promise<HostAnswer> {
+  const known = announceJob(platform, job);
+  known.isCancelAsked = true;
+  const answer = await callHost(address, 'DELETE', pathOf(job));
+  if (answer.status === 200) {
+    known.cancelledAt ??= performance.now();
+  }
+  return answer;
 }
 
 /** The state of a job as a host shows it, or the status of its refusal. */
-export async function stateAt(
-  host: SiteProcessHost,
-  id: string,
-): Promise<string> {
-  const path = `${QUEUE_PREFIX}${id}`;
-  const answer = await callHost(host.callerAddress, 'GET', path);
+export async function stateAt(address: string, job: Job): Promise<string> {
+  const answer = await callHost(address, 'GET', pathOf(job));
   return answer.status === 200
     ? (JSON.parse(answer.text) as {state: string}).state
     : String(answer.status);
 }
 
+function pathOf({id, policy}: Job): string {
+  return `/${policy.name}/${id}`;
+}
+
 /** Status of a host's readiness; 0 if it does not answer. */
 export async function readinessOf(host: SiteProcessHost): Promise<number> {
   return callHost(host.readinessAddress, 'GET', '/api/readiness').then(
@@ -139,6 +170,7 @@
     after: step.after,
     gang_scheduled: step.isGang,
     checkpointing: step.savesCheckpoints,
+    anti_affinity: step.mostOnOneWorker,
     long_running: step.isService,
   };
 }
--- a/testing/src/site/startPlatform.ts
+++ b/testing/src/site/startPlatform.ts
@@ -2,13 +2,17 @@
 import type {Amounts, Job, RunPlace} from '@samphireramp/jobs';
 import type {LogRecord, StreamName} from '@samphireramp/stream-log';
 import {type Context, Hono} from 'hono';
+import {match} from 'ts-pattern';
 import type {Server} from 'node:http';
 import type {Timeline} from '../EventQueue';
 import {findFreePorts} from '../findFreePorts';
 import {Judge} from './Judge';
+import {ModelAdviser} from './ModelAdviser';
 import {ModelLog, newestOf} from './ModelLog';
 import {ModelWorker, type TaskScript} from './ModelWorker';
 import {FAIR} from './SiteWeather';
+import {CALM_PLATFORM, type PlatformWeather, meetFate} from './platformWeather';
+import {bornOf, workerApp} from './workerApp';
 
 const HOST = '127.0.0.1';
 const PARTITIONS = 4;
@@ -16,7 +20,6 @@
 const WORKER_TICK_MILLIS = 10;
 const OFFSET_BYTES = 8;
 const LENGTH_BYTES = 4;
-const VALIDITY_MILLIS = 2500;
 
 const STREAMS: Readonly<Record<string, StreamName>> = {
   'keyed.op': 'configuration',
@@ -33,19 +36,39 @@
   readonly script: (job: Job, place: RunPlace) => TaskScript;
   /** The operator's configuration, in the platform's own format. */
   readonly configuration: object;
+  /** Hosts that the adviser tells from each other. */
+  readonly hosts: number;
+  /** Workers that no start of a step may go to, for each step; 0 unless set. */
+  readonly forbiddenWorkers?: number;
+  readonly weather?: PlatformWeather;
 }
 
 /** The platform's store, adviser and workers, over HTTP on loopback. */
 export interface Platform {
   readonly storeAddress: string;
-  readonly adviserAddress: string;
+  /** The adviser, one address for each host. */
+  readonly adviserAddresses: readonly string[];
   readonly partitions: number;
   readonly judge: Judge;
   readonly log: ModelLog;
   readonly workers: readonly ModelWorker[];
+  /** Where each worker is reached, by its id. */
+  readonly workerAddresses: ReadonlyMap<string, string>;
+  /** Writes a worker's entry anew, with another address if one is given. */
+  list(worker: ModelWorker, change?: EntryChange): void;
+  /** Removes a worker's entry. */
+  unlist(worker: ModelWorker): void;
+  /** Puts another configuration in force. */
+  configure(configuration: object): void;
   stop(): void;
 }
 
+/** What of a worker's entry may be told otherwise. */
+export interface EntryChange {
+  readonly address?: string;
+  readonly state?: 'ready' | 'draining';
+}
+
 /** Starts a stand-in of the platform in this process, in real time. */
 export async function startPlatform(
   options: PlatformOptions,
@@ -65,17 +88,35 @@
   };
   const judge = new Judge(timeline);
   const log = new ModelLog(timeline, FAIR, PARTITIONS);
-  const ports = await findFreePorts(2 + options.workers);
+  const ports = await findFreePorts(1 + options.hosts + options.workers);
   const address = () => `${HOST}:${ports.pop()}`;
   const storeAddress = address();
-  const adviserAddress = address();
-  const servers = [
-    listen(storeApp(log), storeAddress),
-    listen(adviserApp(), adviserAddress),
-  ];
+  const weather = options.weather ?? CALM_PLATFORM;
   const workers: ModelWorker[] = [];
+  const adviser = new ModelAdviser(
+    timeline,
+    workers,
+    jobId => judge.jobs.get(jobId)?.job.policy.advice,
+    options.forbiddenWorkers ?? 0,
+  );
+  const servers = [listen(storeApp(log, weather), storeAddress)];
+  const adviserAddresses = Array.from({length: options.hosts}, () => {
+    const own = address();
+    servers.push(listen(adviserApp(adviser, own), own));
+    return own;
+  });
+  const workerAddresses = new Map<string, string>();
+  const list = (worker: ModelWorker, change: EntryChange = {}) => {
+    const own = workerAddresses.get(worker.id) ?? '';
+    const entry = {...entryOf(worker, own, options.capacity), ...change};
+    log.put('workers', worker.id, Buffer.from(JSON.stringify(entry)));
+  };
+  const configure = (configuration: object) => {
+    const text = JSON.stringify(configuration);
+    log.put('configuration', 'config', Buffer.from(text));
+  };
   for (let index = 0; index < options.workers; index++) {
-    const worker = new ModelWorker(
+    const worker: ModelWorker = new ModelWorker(
       `worker-${index}`,
       `rack-${index % 2}`,
       options.capacity,
@@ -86,27 +127,31 @@
         const job = judge.jobs.get(place.jobId)?.job;
         return job && options.script(job, place);
       },
+      order => adviser.accepts(order.ticket, order.place, worker),
     );
     workers.push(worker);
     const own = address();
-    servers.push(listen(workerApp(worker), own));
-    const entry = entryOf(worker, own, options.capacity);
-    log.put('workers', worker.id, Buffer.from(JSON.stringify(entry)));
+    servers.push(listen(workerApp(worker, weather), own));
+    workerAddresses.set(worker.id, own);
+    list(worker);
   }
   judge.workers = workers;
-  const configuration = JSON.stringify(options.configuration);
-  log.put('configuration', 'config', Buffer.from(configuration));
+  configure(options.configuration);
   const ticker = setInterval(
     () => workers.forEach(worker => worker.tick()),
     WORKER_TICK_MILLIS,
   );
   return {
     storeAddress,
-    adviserAddress,
+    adviserAddresses,
     partitions: PARTITIONS,
     judge,
     log,
     workers,
+    workerAddresses,
+    list,
+    unlist: worker => log.put('workers', worker.id, Buffer.alloc(0)),
+    configure,
     stop: () => {
       clearInterval(ticker);
       timers.forEach(timer => clearTimeout(timer));
@@ -142,17 +187,14 @@
   };
 }
 
-function bornOf(worker: ModelWorker): number {
-  return Number(worker.life.split('@')[1]);
-}
-
 function place(context: Context): [StreamName, number] {
   const topic = context.req.query('topic') ?? '';
   return [STREAMS[topic], Number(context.req.query('part'))];
 }
 
-function storeApp(log: ModelLog): Hono {
+function storeApp(log: ModelLog, weather: PlatformWeather): Hono {
   const app = new Hono();
+  meetFate(app, '/api/*', () => weather.store(), weather);
   app.post('/api/log-append', async context => {
     const [stream, partition] = place(context);
     const body = Buffer.from(await context.req.arrayBuffer());
@@ -195,113 +237,34 @@
   return app;
 }
 
-function adviserApp(): Hono {
+function adviserApp(adviser: ModelAdviser, host: string): Hono {
   const app = new Hono();
   app.post('/api/advise', async context => {
-    const {workers} = await context.req.json<{workers: string[]}>();
-    const good = workers.map(id => [id, `ticket-${id}`]);
-    return context.json({good, validity_ms: VALIDITY_MILLIS});
-  });
-  return app;
-}
-
-interface OrderBody {
-  readonly task: string;
-  readonly run: number;
-  readonly specification: string;
-  readonly until_ms: number;
-  readonly fencing_token: number;
-  readonly last_checkpoint?: string;
-  readonly ack_cursor: number;
-  readonly wait_ms?: number;
-}
-
-const REASONS: Readonly<Record<string, string>> = {
-  fenced: 'fence',
-  superseded: 'old',
-  late: 'late',
-};
-
-function workerApp(worker: ModelWorker): Hono {
-  const app = new Hono();
-  app.use(async (context, next) => {
-    if (context.req.header('expected-instance') !== worker.id) {
-      return context.json({}, 421);
-    }
-    await next();
-    return undefined;
-  });
-  app.post('/api/hold', async context => {
-    const body = await context.req.json<OrderBody>();
-    const listing = await worker.hold(
-      body.fencing_token,
-      body.ack_cursor,
-      body.until_ms,
-      body.wait_ms ?? 0,
-    );
-    if (listing === 'fenced') {
-      return context.json({reason: 'fence'}, 409);
-    }
-    return context.json({
-      clock_ms: listing.clockMillis,
-      born: bornOf(worker),
-      running: listing.running.map(run => [
-        nameOf(run.place),
-        run.place.run,
-        run.checkpoint,
-        run.percent,
-        0,
-      ]),
-      ended_runs: listing.ended.map(end => [
-        end.number,
-        nameOf(end.place),
-        end.place.run,
-        end.how,
-        end.checkpoint,
-      ]),
-    });
-  });
-  app.post('/api/run-start', async context => {
-    const body = await context.req.json<OrderBody>();
-    const outcome = worker.start(
-      {
-        place: placeOf(body),
-        life: worker.life,
-        input: body.specification,
-        checkpoint: body.last_checkpoint ?? '',
-        ticket: undefined,
-      },
-      body.fencing_token,
-      body.until_ms,
-    );
-    return outcome === 'started'
-      ? context.json({clock_ms: Math.floor(worker.clock())})
-      : context.json({reason: REASONS[outcome] ?? 'room'}, 409);
-  });
-  app.post('/api/run-stop', async context => {
-    const body = await context.req.json<OrderBody>();
-    return worker.stop(placeOf(body), body.fencing_token) === 'stopped'
-      ? context.json({clock_ms: Math.floor(worker.clock())})
-      : context.json({reason: 'fence'}, 409);
+    const {step, workers} = await context.req.json<{
+      step: string;
+      workers: string[];
+    }>();
+    const [jobId, occurrence, number] = step.split('.');
+    const place = {
+      jobId,
+      occurrence: Number(occurrence),
+      step: Number(number),
+    };
+    const advice = await adviser.advise(host, place, workers);
+    return match(advice)
+      .with({kind: 'answered'}, ({permits, validityMillis}) =>
+        context.json({
+          good: permits.map(({workerId, ticket}) => [workerId, ticket]),
+          validity_ms: validityMillis,
+        }),
+      )
+      .with({kind: 'busy'}, () => context.json({}, 429))
+      .with({kind: 'failed'}, () => context.json({}, 400))
+      .exhaustive();
   });
   return app;
 }
 
-function nameOf({jobId, occurrence, step, index}: RunPlace): string {
-  return [jobId, occurrence, step, index].join('.');
-}
-
-function placeOf({task, run}: OrderBody): RunPlace {
-  const [jobId, occurrence, step, index] = task.split('.');
-  return {
-    jobId,
-    occurrence: Number(occurrence),
-    step: Number(step),
-    index: Number(index),
-    run,
-  };
-}
-
 function frame({key, value}: LogRecord): Buffer[] {
   const head = Buffer.alloc(LENGTH_BYTES + 1);
   head.writeUInt32BE(1 + key.length + value.length, 0);
--- a/testing/src/site/startSiteProcesses.ts
+++ b/testing/src/site/startSiteProcesses.ts
@@ -17,6 +17,8 @@
   readonly metricsAddress: string;
   readonly settingsFile: string;
   process: ChildProcess;
+  /** When the process was started, on this process's clock. */
+  launchedAt: number;
   /** Everything it wrote to standard output. */
   output: string;
   /** Resolves with the exit status, or the signal that ended it. */
@@ -30,11 +32,21 @@
   stop(): Promise<void>;
 }
 
+/** Where a host reaches the platform. */
+export interface PlatformAddresses {
+  readonly store: string;
+  readonly adviser: string;
+}
+
 /** Starts hosts as separate processes of the built program. */
 export async function startSiteProcesses(
   platform: Platform,
   count: number,
   program: string,
+  addressesOf = (index: number): PlatformAddresses => ({
+    store: platform.storeAddress,
+    adviser: platform.adviserAddresses[index],
+  }),
 ): Promise<SiteProcesses> {
   const folder = mkdtempSync(join(tmpdir(), 'samphireramp-site-'));
   const ports = await findFreePorts(count * PORTS_OF_HOST);
@@ -45,6 +57,7 @@
       PORTS_OF_HOST,
     );
     const name = `host-${index}`;
+    const addresses = addressesOf(index);
     const settingsFile = join(folder, `${name}.json`);
     const settings = {
       node_name: name,
@@ -57,8 +70,8 @@
       },
       internal_port_range: [internal, internal],
       bounds: {grace_period_s: GRACE_SECONDS, status_s: 120},
-      advice: platform.adviserAddress,
-      platform: {address: platform.storeAddress, parts: platform.partitions},
+      advice: addresses.adviser,
+      platform: {address: addresses.store, parts: platform.partitions},
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
     const host: SiteProcessHost = {
@@ -99,7 +112,7 @@
   const ended = new Promise<number | string>(resolve => {
     child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
   });
-  return {process: child, ended};
+  return {process: child, ended, launchedAt: performance.now()};
 }
 
 function watch(host: SiteProcessHost): void {
--- /dev/null
+++ b/testing/src/soak/main.ts
@@ -0,0 +1,32 @@
+import yargs from 'yargs';
+import {runSoak} from './runSoak';
+
+/** Runs the soak by hand: `npm run soak -- --runs=50 --from=1000`. */
+const argv = await yargs(process.argv.slice(2))
+  .option('from', {type: 'number', default: 1, description: 'first seed'})
+  .option('runs', {type: 'number', default: 10, description: 'how many seeds'})
+  .option('storm-millis', {type: 'number', default: 12_000})
+  .option('fault-every-millis', {type: 'number', default: 700})
+  .option('jobs', {type: 'number', default: 40})
+  .option('log-folder', {type: 'string', description: 'logs of findings'})
+  .strict()
+  .parseAsync();
+
+let failed = 0;
+for (let seed = argv.from; seed < argv.from + argv.runs; seed++) {
+  const {findings, accepted, faults} = await runSoak({
+    seed,
+    program: 'dist/samphireramp-site.mjs',
+    stormMillis: argv.stormMillis,
+    faultEveryMillis: argv.faultEveryMillis,
+    jobs: argv.jobs,
+    logFolder: argv.logFolder,
+  });
+  failed += findings.length > 0 ? 1 : 0;
+  const outcome = findings.length === 0 ? 'ok' : findings.join('; ');
+  process.stdout.write(
+    `seed=${seed} faults=${faults.length} accepted=${accepted} ${outcome}\n`,
+  );
+}
+process.stdout.write(`${argv.runs - failed} runs passed, ${failed} failed\n`);
+process.exitCode = failed === 0 ? 0 : 1;
--- /dev/null
+++ b/testing/src/soak/regressionSeeds.ts
@@ -0,0 +1,10 @@
+/** Seeds of the soak that showed a fault once, each with its cause. */
+export const REGRESSION_SEEDS: ReadonlyArray<{
+  readonly seed: number;
+  readonly cause: string;
+}> = [
+  {
+    seed: 2,
+    cause: 'a SIGHUP while the daemon still started ended its process',
+  },
+];
