Placing costs less: no calls to keep names, passes that rest, no vain looks

Change: the bundle keeps readable names by not shortening them; a pass rests for four times what the last one took; a step that waits for its first advice is passed over before its workers are looked at; the share kept for urgent work is worked out without closures.

--- a/benchmarks/startBenchProcesses.ts
+++ b/benchmarks/startBenchProcesses.ts
@@ -1,7 +1,8 @@
 import {
-  ONE_QUEUE_CONFIGURATION,
   type Platform,
   type SiteProcesses,
+  QUEUE,
+  encodeConfiguration,
   readinessOf,
   startPlatform,
   startSiteProcesses,
@@ -10,6 +11,7 @@
 
 const PROGRAM = 'dist/samphireramp-site.mjs';
 const PATIENCE_MILLIS = 20_000;
+const HOSTS = 3;
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
 
 /** Starts three hosts as processes on a platform of so many workers. */
@@ -18,14 +20,15 @@
 ): Promise<{platform: Platform; site: SiteProcesses}> {
   const platform = await startPlatform({
     workers,
+    hosts: HOSTS,
     capacity: CAPACITY,
-    configuration: ONE_QUEUE_CONFIGURATION,
+    configuration: encodeConfiguration([QUEUE], 1),
     script: (job, place) => {
       const step = job.steps[place.step];
       return {step, workMillis: step.estimateMillis, fails: () => false};
     },
   });
-  const site = await startSiteProcesses(platform, 3, PROGRAM);
+  const site = await startSiteProcesses(platform, HOSTS, PROGRAM);
   for (const host of site.hosts) {
     await waitFor(
       async () => (await readinessOf(host)) === 200,
--- a/benchmarks/takeover.ts
+++ b/benchmarks/takeover.ts
@@ -1,4 +1,6 @@
 import {
+  QUEUE,
+  buildJob,
   buildStep,
   findHolder,
   readinessOf,
@@ -28,11 +30,12 @@
   holder.process.kill('SIGKILL');
   await holder.ended;
   const id = run.toString(16).padStart(16, '0');
+  const job = buildJob(id, STEPS, {policy: QUEUE});
   const startedAt = performance.now();
-  const {status} = await submitAt(platform, other, id, STEPS);
+  const {status} = await submitAt(platform, other.callerAddress, job);
   const acceptedAt = performance.now();
   const isDone = await waitFor(
-    async () => (await stateAt(other, id)) === 'completed',
+    async () => (await stateAt(other.callerAddress, job)) === 'completed',
     PATIENCE_MILLIS,
   );
   const fields = {
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,11 +1,13 @@
 import {
   type HostAnswer,
-  ONE_QUEUE_CONFIGURATION,
   type Platform,
   type SiteProcessHost,
+  QUEUE,
+  buildJob,
   buildStep,
   callHost,
   cancelAt,
+  encodeConfiguration,
   findHolder,
   readinessOf,
   startPlatform,
@@ -14,6 +16,7 @@
   submitAt,
   waitFor,
 } from '@samphireramp/testing';
+import type {Job} from '@samphireramp/jobs';
 import {join} from 'node:path';
 
 const PATIENCE_MILLIS = 30_000;
@@ -21,12 +24,24 @@
 const WORKERS = 4;
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
 
-const CHAIN = [
-  buildStep({count: 4, estimateMillis: 400}),
-  buildStep({count: 2, estimateMillis: 400, after: [0]}),
-];
-const GANG = [buildStep({count: 4, estimateMillis: 800, isGang: true})];
-const SERVICE = [buildStep({count: 2, isService: true})];
+const CHAIN = buildJob(
+  '00000000000000a1',
+  [
+    buildStep({count: 4, estimateMillis: 400}),
+    buildStep({count: 2, estimateMillis: 400, after: [0]}),
+  ],
+  {policy: QUEUE},
+);
+const GANG = buildJob(
+  '00000000000000a2',
+  [buildStep({count: 4, estimateMillis: 800, isGang: true})],
+  {policy: QUEUE},
+);
+const SERVICE = buildJob(
+  '00000000000000a3',
+  [buildStep({count: 2, isService: true})],
+  {policy: QUEUE},
+);
 
 function say(line: string): void {
   process.stdout.write(`${line}\n`);
@@ -39,15 +54,15 @@
 /** Follows a job at a host until it is in a wanted state. */
 async function follow(
   host: SiteProcessHost,
-  id: string,
+  job: Job,
   wanted: string,
 ): Promise<boolean> {
   let state = '';
   return waitFor(async () => {
-    const now = await stateAt(host, id);
+    const now = await stateAt(host.callerAddress, job);
     if (now !== state) {
       state = now;
-      say(`  job ${id} at ${host.name}: ${state}`);
+      say(`  job ${job.id} at ${host.name}: ${state}`);
     }
     return state === wanted;
   }, PATIENCE_MILLIS);
@@ -60,23 +75,25 @@
   holder: SiteProcessHost,
 ): Promise<boolean> {
   const [first, second] = hosts.filter(host => host !== holder);
-  const [chain, gang, service] = ['a1', 'a2', 'a3'].map(id =>
-    id.padStart(16, '0'),
-  );
-  show('a job of two steps', await submitAt(platform, first, chain, CHAIN));
-  show('the same again', await submitAt(platform, second, chain, CHAIN));
-  const isChainDone = await follow(second, chain, 'completed');
+  const submit = (host: SiteProcessHost, job: Job) =>
+    submitAt(platform, host.callerAddress, job);
+  show('a job of two steps', await submit(first, CHAIN));
+  show('the same again', await submit(second, CHAIN));
+  const isChainDone = await follow(second, CHAIN, 'completed');
 
-  show('a gang of four', await submitAt(platform, first, gang, GANG));
-  show('a service', await submitAt(platform, first, service, SERVICE));
-  await follow(second, gang, 'running');
+  show('a gang of four', await submit(first, GANG));
+  show('a service', await submit(first, SERVICE));
+  await follow(second, GANG, 'running');
   say(`${holder.name} holds the site and is killed`);
   holder.process.kill('SIGKILL');
   await holder.ended;
-  const isGangDone = await follow(second, gang, 'completed');
-  const isServing = await follow(second, service, 'running');
-  show('cancel of the service', await cancelAt(platform, first, service));
-  const isCancelled = await follow(second, service, 'cancelled');
+  const isGangDone = await follow(second, GANG, 'completed');
+  const isServing = await follow(second, SERVICE, 'running');
+  show(
+    'cancel of the service',
+    await cancelAt(platform, first.callerAddress, SERVICE),
+  );
+  const isCancelled = await follow(second, SERVICE, 'cancelled');
 
   const wrong = await callHost(first.callerAddress, 'POST', '/queue/zz', {});
   show('a wrong request', wrong);
@@ -99,8 +116,9 @@
 async function main(): Promise<boolean> {
   const platform = await startPlatform({
     workers: WORKERS,
+    hosts: HOSTS,
     capacity: CAPACITY,
-    configuration: ONE_QUEUE_CONFIGURATION,
+    configuration: encodeConfiguration([QUEUE], 1),
     script: (job, place) => {
       const step = job.steps[place.step];
       const workMillis = step.isService ? Infinity : step.estimateMillis;
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -69,13 +69,12 @@
 export function fittingTasks(candidate: Candidate, unit: Unit): number {
   const {need, step, policy} = unit;
   const {capacity} = candidate.worker;
-  const isUrgent = policy.priority === URGENT_PRIORITY;
-  const kept = (amount: number, needed: number) =>
-    isUrgent ? 0 : keptForUrgent(amount, needed);
-  const cpu = candidate.cpuMillis - kept(capacity.cpuMillis, need.cpuMillis);
-  const memory =
-    candidate.memoryMegabytes -
-    kept(capacity.memoryMegabytes, need.memoryMegabytes);
+  let cpu = candidate.cpuMillis;
+  let memory = candidate.memoryMegabytes;
+  if (policy.priority !== URGENT_PRIORITY) {
+    cpu -= keptForUrgent(capacity.cpuMillis, need.cpuMillis);
+    memory -= keptForUrgent(capacity.memoryMegabytes, need.memoryMegabytes);
+  }
   const byRoom = Math.min(
     times(cpu, need.cpuMillis),
     times(memory, need.memoryMegabytes),
--- a/packages/dispatch/src/placing.ts
+++ b/packages/dispatch/src/placing.ts
@@ -53,7 +53,8 @@
     }
     const place = placeOf(unit);
     const advice = update.read(ADVICE).get(stepKey(place)) ?? NO_ADVICE;
-    if (advice.notBefore > update.now) {
+    const isUnknown = advice.permits.size === 0 && advice.openAsk !== undefined;
+    if (isUnknown || advice.notBefore > update.now) {
       continue;
     }
     const suitable = candidates.filter(({worker}) => suits(worker, unit));
--- a/packages/operator-command/src/__tests__/unit/checkFiles.test.ts
+++ b/packages/operator-command/src/__tests__/unit/checkFiles.test.ts
@@ -1,4 +1,4 @@
-import {ONE_QUEUE_CONFIGURATION} from '@samphireramp/testing';
+import {QUEUE, encodeConfiguration} from '@samphireramp/testing';
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import t from 'tap';
@@ -13,7 +13,7 @@
 void t.test('a configuration is read, and a wrong one is named', async t => {
   const folder = t.testdir();
   const good = join(folder, 'good.json');
-  writeFileSync(good, JSON.stringify(ONE_QUEUE_CONFIGURATION));
+  writeFileSync(good, JSON.stringify(encodeConfiguration([QUEUE], 3)));
   t.equal(checkConfiguration(good).routes.length, 1);
   const bad = join(folder, 'bad.json');
   writeFileSync(bad, '{"routes": 7}');
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -155,7 +155,7 @@
       log,
     }),
   );
-  const unregisterTimers = kernel.register(createTimersPlugin());
+  const unregisterTimers = kernel.register(createTimersPlugin(now));
   const stopAnnouncing = announce(streams, settings, log);
   log('started', {host: self, zone, region, incarnation});
 
--- a/packages/site-daemon/src/timersPlugin.ts
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -16,12 +16,20 @@
 const INTAKE_TICK_MILLIS = 5000;
 /** What happens within this time is placed in one pass. */
 const PLACING_GATHER_MILLIS = 2;
+/** A pass rests for this many times what the last one took. */
+const PLACING_REST_TIMES = 4;
 
 /** Tells the kernel, on the runtime's clock, that things are due. */
-export function createTimersPlugin(): Plugin {
+export function createTimersPlugin(now: () => number): Plugin {
   return kernel => {
     const every = (command: Command<void>, millis: number) =>
       setInterval(() => kernel.dispatch(command, undefined), millis);
+    let restMillis = 0;
+    const place = () => {
+      const startedAt = now();
+      kernel.dispatch(PLACE_WORK, undefined);
+      restMillis = (now() - startedAt) * PLACING_REST_TIMES;
+    };
     const timers = [
       every(HOLDING_TICK, HOLDING_TICK_MILLIS),
       every(FLEET_TICK, FLEET_TICK_MILLIS),
@@ -31,10 +39,7 @@
     return mergeUnregister(
       () => timers.forEach(timer => clearInterval(timer)),
       kernel.registerEffect(PLAN_PLACING, () => {
-        setTimeout(
-          () => kernel.dispatch(PLACE_WORK, undefined),
-          PLACING_GATHER_MILLIS,
-        );
+        setTimeout(place, Math.max(PLACING_GATHER_MILLIS, restMillis));
       }),
       kernel.registerEffect(PLAN_HEDGE, ({batchId, millis}) => {
         setTimeout(() => kernel.dispatch(HEDGE_REQUESTS, {batchId}), millis);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,7 +9,7 @@
 
 // Bundled CommonJS libraries ask for `require`, which modules do not have.
 const REQUIRE_BANNER =
-  "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);";
+  "import {createRequire as makeRequire} from 'node:module'; const require = makeRequire(import.meta.url);";
 
 // The folder may be named, as the platform's deployment does.
 const [outdir = 'dist'] = process.argv.slice(2);
@@ -22,8 +22,9 @@
   platform: 'node',
   format: 'esm',
   target: 'node20',
-  minify: true,
-  keepNames: true,
+  // Names stay readable in logs; keeping them by calls would cost at run time.
+  minifyWhitespace: true,
+  minifySyntax: true,
   banner: {js: REQUIRE_BANNER},
   external: ['msgpackr-extract'],
   logLevel: 'warning',
