A slow log gets few batches of requests, not many copies of each

Change: requests gather while three batches are under way, one if appends take over 150 ms on average, and go together, 40 at most; a copy is sent after three times what an append takes now, and not before 250 ms. The first job of a batch names its partition, so a job may stand in any.

--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,10 +1,5 @@
 /** Acceptance of jobs and cancels at any host, and what callers see. */
-export {
-  ACCEPTED,
-  type IntakeOptions,
-  createIntakePlugin,
-  partitionOf,
-} from './intakePlugin';
+export {ACCEPTED, type IntakeOptions, createIntakePlugin} from './intakePlugin';
 export {type JobStatus, countPending, jobStatus} from './jobStatus';
 export {
   ANSWER_CALL,
--- a/packages/intake/src/intakePlugin.ts
+++ b/packages/intake/src/intakePlugin.ts
@@ -24,8 +24,20 @@
 
 /** Requests that come within this time are written together. */
 const GATHER_MILLIS = 3;
+/** Requests in one batch at the most. */
+const MOST_TOGETHER = 40;
+/** Batches under way at the most; what comes meanwhile goes together. */
+const MOST_BATCHES = 3;
+/** The same while the log takes long: its partitions take one at a time. */
+const MOST_BATCHES_WHEN_SLOW = 1;
+/** An append that takes this long on average makes the log slow. */
+const SLOW_APPEND_MILLIS = 150;
+/** Share of a new measurement in the running time of an append. */
+const APPEND_TIME_WEIGHT = 0.3;
 /** A batch without an answer is sent once more, beside the first, after this. */
 const HEDGE_MILLIS = 250;
+/** ... and not before this many times what an append takes now. */
+const HEDGE_APPEND_TIMES = 3;
 /** ... and twice as long after each further time. */
 const HEDGE_GROWTH = 2;
 const MOST_TRIES = 4;
@@ -67,6 +79,9 @@
 const BATCHES = createTableSlice<RequestBatch>('request-batches');
 const BATCH_COUNT = createValueSlice('request-batch-count', 0);
 
+/** Running mean of how long batches take, in milliseconds. */
+const APPEND_TIME = createValueSlice('request-append-time', 0);
+
 /** What the plug-in is given. */
 export interface IntakeOptions {
   /** Partitions of the stream of requests. */
@@ -98,21 +113,19 @@
     gathered.set([...gathered.get(), waiting]);
   }
 
+  /** Sends what was gathered, as far as batches may be under way. */
   function flush(update: Update): void {
     const gathered = update.write(GATHERED);
-    const byPartition = new Map<number, Waiting[]>();
-    for (const waiting of gathered.get()) {
-      const partition = partitionOf(jobIdOf(waiting.request), partitions);
-      const together = byPartition.get(partition) ?? [];
-      byPartition.set(partition, [...together, waiting]);
-    }
-    gathered.set([]);
-    for (const [partition, waiting] of byPartition) {
+    const isSlow = update.read(APPEND_TIME).get() > SLOW_APPEND_MILLIS;
+    const most = isSlow ? MOST_BATCHES_WHEN_SLOW : MOST_BATCHES;
+    while (gathered.get().length > 0 && update.read(BATCHES).size < most) {
+      const waiting = gathered.get().slice(0, MOST_TOGETHER);
+      gathered.set(gathered.get().slice(MOST_TOGETHER));
       const count = update.write(BATCH_COUNT);
       count.set(count.get() + 1);
       send(update, {
         id: String(count.get()),
-        partition,
+        partition: partitionOf(jobIdOf(waiting[0].request), partitions),
         waiting,
         startedAt: update.now,
         tries: 0,
@@ -135,7 +148,11 @@
       timeoutMillis: Math.max(1, GIVE_UP_MILLIS - sinceStart),
     });
     if (tries < MOST_TRIES) {
-      const millis = HEDGE_MILLIS * HEDGE_GROWTH ** batch.tries;
+      const first = Math.max(
+        HEDGE_MILLIS,
+        update.read(APPEND_TIME).get() * HEDGE_APPEND_TIMES,
+      );
+      const millis = first * HEDGE_GROWTH ** batch.tries;
       update.emit(PLAN_HEDGE, {batchId: batch.id, millis});
     }
   }
@@ -203,10 +220,13 @@
     detail: string,
   ): void {
     update.write(BATCHES).delete(batch.id);
-    const millis = Math.round(update.now - batch.startedAt);
+    const took = update.now - batch.startedAt;
+    const time = update.write(APPEND_TIME);
+    time.set(time.get() + (took - time.get()) * APPEND_TIME_WEIGHT);
     for (const waiting of batch.waiting) {
-      answer(update, waiting, result, detail, millis);
+      answer(update, waiting, result, detail, Math.round(took));
     }
+    flush(update);
   }
 
   function answer(
@@ -244,6 +264,7 @@
       kernel.registerSlice(GATHERED),
       kernel.registerSlice(BATCHES),
       kernel.registerSlice(BATCH_COUNT),
+      kernel.registerSlice(APPEND_TIME),
       kernel.registerCommand(REQUEST_RECEIVED, onReceived),
       kernel.registerCommand(FLUSH_REQUESTS, flush),
       kernel.registerCommand(HEDGE_REQUESTS, hedge),
@@ -268,8 +289,8 @@
   return isCaughtUp && update.now - readAt > OUT_OF_REACH_MILLIS;
 }
 
-/** The partition that the requests about a job are written to. */
-export function partitionOf(jobId: string, partitions: number): number {
+/** The partition that a batch is written to first, by its first job. */
+function partitionOf(jobId: string, partitions: number): number {
   let hash = 0;
   for (let index = 0; index < jobId.length; index++) {
     hash = (hash * 31 + jobId.charCodeAt(index)) >>> 0;
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -1,7 +1,9 @@
 import {RUN_ENDED, WORKERS} from '@samphireramp/fleet';
+import {JOB_VIEWS} from '@samphireramp/holding';
 import t from 'tap';
 import {
   ModelSite,
+  type ModelSiteOptions,
   buildJob,
   buildPolicy,
   buildStep,
@@ -15,7 +17,10 @@
   buildPolicy({name: 'advised', priority: 1, advice: ADVICE}),
 ];
 
-function buildSite(workers: number): ModelSite {
+function buildSite(
+  workers: number,
+  change: Partial<ModelSiteOptions> = {},
+): ModelSite {
   return new ModelSite({
     hosts: 2,
     workers,
@@ -27,6 +32,7 @@
       workMillis: job.steps[place.step].estimateMillis,
       fails: () => false,
     }),
+    ...change,
   });
 }
 
@@ -216,3 +222,80 @@
     );
   },
 );
+
+void t.test('a job written to two partitions is forgotten in both', async t => {
+  const site = buildSite(2, {keepEndedMillis: 1000});
+  await site.run(1000);
+  let appends = 0;
+  site.weather = {...site.weather, losesAnswer: () => ++appends === 1};
+  const job = buildJob('00000000000000b3', [buildStep()], {
+    policy: POLICIES[0],
+    receivedAt: 1000,
+  });
+  const other = site.hosts.find(host => host !== site.holder());
+  void site.submit(other ?? site.hosts[0], job);
+  await site.run(15_000);
+  t.equal(site.judge.startsOf(job.id), 1);
+  const holder = site.holder();
+  if (holder !== undefined) {
+    site.kill(holder);
+  }
+  await site.run(5000);
+  t.ok(site.holder(), 'another host holds the site');
+  t.equal(site.judge.startsOf(job.id), 1, 'it did not run again');
+});
+
+void t.test('a slow log gets few appends, and jobs are accepted', async t => {
+  const site = buildSite(4);
+  await site.run(1000);
+  const busyUntil = new Map<number, number>();
+  let most = 0;
+  // Each partition takes a quarter of a second for an append, one at a time.
+  site.log.serve = partition => {
+    const {now} = site.queue;
+    const until = Math.max(now, busyUntil.get(partition) ?? 0) + 250;
+    busyUntil.set(partition, until);
+    most = Math.max(most, until - now);
+    return until - now;
+  };
+  const answers: Array<string | undefined> = [];
+  for (let index = 0; index < 100; index++) {
+    const id = `c${index}`.padStart(16, '0');
+    const job = buildJob(id, [buildStep({estimateMillis: 50})], {
+      policy: POLICIES[0],
+      receivedAt: site.queue.now,
+    });
+    const host = site.hosts[index % site.hosts.length];
+    void site.submit(host, job).then(answer => answers.push(answer?.kind));
+    await site.run(40);
+  }
+  await site.run(2000);
+  t.equal(answers.filter(kind => kind === 'accepted').length, 100);
+  t.ok(most < 2000, `an append waited ${Math.round(most)} ms`);
+});
+
+void t.test('a job is forgotten only once its request is dropped', async t => {
+  const site = buildSite(2, {keepEndedMillis: 1000});
+  const carryOut = site.log.carryOut.bind(site.log);
+  site.log.carryOut = request =>
+    request.stream === 'requests' &&
+    request.records.some(({value}) => value.length === 0)
+      ? {kind: 'refused', detail: 'busy'}
+      : carryOut(request);
+  await site.run(1000);
+  const job = buildJob('00000000000000b4', [buildStep()], {
+    policy: POLICIES[0],
+    receivedAt: 1000,
+  });
+  void site.submit(site.hosts[0], job);
+  await site.run(15_000);
+  const holder = site.holder();
+  if (holder !== undefined) {
+    site.kill(holder);
+  }
+  await site.run(5000);
+  t.equal(site.judge.startsOf(job.id), 1, 'it did not run again');
+  site.log.carryOut = carryOut;
+  await site.run(8000);
+  t.equal(site.holder()?.kernel.read(JOB_VIEWS).has(job.id), false);
+});
--- a/testing/src/site/ModelHost.ts
+++ b/testing/src/site/ModelHost.ts
@@ -13,6 +13,8 @@
   readonly policies: readonly QueuePolicy[];
   /** Workers that the adviser forbids to each step of a queue with advice. */
   readonly forbiddenWorkers?: number;
+  /** How long callers may ask for a job that has ended; long unless set. */
+  readonly keepEndedMillis?: number;
   /** What a task does when it runs. */
   readonly script: (job: Job, place: RunPlace) => TaskScript;
 }
--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -62,6 +62,9 @@
     };
   }
 
+  /** Milliseconds that a partition takes for the next append of requests. */
+  serve: (partition: number) => number = () => APPEND_MILLIS;
+
   private append(host: string, request: AppendRequest): Promise<AppendOutcome> {
     const {queue, weather} = this;
     return new Promise(resolve => {
@@ -76,7 +79,11 @@
         return;
       }
       const isLost = weather.losesAnswer();
-      const delay = APPEND_MILLIS + weather.delayMillis();
+      const own =
+        request.stream === 'requests'
+          ? this.serve(request.partition)
+          : APPEND_MILLIS;
+      const delay = own + weather.delayMillis();
       queue.after(delay, () => {
         const outcome = this.carryOut(request);
         if (!isLost) {
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -53,6 +53,7 @@
 const TICK_MILLIS = 20;
 const PARTITIONS = 2;
 const CONFIGURATION_KEY = 'config';
+const LONG_MILLIS = 600_000;
 /** Real turns of the loop after each event, for promises to settle. */
 const SETTLING_TURNS = 2;
 
@@ -304,7 +305,7 @@
         self: name,
         wallClock: () => this.queue.now,
         partitions: PARTITIONS,
-        keepEndedMillis: 600_000,
+        keepEndedMillis: this.options.keepEndedMillis ?? LONG_MILLIS,
       }),
       createWorkersPlugin(
         {
