--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -29,13 +29,19 @@
 import {ADVICE} from './adviceState';
 import {CANCELLED, CONFIGURATION, JOBS, PARTITIONS_READ} from './DispatchState';
 import {onRunConfirmed, onRunEnded, onRunFound, onRunVoid} from './endFlow';
-import {beginDue, forgetEnded, takeRequests} from './jobFlow';
+import {
+  beginDue,
+  forgetEnded,
+  onRequestsForgotten,
+  takeRequests,
+} from './jobFlow';
 import {
   ADVISED,
   CONFIGURATION_IN_FORCE,
   DISPATCH_TICK,
   FOLLOW_SITE,
   PLACE_WORK,
+  REQUESTS_FORGOTTEN,
   REQUESTS_READ,
   UNFOLLOW_SITE,
 } from './messages';
@@ -121,6 +127,7 @@
         update.emit(UNFOLLOW_SITE, undefined);
       }),
       kernel.registerCommand(REQUESTS_READ, onRequests),
+      kernel.registerCommand(REQUESTS_FORGOTTEN, onRequestsForgotten),
       kernel.registerCommand(ROOM_CHANGED, update => placeSoon(update)),
       kernel.registerCommand(RUN_ENDED, (update, payload) =>
         onRunEnded(update, payload, wallClock),
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -13,6 +13,7 @@
   PLACE_WORK,
   PLAN_PLACING,
   type Permit,
+  REQUESTS_FORGOTTEN,
   REQUESTS_READ,
   UNFOLLOW_SITE,
 } from './messages';
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -26,7 +26,12 @@
   newJobRow,
   setProgress,
 } from './DispatchState';
-import {DISPATCH_EVENT, FORGET_REQUESTS, REQUESTS_READ} from './messages';
+import {
+  DISPATCH_EVENT,
+  FORGET_REQUESTS,
+  REQUESTS_FORGOTTEN,
+  REQUESTS_READ,
+} from './messages';
 import {placeSoon} from './placeSoon';
 
 /** Jobs forgotten in one go at the most. */
@@ -182,7 +187,7 @@
   );
 }
 
-/** Forgets jobs that ended so long ago that nobody may ask for them. */
+/** Begins to forget jobs that ended so long ago that nobody may ask for them. */
 export function forgetEnded(
   update: Update,
   wallNow: number,
@@ -195,14 +200,24 @@
       jobIds.push(view.jobId);
     }
   }
+  if (jobIds.length > 0) {
+    update.emit(FORGET_REQUESTS, {jobIds});
+  }
+}
+
+/**
+ * Forgets jobs whose requests are gone. In the other order, a next holder would
+ * find a request without a trace that its job has ended, and run it again.
+ */
+export function onRequestsForgotten(
+  update: Update,
+  {jobIds}: PayloadOf<typeof REQUESTS_FORGOTTEN>,
+): void {
   for (const jobId of jobIds) {
     recordForgotten(update, jobId);
     update.write(JOBS).delete(jobId);
     update.write(CANCELLED).delete(jobId);
   }
-  if (jobIds.length > 0) {
-    update.emit(FORGET_REQUESTS, {jobIds});
-  }
 }
 
 function emitJob(
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -65,6 +65,11 @@
   readonly jobIds: readonly string[];
 }>('forget-requests');
 
+/** The log keeps no request about the jobs any more, in any partition. */
+export const REQUESTS_FORGOTTEN = createCommand<{
+  readonly jobIds: readonly string[];
+}>('requests-forgotten');
+
 /** A decision about a job, a task or advice, for logs. */
 export const DISPATCH_EVENT = createEffect<{
   readonly event: string;
--- a/packages/site-daemon/src/logPlugin.ts
+++ b/packages/site-daemon/src/logPlugin.ts
@@ -6,16 +6,13 @@
   heldTerm,
 } from '@samphireramp/holding';
 import {HOSTS_READ} from '@samphireramp/hosts';
-import {
-  APPEND_REQUESTS,
-  REQUESTS_APPENDED,
-  partitionOf,
-} from '@samphireramp/intake';
+import {APPEND_REQUESTS, REQUESTS_APPENDED} from '@samphireramp/intake';
 import {type Kernel, type Plugin, mergeUnregister} from '@samphireramp/kernel';
 import {
   CONFIGURATION_IN_FORCE,
   FOLLOW_SITE,
   FORGET_REQUESTS,
+  REQUESTS_FORGOTTEN,
   REQUESTS_READ,
   UNFOLLOW_SITE,
 } from '@samphireramp/dispatch';
@@ -166,9 +163,13 @@
             kernel.dispatch(REQUESTS_APPENDED, {batchId, outcome}),
           );
       }),
-      kernel.registerEffect(FORGET_REQUESTS, ({jobIds}) =>
-        forgetRequests(streams, jobIds, log),
-      ),
+      kernel.registerEffect(FORGET_REQUESTS, ({jobIds}) => {
+        void forgetRequests(streams, jobIds, log).then(isDone => {
+          if (isDone) {
+            kernel.dispatch(REQUESTS_FORGOTTEN, {jobIds});
+          }
+        });
+      }),
     );
   };
 }
@@ -242,28 +243,30 @@
   );
 }
 
-/** A failure only leaves records behind that are read once more. */
+/**
+ * Drops requests from all partitions: a job may stand in any, and in several,
+ * since a batch is sent again to another. Tells whether all are surely gone.
+ */
 async function forgetRequests(
   streams: StreamLog,
   jobIds: readonly string[],
   log: Log,
-): Promise<void> {
-  const byPartition = new Map<number, string[]>();
-  for (const jobId of jobIds) {
-    const partition = partitionOf(jobId, streams.partitions);
-    byPartition.set(partition, [...(byPartition.get(partition) ?? []), jobId]);
-  }
-  for (const [partition, ids] of byPartition) {
+): Promise<boolean> {
+  const records = jobIds.flatMap(encodeForgottenRequests);
+  let isDone = true;
+  for (let partition = 0; partition < streams.partitions; partition++) {
     const outcome = await streams.append({
       stream: 'requests',
       partition,
-      records: ids.flatMap(encodeForgottenRequests),
+      records,
       timeoutMillis: FORGET_TIMEOUT_MILLIS,
     });
+    isDone &&= outcome.kind === 'appended';
     log('requests-forgotten', {
       partition,
-      count: ids.length,
+      count: jobIds.length,
       outcome: outcome.kind,
     });
   }
+  return isDone;
 }
