--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -46,6 +46,10 @@
 /** Extra wait before a claim for each millisecond of the way to the log. */
 const CLAIM_MILLIS_PER_TRIP = 4;
 const LONGEST_CLAIM_DELAY_MILLIS = 400;
+/** Hosts with less processor than this leave the site to others ... */
+const WEAK_HOST_CORES = 0.5;
+/** ... unless none of these claims it within this time. */
+const WEAK_HOST_CLAIM_MILLIS = 300;
 /** Hosts that are alike claim at different moments. */
 const CLAIM_SPREAD_MILLIS = 80;
 /** Added to the time for which ended jobs are kept, for late retries. */
@@ -104,6 +108,9 @@
       LONGEST_CLAIM_DELAY_MILLIS,
       streams.roundTripMillis() * CLAIM_MILLIS_PER_TRIP,
     ) +
+    ((settings().cores ?? Infinity) < WEAK_HOST_CORES
+      ? WEAK_HOST_CLAIM_MILLIS
+      : 0) +
     random() * CLAIM_SPREAD_MILLIS;
   const incarnation = randomUUID();
   const keepEndedMillis = settings().keepEndedMillis + KEEP_MARGIN_MILLIS;
