--- a/testing/src/site/Judge.ts
+++ b/testing/src/site/Judge.ts
@@ -13,8 +13,10 @@
 
 /** Callers' cancels must be obeyed within this time in calm weather. */
 const CANCEL_MILLIS = 3000;
-/** Starts may be this early. */
+/** Starts may be this early ... */
 const EARLY_MILLIS = 250;
+/** ... and this much more where clocks jump. */
+const CLOCK_JUMP_MILLIS = 5000;
 
 /** Promises that the models watch over. */
 export type Rule =
@@ -49,6 +51,8 @@
   workers: readonly ModelWorker[] = [];
   /** Whether faults have been absent long enough for bounds in time. */
   isCalm = () => false;
+  /** Whether times of day of hosts jump. */
+  clocksJump = false;
   private readonly running = new Map<string, string>();
   private readonly doneTasks = new Set<string>();
   private readonly notedDone = new Set<string>();
@@ -112,7 +116,8 @@
     if (isLate && this.isCalm()) {
       this.blame('UNASKED', `${key} started after its cancel`);
     }
-    if (this.queue.now < dueAt(job, place.occurrence) - EARLY_MILLIS) {
+    const early = EARLY_MILLIS + (this.clocksJump ? CLOCK_JUMP_MILLIS : 0);
+    if (this.queue.now < dueAt(job, place.occurrence) - early) {
       this.blame('ORDER', `${key} before its time`);
     }
     const prefix = `${place.jobId}.${place.occurrence}`;
--- a/testing/src/site/ModelHost.ts
+++ b/testing/src/site/ModelHost.ts
@@ -25,5 +25,7 @@
   kernel: Kernel;
   isUp: boolean;
   isFrozen: boolean;
+  /** Milliseconds that its time of day is ahead. */
+  clockAhead: number;
   unregister: () => void;
 }
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -277,6 +277,7 @@
       kernel,
       isUp: true,
       isFrozen: false,
+      clockAhead: 0,
       unregister: () => undefined,
     };
     if (!this.hosts.some(other => other.name === name)) {
@@ -303,7 +304,7 @@
       createFleetPlugin(),
       createDispatchPlugin({
         self: name,
-        wallClock: () => this.queue.now,
+        wallClock: () => this.queue.now + host.clockAhead,
         partitions: PARTITIONS,
         keepEndedMillis: this.options.keepEndedMillis ?? LONG_MILLIS,
       }),
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -21,6 +21,8 @@
   readonly hostRolls: number;
   readonly hostCuts: number;
   readonly hostFreezes: number;
+  /** Times of day that jump, and back after a while. */
+  readonly clockSteps: number;
   readonly logOutages: number;
   readonly lostAppends: boolean;
   readonly workerCuts: number;
@@ -40,6 +42,7 @@
   hostRolls: 1,
   hostCuts: 2,
   hostFreezes: 2,
+  clockSteps: 1,
   logOutages: 1,
   lostAppends: true,
   workerCuts: 2,
@@ -157,6 +160,14 @@
       host.isFrozen = false;
     });
   });
+  site.judge.clocksJump = faults.clockSteps > 0;
+  forTimes(faults.clockSteps, () => {
+    const host = faultyHost();
+    host.clockAhead = (random() < 0.5 ? 1 : -1) * between(500, 4000);
+    at(between(500, 6000), () => {
+      host.clockAhead = 0;
+    });
+  });
   forTimes(faults.logOutages, () => {
     const how = random() < 0.5 ? 'refuses' : 'silent';
     site.hosts.forEach(({name}) => cutFromLog.set(name, how));
