--- a/testing/src/site/Judge.ts
+++ b/testing/src/site/Judge.ts
@@ -31,7 +31,8 @@
   | 'REFUSED'
   | 'LOST';
 
-interface Submitted {
+/** A job that callers hand in, and what came of it. */
+export interface Submitted {
   readonly job: Job;
   readonly maxAttempts: number;
   acceptedAt: number | undefined;
@@ -65,6 +66,21 @@
     this.violations.push(`${Math.round(this.queue.now)} ${rule}: ${detail}`);
   }
 
+  /** A caller is about to hand a job in. */
+  announce(job: Job): Submitted {
+    const known = this.jobs.get(job.id) ?? {
+      job,
+      maxAttempts: job.policy.maxAttempts,
+      acceptedAt: undefined,
+      openTries: 0,
+      isRefused: true,
+      isCancelAsked: false,
+      cancelledAt: undefined,
+    };
+    this.jobs.set(job.id, known);
+    return known;
+  }
+
   /** How many runs were started of a job's tasks. */
   startsOf(jobId: string): number {
     return this.starts.get(jobId) ?? 0;
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -123,16 +123,7 @@
 
   /** Hands a job in at a host; what came of it stands with the judge. */
   async submit(host: ModelHost, job: Job): Promise<RequestAnswer | undefined> {
-    const known = this.judge.jobs.get(job.id) ?? {
-      job,
-      maxAttempts: job.policy.maxAttempts,
-      acceptedAt: undefined,
-      openTries: 0,
-      isRefused: true,
-      isCancelAsked: false,
-      cancelledAt: undefined,
-    };
-    this.judge.jobs.set(job.id, known);
+    const known = this.judge.announce(job);
     known.openTries++;
     const answer = await this.ask(host, {kind: 'submit', job});
     known.openTries--;
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -21,7 +21,6 @@
 export {
   type HostAnswer,
   QUEUE,
-  announceJob,
   callHost,
   cancelAt,
   encodeConfiguration,
--- a/testing/src/site/siteClient.ts
+++ b/testing/src/site/siteClient.ts
@@ -64,28 +64,13 @@
   return {status: answer.statusCode, text: await answer.body.text()};
 }
 
-/** Tells the judge of a job that a caller is about to hand in. */
-export function announceJob(platform: Platform, job: Job) {
-  const known = platform.judge.jobs.get(job.id) ?? {
-    job,
-    maxAttempts: job.policy.maxAttempts,
-    acceptedAt: undefined,
-    openTries: 0,
-    isRefused: true,
-    isCancelAsked: false,
-    cancelledAt: undefined,
-  };
-  platform.judge.jobs.set(job.id, known);
-  return known;
-}
-
 /** Hands a job in at a host. Throws if no answer comes. */
 export async function submitAt(
   platform: Platform,
   address: string,
   job: Job,
 ): Promise<HostAnswer> {
-  const known = announceJob(platform, job);
+  const known = platform.judge.announce(job);
   known.openTries++;
   let isRefused = false;
   try {
@@ -110,7 +95,7 @@
   address: string,
   job: Job,
 ): Promise<HostAnswer> {
-  const known = announceJob(platform, job);
+  const known = platform.judge.announce(job);
   known.isCancelAsked = true;
   const answer = await callHost(address, 'DELETE', pathOf(job));
   if (answer.status === 200) {
