An order that reaches a worker's next life no longer runs beside another

A worker began anew while starts were on their way; the next life carried them out, one of them even answered "started", while the holder took the runs for gone with the life before and started them elsewhere.

Change: when a later life is listed, runs whose order may still be on its way are stopped there before their tasks run again. Surely taken is only what the life before has listed after one single order: an answer to a start does not tell which life gave it. Where another life answers a hold before its entry is there, such runs wait for the entry, or for their leases to lapse; no more holds go out for the life before.

The model was too kind here as well: it refused orders for another life, which the protocol does not. Tests first: "an order that reaches a later life does not run beside" and "a start that the next life confirms does not run beside" each showed TWICE.

--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -51,6 +51,7 @@
     orderedAt: update.now,
     orders: 0,
     startedAt: undefined,
+    isListed: false,
     percent: 0,
     progressedAt: update.now,
     mayStall,
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -13,6 +13,8 @@
   readonly orders: number;
   /** When the worker first confirmed it; undefined before. */
   readonly startedAt: number | undefined;
+  /** Whether that life of the worker has listed it. */
+  readonly isListed: boolean;
   /** Share of its work that is done, 0 to 100, as last listed. */
   readonly percent: number;
   /** When `percent` last rose. */
--- a/packages/fleet/src/holdFlow.ts
+++ b/packages/fleet/src/holdFlow.ts
@@ -20,11 +20,11 @@
   RUN_CONFIRMED,
   RUN_ENDED,
   RUN_FOUND,
-  RUN_VOID,
   WORKER_HELD,
 } from './messages';
 import type {Run} from './Run';
 import type {Worker} from './Worker';
+import {awaitNextLife, loseWorker, voidRun} from './workerLives';
 
 /** How long a worker may keep a hold open while it waits for an end. */
 const HOLD_WAIT_MILLIS = 1000;
@@ -80,7 +80,7 @@
     return;
   }
   if (listing.life !== life) {
-    loseWorker(update, worker, 'reborn');
+    awaitNextLife(update, worker);
     return;
   }
   if (!worker.isHeld || worker.isSilent) {
@@ -147,6 +147,7 @@
     changeRun(update, key, {
       phase: run.phase === 'stopping' ? 'stopping' : 'running',
       startedAt: run.startedAt ?? update.now,
+      isListed: true,
       percent: listed.percent,
       progressedAt: hasProgressed ? update.now : run.progressedAt,
       checkpoint: listed.checkpoint || run.checkpoint,
@@ -224,25 +225,6 @@
   }
 }
 
-/** Takes a life of a worker for over: what ran there runs no more. */
-export function loseWorker(
-  update: Update,
-  worker: Worker,
-  detail: string,
-): void {
-  update.emit(FLEET_EVENT, {
-    event: 'worker-gone',
-    worker: worker.life,
-    detail,
-    millis: Math.round(update.now - worker.answeredAt),
-  });
-  for (const run of update.read(RUNS).withKey(worker.life)) {
-    voidRun(update, run, 'worker-gone');
-  }
-  update.write(WORKERS).delete(worker.life);
-  update.dispatchOnce(ROOM_CHANGED, '', undefined);
-}
-
 /** Gives up the runs of a worker whose leases have surely lapsed. */
 export function lapseIfSilent(update: Update, worker: Worker): void {
   const {beganAt} = update.read(HOLDING).get();
@@ -257,18 +239,6 @@
   }
 }
 
-/** Drops a run that surely is not there. */
-export function voidRun(
-  update: Update,
-  run: Run,
-  reason: PayloadOf<typeof RUN_VOID>['reason'],
-): void {
-  const {place, life, checkpoint} = run;
-  update.write(RUNS).delete(runKey(place));
-  update.dispatch(RUN_VOID, {place, life, checkpoint, reason});
-  update.dispatchOnce(ROOM_CHANGED, '', undefined);
-}
-
 /** Has ends acknowledged once all that follows from them is durable. */
 export function onEndsTaken(
   update: Update,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,7 +13,7 @@
 export {CLOCK_DRIFT_BOUND, LEASE_MILLIS, surelyLapsedAt} from './leaseTiming';
 export * from './messages';
 export type {Run, RunPhase, StartOrder, StartRefusal} from './Run';
-export {voidRun} from './holdFlow';
+export {voidRun} from './workerLives';
 export {stopRun} from './startFlow';
 export type {ClockReading, EndKind, Worker, WorkerRecord} from './Worker';
 export {
--- a/packages/fleet/src/startFlow.ts
+++ b/packages/fleet/src/startFlow.ts
@@ -3,7 +3,6 @@
 import {runKey} from '@samphireramp/jobs';
 import {match} from 'ts-pattern';
 import {RUNS, WORKERS, changeRun, changeWorker} from './FleetState';
-import {loseWorker, voidRun} from './holdFlow';
 import {leaseEnd} from './leaseTiming';
 import {
   FLEET_EVENT,
@@ -14,6 +13,7 @@
   STOP_ANSWERED,
 } from './messages';
 import type {Run, StartOrder} from './Run';
+import {loseWorker, voidRun} from './workerLives';
 
 /** A start without an answer is sent again on another connection. */
 const START_TIMEOUT_MILLIS = 450;
--- a/packages/fleet/src/workerList.ts
+++ b/packages/fleet/src/workerList.ts
@@ -1,8 +1,11 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
+import {runKey} from '@samphireramp/jobs';
 import {RUNS, WORKERS, changeWorker} from './FleetState';
-import {holdIfDue, loseWorker} from './holdFlow';
+import {holdIfDue} from './holdFlow';
 import {FLEET_EVENT, ROOM_CHANGED, WORKERS_LISTED} from './messages';
+import {stopRun} from './startFlow';
 import type {Worker, WorkerRecord} from './Worker';
+import {loseWorker, mayStillStart} from './workerLives';
 
 /** An entry that goes this soon after an answer does not go for silence. */
 const ANSWERED_LATELY_MILLIS = 3000;
@@ -34,7 +37,6 @@
 
 function takeRecord(update: Update, record: WorkerRecord): void {
   const known = update.read(WORKERS).get(record.life);
-  loseEarlierLives(update, record);
   if (known === undefined) {
     update.write(WORKERS).set(record.life, newWorker(record, update.now));
     emitChange(update, record.life, 'worker-listed', record.pool);
@@ -49,6 +51,7 @@
       hasLeft: false,
     });
   }
+  loseEarlierLives(update, record);
   const worker = update.read(WORKERS).get(record.life);
   if (worker !== undefined) {
     holdIfDue(update, worker);
@@ -56,12 +59,26 @@
 }
 
 /**
- * A hold meant for an earlier life would reach the new one, and drop ends that
- * nobody has seen: earlier lives are given up as soon as a later one is listed.
+ * Gives up earlier lives once a later one is listed. A hold meant for an earlier
+ * life would reach the later one, and drop ends that nobody has seen; an order
+ * that is still on its way would start a run there, so that one is stopped there
+ * before its task runs elsewhere.
  */
 function loseEarlierLives(update: Update, record: WorkerRecord): void {
   for (const worker of [...update.read(WORKERS).values()]) {
     if (worker.id === record.id && worker.bornAt < record.bornAt) {
+      for (const run of update.read(RUNS).withKey(worker.life)) {
+        if (mayStillStart(run)) {
+          const moved = {
+            ...run,
+            life: record.life,
+            startedAt: undefined,
+            isListed: false,
+          };
+          update.write(RUNS).set(runKey(run.place), moved);
+          stopRun(update, moved, 'reborn');
+        }
+      }
       loseWorker(update, worker, 'reborn');
     }
   }
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -1,4 +1,4 @@
-import {RUN_ENDED, WORKERS} from '@samphireramp/fleet';
+import {RUNS, RUN_ENDED, WORKERS} from '@samphireramp/fleet';
 import {JOB_VIEWS} from '@samphireramp/holding';
 import t from 'tap';
 import {
@@ -299,3 +299,75 @@
   await site.run(8000);
   t.equal(site.holder()?.kernel.read(JOB_VIEWS).has(job.id), false);
 });
+
+void t.test(
+  'an order that reaches a later life does not run beside',
+  async t => {
+    const site = buildSite(2);
+    await site.run(1000);
+    // The first order gets no answer, and is carried out after a second.
+    let orders = 0;
+    site.weather = {
+      ...site.weather,
+      losesOrderAnswer: () => ++orders === 1,
+      orderDelayMillis: () => 1000,
+    };
+    const job = buildJob(
+      '00000000000000b5',
+      [buildStep({estimateMillis: 3000})],
+      {
+        policy: POLICIES[0],
+        receivedAt: 1000,
+      },
+    );
+    void site.submit(site.hosts[0], job);
+    while (orders === 0) {
+      await site.run(1);
+    }
+    const [run] = [...(site.holder()?.kernel.read(RUNS).values() ?? [])];
+    const worker = site.workers.find(({life}) => life === run.life);
+    worker?.restart();
+    if (worker !== undefined) {
+      site.list(worker);
+    }
+    await site.run(12_000);
+    t.same(site.judge.violations, []);
+    t.equal(site.show(site.hosts[0], job.id), 'completed');
+  },
+);
+
+void t.test(
+  'a start that the next life confirms does not run beside',
+  async t => {
+    const site = buildSite(2);
+    await site.run(1000);
+    const job = buildJob(
+      '00000000000000b6',
+      [buildStep({estimateMillis: 3000})],
+      {
+        policy: POLICIES[0],
+        receivedAt: 1000,
+      },
+    );
+    const isOrdered = () =>
+      [...(site.holder()?.kernel.read(RUNS).values() ?? [])].find(
+        ({phase}) => phase === 'ordered',
+      );
+    void site.submit(site.hosts[0], job);
+    while (isOrdered() === undefined) {
+      await site.run(1);
+    }
+    // The order is on its way: the worker begins anew before it arrives.
+    const life = isOrdered()?.life;
+    const worker = site.workers.find(each => each.life === life);
+    worker?.restart();
+    await site.run(5);
+    t.equal(worker?.countRuns(), 1, 'the next life took the order');
+    if (worker !== undefined) {
+      site.list(worker);
+    }
+    await site.run(12_000);
+    t.same(site.judge.violations, []);
+    t.equal(site.show(site.hosts[0], job.id), 'completed');
+  },
+);
--- a/testing/src/findFreePorts.ts
+++ b/testing/src/findFreePorts.ts
@@ -1,30 +1,35 @@
 import {createServer} from 'node:net';
 
-/** Finds ports of loopback that nobody listens on now. */
+/** Below the ports that the system gives to calls and to listeners on port 0. */
+const FIRST_PORT = 20_000;
+/** Ports of one process: the next has others, so that none takes them. */
+const PORTS_OF_PROCESS = 100;
+const PROCESSES = 100;
+
+let next = 0;
+
+/** Finds ports of loopback that nobody listens on now, each time others. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({length: count}, listen));
-  const ports = servers.map(({port}) => port);
-  await Promise.all(servers.map(({close}) => close()));
+  const first = FIRST_PORT + (process.pid % PROCESSES) * PORTS_OF_PROCESS;
+  const ports: number[] = [];
+  for (let tries = 0; ports.length < count; tries++) {
+    if (tries > PORTS_OF_PROCESS) {
+      throw new Error(`no ${count} free ports from ${first} on`);
+    }
+    const port = first + (next++ % PORTS_OF_PROCESS);
+    if (await isFree(port)) {
+      ports.push(port);
+    }
+  }
   return ports;
 }
 
-interface Listener {
-  readonly port: number;
-  readonly close: () => Promise<void>;
-}
-
-function listen(): Promise<Listener> {
-  return new Promise((resolve, reject) => {
+function isFree(port: number): Promise<boolean> {
+  return new Promise(resolve => {
     const server = createServer();
-    server.on('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const address = server.address();
-      const port = typeof address === 'object' ? (address?.port ?? 0) : 0;
-      const close = () =>
-        new Promise<void>(done => {
-          server.close(() => done());
-        });
-      resolve({port, close});
+    server.on('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => resolve(true));
     });
   });
 }
--- a/testing/src/site/ModelCalls.ts
+++ b/testing/src/site/ModelCalls.ts
@@ -68,12 +68,8 @@
     order: StartOrder,
   ) {
     const {term, until} = call;
-    return this.order(host, call, worker => {
-      if (worker.life !== order.life) {
-        return 'other-life' as const;
-      }
-      return worker.start(order, term, until);
-    });
+    // An order names the worker, so that it also reaches a later life of it.
+    return this.order(host, call, worker => worker.start(order, term, until));
   }
 
   async stopRun(
--- a/testing/src/soak/regressionSeeds.ts
+++ b/testing/src/soak/regressionSeeds.ts
@@ -7,4 +7,8 @@
     seed: 2,
     cause: 'a SIGHUP while the daemon still started ended its process',
   },
+  {
+    seed: 3001,
+    cause: 'a start meant for an earlier life of a worker ran in the next one',
+  },
 ];
