--- a/testing/src/soak/regressionSeeds.ts
+++ b/testing/src/soak/regressionSeeds.ts
@@ -11,4 +11,8 @@
     seed: 3001,
     cause: 'a start meant for an earlier life of a worker ran in the next one',
   },
+  {
+    seed: 3008,
+    cause: 'a start that the next life of a worker confirmed was given up',
+  },
 ];
