The soak signals only processes that have said that they started

Before its first line runs no program of the runtime can take a signal, and beside load that takes longer than the half second that was left out. What has printed its start is told by itself now; what comes between the first line and the start is the unit test's (signals.test.ts).

--- a/testing/src/site/startSiteProcesses.ts
+++ b/testing/src/site/startSiteProcesses.ts
@@ -17,8 +17,8 @@
   readonly metricsAddress: string;
   readonly settingsFile: string;
   process: ChildProcess;
-  /** When the process was started, on this process's clock. */
-  launchedAt: number;
+  /** Whether this process has said that it has started. */
+  isUp: boolean;
   /** Everything it wrote to standard output. */
   output: string;
   /** Resolves with the exit status, or the signal that ended it. */
@@ -112,11 +112,17 @@
   const ended = new Promise<number | string>(resolve => {
     child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
   });
-  return {process: child, ended, launchedAt: performance.now()};
+  return {process: child, ended, isUp: false};
 }
 
 function watch(host: SiteProcessHost): void {
-  host.process.stdout?.on('data', (bytes: Buffer) => {
+  const {process} = host;
+  let own = '';
+  process.stdout?.on('data', (bytes: Buffer) => {
     host.output += bytes.toString();
+    own += bytes.toString();
+    if (host.process === process && own.includes('event=started')) {
+      host.isUp = true;
+    }
   });
 }
--- a/testing/src/soak/runSoak.ts
+++ b/testing/src/soak/runSoak.ts
@@ -16,7 +16,7 @@
   submitAt,
 } from '../site';
 import {waitFor} from '../waitFor';
-import {BOOT_MILLIS, type Draws, FAULTS, type SoakSite} from './soakFaults';
+import {type Draws, FAULTS, type SoakSite} from './soakFaults';
 import {type Link, startLink} from './startLink';
 
 const HOSTS = 3;
@@ -140,9 +140,9 @@
     host.process.kill(signal);
     // A stopped process takes no signal but this one until it goes on.
     host.process.kill('SIGCONT');
-    const isBooting = performance.now() - host.launchedAt < BOOT_MILLIS;
+    const wasUp = host.isUp;
     const status = await host.ended;
-    if (signal === 'SIGTERM' && status !== 0 && !isBooting) {
+    if (signal === 'SIGTERM' && status !== 0 && wasUp) {
       findings.push(`${host.name} ended with ${status} when told to stop`);
     }
     await sleep(pause);
--- a/testing/src/soak/soakFaults.ts
+++ b/testing/src/soak/soakFaults.ts
@@ -38,8 +38,6 @@
 /** Does one fault, which ends by itself. */
 export type Fault = (soak: SoakSite, draws: Draws) => void;
 
-/** Before its first line runs, a program takes no signal: this is time enough. */
-export const BOOT_MILLIS = 500;
 const HARMS: readonly LinkMode[] = ['slow', 'refuses', 'deaf', 'mute'];
 
 function harm(
@@ -84,8 +82,9 @@
     );
   },
   hup: (soak, draws) => {
-    const {name, process, launchedAt} = draws.pick(soak.site.hosts);
-    if (performance.now() - launchedAt > BOOT_MILLIS) {
+    const {name, process, isUp} = draws.pick(soak.site.hosts);
+    // Before its first line runs, no program of the runtime takes a signal.
+    if (isUp) {
       soak.note(`${name} SIGHUP`);
       process.kill('SIGHUP');
     }
