Schedules check the answers that a job is absent and the counts of pending jobs

Callers of the grown sites got counts of pending jobs far below what waited, and 410 for accepted jobs. The invariant checker looked at neither: an answer 'absent' was passed over, and no schedule read a count.

Now each read of a schedule also reads a count, and both are checked against the promise (3 s for a job to be visible, 2 s more to be counted).

--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -1,5 +1,6 @@
 import {type Job, type Step, isFinalState} from '@samphireramp/jobs';
 import {createRandom} from '../seededRandom';
+import {readAnswers} from './answerChecks';
 import {buildJob, buildPolicy, buildStep} from './jobFixture';
 import type {ModelHost} from './ModelHost';
 import {ModelSite} from './ModelSite';
@@ -9,7 +10,7 @@
 const FAULT_PHASE_MILLIS = 12_000;
 /** Accepted jobs must end during this phase, in which no new fault begins. */
 const RECOVERY_MILLIS = 60_000;
-/** Interval at which callers read the state of a random job. */
+/** Interval at which callers read the state of a random job and a count. */
 const READ_INTERVAL_MILLIS = 50;
 /** Time after which the worker registry deletes the entry of a lost worker. */
 const REGISTRY_EXPIRY_MILLIS = 4500;
@@ -277,11 +278,11 @@
       void site.cancel(randomHost(), pick(accepted).id);
     }
   });
-  const readState = () => {
-    site.readJobState(randomHost(), pick(jobs).id);
-    after(READ_INTERVAL_MILLIS, readState);
+  const readRandomAnswers = () => {
+    readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
+    after(READ_INTERVAL_MILLIS, readRandomAnswers);
   };
-  readState();
+  readRandomAnswers();
 
   await site.run(FAULT_PHASE_MILLIS);
   areFaultsActive = false;
