Observability: what gangs ahead of a waiting step reserve

The line step-waits counts the step's valid tickets, the tasks for which waiting gangs ahead of it held resources in the last placement pass, and how many tasks of the step fit on what these leave. So full workers, workers held for gangs and expired tickets can be told apart.

The reservations of the last pass are kept in a slice of their own. The code that chooses workers for gangs and for other steps, and the one that decides which workers need advice, move to modules of their own without a change.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -202,3 +202,27 @@
     taskResources,
   };
 }
+
+/** Whether a worker is on the rack of the data, or the step has no such rack. */
+export function isNearData({worker}: Candidate, {step}: ReadyStep): boolean {
+  return step.dataRack === '' || worker.rack === step.dataRack;
+}
+
+/** Sum of the free shares of a worker's CPU and memory. */
+export function freeShare({
+  worker,
+  cpuMillis,
+  memoryMegabytes,
+}: Candidate): number {
+  const {capacity} = worker;
+  return (
+    cpuMillis / Math.max(1, capacity.cpuMillis) +
+    memoryMegabytes / Math.max(1, capacity.memoryMegabytes)
+  );
+}
+
+/** The worker chosen for a task, which its index in the step identifies. */
+export interface Placement {
+  readonly index: number;
+  readonly candidate: Candidate;
+}
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -60,6 +60,7 @@
   onRunEnded,
   onUnexpectedRun,
 } from './runFlow';
+import {RESERVATIONS} from './reservations';
 import {PLACEMENT_SCHEDULED, schedulePlacement} from './schedulePlacement';
 import {
   WAITING_SINCE,
@@ -133,6 +134,7 @@
       kernel.registerSlice(OPEN_ADVICE_REQUESTS),
       kernel.registerSlice(ADVICE_REQUEST_COUNT),
       kernel.registerSlice(PLACEMENT_SCHEDULED),
+      kernel.registerSlice(RESERVATIONS),
       kernel.registerSlice(FORGET_CHECKED_AT),
       kernel.registerSlice(WAITS_CHECKED_AT),
       kernel.registerSlice(WAITING_SINCE),
@@ -198,4 +200,5 @@
   update.write(CALLS_BY_HOST).clear();
   update.write(OPEN_ADVICE_REQUESTS).clear();
   update.write(WAITING_SINCE).clear();
+  update.write(RESERVATIONS).set([]);
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -12,33 +12,25 @@
   stepKey,
   updateStepTasks,
 } from '@samphireramp/jobs';
-import {requestAdvice} from './adviceFlow';
-import {ADVICE, NO_ADVICE, type StepAdvice} from './adviceState';
+import {ADVICE, NO_ADVICE} from './adviceState';
 import {
   type Candidate,
+  type Placement,
   type ReadyStep,
-  countFittingTasks,
-  countTasksOnEmptyWorker,
-  deductTasks,
-  hasRequiredTicket,
-  isPermitted,
   listCandidates,
   meetsRequirements,
 } from './candidates';
 import {JOBS, expectsProgress, setProgress} from './DispatchState';
+import {chooseGangPlacements} from './gangPlacement';
 import {DISPATCH_EVENT} from './messages';
 import {listReadySteps, stepIdOf} from './readySteps';
+import {RESERVATIONS, type Reservation} from './reservations';
 import {schedulePlacement} from './schedulePlacement';
+import {chooseTaskPlacements} from './taskPlacement';
 
 /** Maximum steps placed in one pass, so as not to delay other commands. */
 const MAX_STEPS_PER_PASS = 64;
 
-/** The worker chosen for a task, which its index in the step identifies. */
-interface Placement {
-  readonly index: number;
-  readonly candidate: Candidate;
-}
-
 /** Places the tasks that can be placed, the most urgent steps first. */
 export function placeTasks(update: Update, self: string): void {
   if (
@@ -48,11 +40,12 @@
     return;
   }
   const candidates = listCandidates(update, update.now);
+  const reservations: Reservation[] = [];
   let placedSteps = 0;
   for (const readyStep of listReadySteps(update)) {
     if (placedSteps >= MAX_STEPS_PER_PASS) {
       schedulePlacement(update);
-      return;
+      break;
     }
     const stepId = stepIdOf(readyStep);
     const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
@@ -65,262 +58,21 @@
       meetsRequirements(worker, readyStep),
     );
     const placements = readyStep.step.isGang
-      ? chooseGangPlacements(update, self, readyStep, advice, suitable)
+      ? chooseGangPlacements(
+          update,
+          self,
+          readyStep,
+          advice,
+          suitable,
+          reservations,
+        )
       : chooseTaskPlacements(update, self, readyStep, advice, suitable);
     if (placements.length > 0) {
       placedSteps++;
       placeStep(update, readyStep, placements);
     }
   }
-}
-
-/** Chooses workers for the tasks of a step, one by one until none fits. */
-function chooseTaskPlacements(
-  update: Update,
-  self: string,
-  readyStep: ReadyStep,
-  advice: StepAdvice,
-  suitable: readonly Candidate[],
-): Placement[] {
-  const startable = suitable.filter(({worker}) =>
-    hasRequiredTicket(worker, readyStep, advice, update.now),
-  );
-  const placements: Placement[] = [];
-  for (const index of readyStep.openTasks) {
-    const candidate = chooseBestFit(startable, readyStep, placements);
-    if (candidate === undefined) {
-      break;
-    }
-    deductTasks(candidate, readyStep, 1);
-    placements.push({index, candidate});
-  }
-  if (placements.length < readyStep.openTasks.length) {
-    requestMoreAdvice(update, self, readyStep, advice, suitable);
-  }
-  return placements;
-}
-
-/** Chooses a worker near the data if one fits, then the least free one. */
-function chooseBestFit(
-  startable: readonly Candidate[],
-  readyStep: ReadyStep,
-  placements: readonly Placement[],
-): Candidate | undefined {
-  let bestCandidate: Candidate | undefined;
-  let bestScore = Infinity;
-  for (const candidate of startable) {
-    const onCandidate = placements.filter(
-      placement => placement.candidate === candidate,
-    );
-    // Free resources exclude these placements already, the limit doesn't.
-    const limit = readyStep.step.mostOnOneWorker;
-    const fits =
-      countFittingTasks(candidate, readyStep) >
-      (limit > 0 ? onCandidate.length : 0);
-    if (!fits) {
-      continue;
-    }
-    const score =
-      freeShare(candidate) +
-      (isNearData(candidate, readyStep) ? 0 : REMOTE_DATA_PENALTY);
-    if (score < bestScore) {
-      bestCandidate = candidate;
-      bestScore = score;
-    }
-  }
-  return bestCandidate;
-}
-
-/** Added to the score on a rack without the data; exceeds any free share. */
-const REMOTE_DATA_PENALTY = 10;
-
-function isNearData({worker}: Candidate, {step}: ReadyStep): boolean {
-  return step.dataRack === '' || worker.rack === step.dataRack;
-}
-
-/** Sum of the free shares of a worker's CPU and memory. */
-function freeShare({worker, cpuMillis, memoryMegabytes}: Candidate): number {
-  const {capacity} = worker;
-  return (
-    cpuMillis / Math.max(1, capacity.cpuMillis) +
-    memoryMegabytes / Math.max(1, capacity.memoryMegabytes)
-  );
-}
-
-/** Requests advice on workers for which the step lacks it or a valid ticket. */
-function requestMoreAdvice(
-  update: Update,
-  self: string,
-  readyStep: ReadyStep,
-  advice: StepAdvice,
-  suitable: readonly Candidate[],
-): void {
-  const terms = readyStep.policy.advice;
-  if (terms === undefined) {
-    return;
-  }
-  const needsAdvice = (candidate: Candidate) =>
-    !advice.queriedWorkers.has(candidate.worker.id) ||
-    needsNewTicket(update, readyStep, advice, candidate);
-  const hasResources = (candidate: Candidate) =>
-    countFittingTasks(candidate, readyStep) > 0;
-  const unadvised = suitable.filter(needsAdvice);
-  // Whether a worker may run a step never changes, and each further worker adds
-  // little to the time of a request: the first one includes full workers too.
-  if (advice.queriedWorkers.size === 0 || unadvised.some(hasResources)) {
-    const ids = unadvised.map(({worker}) => worker.id);
-    requestAdvice(update, self, stepIdOf(readyStep), terms, ids);
-  }
-}
-
-/** Whether a step is permitted on a worker, but has no valid ticket for it. */
-function needsNewTicket(
-  update: Update,
-  readyStep: ReadyStep,
-  advice: StepAdvice,
-  {worker}: Candidate,
-): boolean {
-  return (
-    isPermitted(worker, readyStep, advice) &&
-    !hasRequiredTicket(worker, readyStep, advice, update.now)
-  );
-}
-
-/** Chooses workers for all tasks of a gang, or keeps free resources for it. */
-function chooseGangPlacements(
-  update: Update,
-  self: string,
-  readyStep: ReadyStep,
-  advice: StepAdvice,
-  suitable: readonly Candidate[],
-): Placement[] {
-  const permitted = suitable.filter(({worker}) =>
-    isPermitted(worker, readyStep, advice),
-  );
-  const startable = permitted.filter(({worker}) =>
-    hasRequiredTicket(worker, readyStep, advice, update.now),
-  );
-  const placements = packGang(startable, readyStep);
-  if (placements !== undefined) {
-    deductPlacements(readyStep, placements);
-    return placements;
-  }
-  const placementsWithoutTickets = packGang(permitted, readyStep);
-  if (placementsWithoutTickets !== undefined) {
-    // The gang fits but lacks tickets: its resources are kept until they come.
-    requestMoreAdvice(update, self, readyStep, advice, permitted);
-    deductPlacements(readyStep, placementsWithoutTickets);
-    return [];
-  }
-  if (wouldFitOnEmptyWorkers(permitted, readyStep)) {
-    // Workers not asked about yet may have free resources sooner: without this
-    // the gang would wait for busy workers while others are free.
-    const others = suitable.filter(
-      ({worker}) => !advice.queriedWorkers.has(worker.id),
-    );
-    requestMoreAdvice(update, self, readyStep, advice, others);
-    // Resources that are free now are kept for the gang until the rest is free
-    // too. Otherwise other steps could take them again and again.
-    for (const candidate of permitted) {
-      deductTasks(
-        candidate,
-        readyStep,
-        countFittingTasks(candidate, readyStep),
-      );
-    }
-  } else {
-    requestMoreAdvice(update, self, readyStep, advice, suitable);
-  }
-  return [];
-}
-
-function deductPlacements(
-  readyStep: ReadyStep,
-  placements: readonly Placement[],
-): void {
-  for (const {candidate} of placements) {
-    deductTasks(candidate, readyStep, 1);
-  }
-}
-
-function wouldFitOnEmptyWorkers(
-  permitted: readonly Candidate[],
-  readyStep: ReadyStep,
-): boolean {
-  let taskCount = 0;
-  for (const {worker} of permitted) {
-    taskCount += countTasksOnEmptyWorker(worker, readyStep);
-  }
-  return taskCount >= readyStep.openTasks.length;
-}
-
-/** Finds workers for all tasks of a gang; undefined if they don't all fit. */
-function packGang(
-  candidates: readonly Candidate[],
-  readyStep: ReadyStep,
-): Placement[] | undefined {
-  if (readyStep.step.prefersOneRack) {
-    const onOneRack = packGangOnOneRack(candidates, readyStep);
-    if (onOneRack !== undefined) {
-      return onOneRack;
-    }
-  }
-  return packTasks(candidates, readyStep);
-}
-
-function packGangOnOneRack(
-  candidates: readonly Candidate[],
-  readyStep: ReadyStep,
-): Placement[] | undefined {
-  const racks = new Set(candidates.map(({worker}) => worker.rack));
-  for (const rack of racks) {
-    const placements = packTasks(
-      candidates.filter(({worker}) => worker.rack === rack),
-      readyStep,
-    );
-    if (placements !== undefined) {
-      return placements;
-    }
-  }
-  return undefined;
-}
-
-/**
- * Fills the workers near the data first, then those that fit the most tasks;
- * undefined if not all tasks of the step fit.
- */
-function packTasks(
-  candidates: readonly Candidate[],
-  readyStep: ReadyStep,
-): Placement[] | undefined {
-  const fitting = candidates
-    .map(candidate => ({
-      candidate,
-      tasks: countFittingTasks(candidate, readyStep),
-    }))
-    .filter(({tasks}) => tasks > 0)
-    .sort(
-      (a, b) =>
-        Number(isNearData(b.candidate, readyStep)) -
-          Number(isNearData(a.candidate, readyStep)) ||
-        b.tasks - a.tasks ||
-        freeShare(a.candidate) - freeShare(b.candidate),
-    );
-  const placements: Placement[] = [];
-  for (const {candidate, tasks} of fitting) {
-    for (let task = 0; task < tasks; task++) {
-      if (placements.length === readyStep.openTasks.length) {
-        return placements;
-      }
-      placements.push({
-        index: readyStep.openTasks[placements.length],
-        candidate,
-      });
-    }
-  }
-  return placements.length === readyStep.openTasks.length
-    ? placements
-    : undefined;
+  update.write(RESERVATIONS).set(reservations);
 }
 
 /** Records the placements and orders the runs once the record is durable. */
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -9,12 +9,18 @@
   type Candidate,
   type ReadyStep,
   countFittingTasks,
+  hasRequiredTicket,
   isPermitted,
   listCandidates,
   meetsRequirements,
 } from './candidates';
 import {DISPATCH_EVENT} from './messages';
 import {listReadySteps, stepIdOf} from './readySteps';
+import {
+  RESERVATIONS,
+  type Reservation,
+  countReservedTasks,
+} from './reservations';
 
 /** Interval between two checks of the waiting steps. */
 const CHECK_INTERVAL_MILLIS = 1000;
@@ -50,6 +56,8 @@
   }
   let reportedSteps = 0;
   let candidates: Candidate[] | undefined;
+  const reservations = update.read(RESERVATIONS).get();
+  const stepsAhead = new Set<string>();
   for (const [key, readyStep] of readySteps) {
     const waitingSince = sinceByStep.get(key) ?? update.now;
     sinceByStep.set(key, waitingSince);
@@ -61,19 +69,30 @@
         event: 'step-waits',
         subject: key,
         queue: readyStep.policy.name,
-        detail: describeWait(update, key, readyStep, candidates),
+        detail: describeWait(
+          update,
+          key,
+          readyStep,
+          candidates,
+          reservations.filter(({step}) => stepsAhead.has(step)),
+        ),
         millis,
       });
     }
+    stepsAhead.add(key);
   }
 }
 
-/** Counts the open tasks of a step and the workers left at each condition. */
+/**
+ * Counts the open tasks of a step, the workers left at each condition, and what
+ * the steps ahead of it reserve.
+ */
 function describeWait(
   update: Update,
   key: string,
   readyStep: ReadyStep,
   candidates: readonly Candidate[],
+  reservationsAhead: readonly Reservation[],
 ): string {
   const advice = update.read(ADVICE).get(key) ?? NO_ADVICE;
   const suitable = candidates.filter(({worker}) =>
@@ -82,15 +101,49 @@
   const permitted = suitable.filter(({worker}) =>
     isPermitted(worker, readyStep, advice),
   );
-  const fittingTasks = permitted.reduce(
-    (sum, candidate) => sum + countFittingTasks(candidate, readyStep),
-    0,
-  );
+  const validTickets = permitted.filter(({worker}) =>
+    hasRequiredTicket(worker, readyStep, advice, update.now),
+  ).length;
+  const unreserved = withoutReserved(permitted, reservationsAhead);
+  const gangsAhead = new Set(reservationsAhead.map(({step}) => step)).size;
   const openRequest =
     advice.openRequestId === undefined ? '' : ', advice requested';
   return (
     `${readyStep.openTasks.length} tasks, ${suitable.length} suitable workers` +
     `, ${advice.queriedWorkers.size} with advice, ${permitted.length} permitted` +
-    `, ${fittingTasks} tasks fit${openRequest}`
+    `, ${countFittingOn(permitted, readyStep)} tasks fit${openRequest}` +
+    `, ${validTickets} valid tickets, ${gangsAhead} gangs ahead reserve` +
+    ` ${countReservedTasks(reservationsAhead)} tasks` +
+    ` and leave ${countFittingOn(unreserved, readyStep)}`
   );
 }
+
+function countFittingOn(
+  candidates: readonly Candidate[],
+  readyStep: ReadyStep,
+): number {
+  return candidates.reduce(
+    (sum, candidate) => sum + countFittingTasks(candidate, readyStep),
+    0,
+  );
+}
+
+/** Returns the workers with the resources that reservations leave. */
+function withoutReserved(
+  candidates: readonly Candidate[],
+  reservations: readonly Reservation[],
+): Candidate[] {
+  const copies = candidates.map(candidate => ({...candidate}));
+  const byIncarnation = new Map(
+    copies.map(candidate => [candidate.worker.incarnation, candidate]),
+  );
+  for (const {incarnation, tasks, taskResources} of reservations) {
+    const candidate = byIncarnation.get(incarnation);
+    if (candidate !== undefined) {
+      candidate.cpuMillis -= taskResources.cpuMillis * tasks;
+      candidate.memoryMegabytes -= taskResources.memoryMegabytes * tasks;
+      candidate.accelerators -= taskResources.accelerators * tasks;
+    }
+  }
+  return copies;
+}
--- /dev/null
+++ b/testing/src/__tests__/unit/placementRegressions.test.ts
@@ -0,0 +1,70 @@
+import type {QueuePolicy, Step} from '@samphireramp/jobs';
+import t from 'tap';
+import {
+  ModelSite,
+  type ModelSiteOptions,
+  buildJob,
+  buildPolicy,
+  buildStep,
+  createRandom,
+} from '../../index';
+
+const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
+const FULL_NEED = {cpuMillis: 7900, memoryMegabytes: 1000, accelerators: 0};
+const ADVICE = {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 2500};
+const URGENT = buildPolicy({name: 'urgent', priority: 0});
+const ADVISED = buildPolicy({name: 'advised', priority: 1, advice: ADVICE});
+const PATIENT = buildPolicy({name: 'patient', priority: 2});
+
+/** Builds a site on which time has passed until its workers are known. */
+async function buildSite(
+  workers: number,
+  overrides: Partial<ModelSiteOptions> = {},
+): Promise<ModelSite> {
+  const site = new ModelSite({
+    hosts: 2,
+    workers,
+    capacity: CAPACITY,
+    random: createRandom(1),
+    policies: [URGENT, ADVISED, PATIENT],
+    script: (job, runId) => ({
+      step: job.steps[runId.step],
+      workMillis: job.steps[runId.step].estimateMillis,
+      fails: () => false,
+    }),
+    ...overrides,
+  });
+  await site.run(1000);
+  return site;
+}
+
+/** Submits a job of one step, which runs for a minute unless it says else. */
+function submitStep(
+  site: ModelSite,
+  id: string,
+  policy: QueuePolicy,
+  step: Partial<Step>,
+): void {
+  const steps = [buildStep({estimateMillis: 60_000, ...step})];
+  const receivedAt = site.clock.now;
+  void site.submit(site.hosts[0], buildJob(id, steps, {policy, receivedAt}));
+}
+
+void t.test(
+  'a waiting step is logged with what gangs ahead reserve',
+  async t => {
+    const site = await buildSite(4);
+    const need = {...FULL_NEED, cpuMillis: 6000};
+    submitStep(site, 'c0', URGENT, {count: 2, need: FULL_NEED});
+    await site.run(300);
+    submitStep(site, 'c1', ADVISED, {count: 3, need, isGang: true});
+    await site.run(300);
+    submitStep(site, 'c2', PATIENT, {need});
+    await site.run(6000);
+    const waitEvents = site.events.filter(line => line.includes('step-waits'));
+    t.match(
+      waitEvents.find(line => line.includes('c2.0.0')),
+      /2 tasks fit, 4 valid tickets, 1 gangs ahead reserve 2 tasks and leave 0"/,
+    );
+  },
+);
