Keep the log lines that decide: gather routine events instead of dropping lines

Routine events of 50 ms now share a line for each name (event=gathered of=NAME), whose fields list the values of all of them; other events have lines of their own until half of the rate is used, and are gathered then. What waits is bounded for each name, so that a flood of one event leaves out no other; what is left out is counted by name, in the log and in the metric log_lines_left_out. The rate bounds characters, too. Existing events and fields keep their names, and explain splits gathered lines.

--- a/packages/operator-command/src/__tests__/unit/explainJob.test.ts
+++ b/packages/operator-command/src/__tests__/unit/explainJob.test.ts
@@ -1,5 +1,11 @@
+import {LogEvent, createLineWriter} from '@samphireramp/telemetry';
 import t from 'tap';
-import {type LogLine, explainJob, parseLogLine} from '../../index';
+import {
+  type LogLine,
+  explainJob,
+  parseLogLine,
+  parseLogLines,
+} from '../../index';
 
 const ACCEPTED =
   '2026-02-05T22:23:12.711Z samphireramp:host event=submit-accepted job=00000000000000a1 queue=q detail=tries-1 millis=11';
@@ -79,3 +85,56 @@
 void t.test('a job that no line mentions has no history', async t => {
   t.equal(explainJob('00000000000000ff', parseLines(ACCEPTED)), undefined);
 });
+
+/** The lines that a host writes for some events of one moment. */
+function writeEvents(events: readonly LogEvent[]): string[] {
+  let output = '';
+  const writer = createLineWriter({
+    write: text => (output += text),
+    backlogBytes: () => 0,
+    linesPerSecond: 10,
+    isRoutine: () => true,
+    now: () => 0,
+  });
+  for (const event of events) {
+    writer.write('2026-02-05T22:23:13.000Z samphireramp:host ', event);
+  }
+  writer.flush();
+  return output.split('\n');
+}
+
+void t.test(
+  'jobs are found in a line that gathers the events of several jobs',
+  async t => {
+    const jobIds = Array.from({length: 300}, (_, index) => `job${index}`);
+    const lines = writeEvents([
+      ...jobIds.map(
+        (subject, index) =>
+          new LogEvent('job-taken', {subject, millis: index, term: 3}),
+      ),
+      ...jobIds.map(
+        id =>
+          new LogEvent('step-placed', {
+            subject: `${id}.0.0`,
+            worker: `w-${id},w-2`,
+            detail: '2 of 2 tasks',
+          }),
+      ),
+    ]).flatMap(text => parseLogLines(text, 'host-a'));
+    for (const [index, id] of jobIds.entries()) {
+      const history = explainJob(id, lines);
+      t.same(
+        history?.lines.map(({event, fields}) => ({event, ...fields})),
+        [
+          {event: 'job-taken', subject: id, millis: String(index), term: '3'},
+          {
+            event: 'step-placed',
+            subject: `${id}.0.0`,
+            worker: `w-${id},w-2`,
+            detail: '2 of 2 tasks',
+          },
+        ],
+      );
+    }
+  },
+);
--- a/packages/operator-command/src/index.ts
+++ b/packages/operator-command/src/index.ts
@@ -2,5 +2,5 @@
 export {CommandError, EXIT_STATUS} from './CommandError';
 export {readConfiguration, readHostSettings} from './readFiles';
 export {type JobHistory, explainJob} from './explainJob';
-export {type LogLine, parseLogLine} from './logLines';
+export {type LogLine, parseLogLine, parseLogLines} from './logLines';
 export {type HostStatus, readHostStatus} from './hostStatus';
--- a/packages/operator-command/src/logLines.ts
+++ b/packages/operator-command/src/logLines.ts
@@ -1,3 +1,5 @@
+import {GATHERED_EVENT, splitGatheredFields} from '@samphireramp/telemetry';
+
 /** One line of a host's log. */
 export interface LogLine {
   /** Name of the host, taken from the line or, failing that, from the file. */
@@ -39,6 +41,23 @@
   };
 }
 
+/**
+ * Parses a log line of the daemon, and splits one with several gathered events.
+ * Returns no line for any other text.
+ */
+export function parseLogLines(text: string, source: string): LogLine[] {
+  const line = parseLogLine(text, source);
+  if (line?.event !== GATHERED_EVENT) {
+    return line === undefined ? [] : [line];
+  }
+  return splitGatheredFields(line.fields).map(({afterMillis, fields}) => ({
+    source: line.source,
+    at: line.at + afterMillis,
+    event: line.fields['of'] ?? GATHERED_EVENT,
+    fields,
+  }));
+}
+
 function unquote(value: string): string {
   try {
     return String(JSON.parse(value));
--- a/packages/operator-command/src/main.ts
+++ b/packages/operator-command/src/main.ts
@@ -5,7 +5,7 @@
 import {readConfiguration, readHostSettings} from './readFiles';
 import {explainJob} from './explainJob';
 import {type HostStatus, readHostStatus} from './hostStatus';
-import {type LogLine, parseLogLine} from './logLines';
+import {type LogLine, parseLogLines} from './logLines';
 
 const STDIN_FD = 0;
 /** Metrics in a status line, in this order. */
@@ -37,10 +37,7 @@
   return files.flatMap(path => {
     const text = readText(path);
     const source = path === undefined ? '-' : basename(path, '.log');
-    return text
-      .split('\n')
-      .map(line => parseLogLine(line, source))
-      .filter(line => line !== undefined);
+    return text.split('\n').flatMap(line => parseLogLines(line, source));
   });
 }
 
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -77,8 +77,8 @@
   readonly metricsPort: number;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
-  /** Number of log lines dropped since the start. */
-  readonly droppedLogLines: () => number;
+  /** Number of log lines dropped since the start, by event. */
+  readonly droppedLogLines: () => ReadonlyMap<string, number>;
 }
 
 /** Starts a host: its plug-ins, servers and timers. */
@@ -89,7 +89,7 @@
   const {name: self, zone, region, partitions} = settings();
   const log = createLogger('host');
   const metrics = createMetrics('samphireramp');
-  metrics.gauge('log_lines_left_out', options.droppedLogLines);
+  metrics.gauges('log_lines_left_out', 'event', options.droppedLogLines);
   const now = () => performance.now();
   const wallClock = () => Date.now();
   const startedAt = now();
--- a/packages/site-daemon/src/main.ts
+++ b/packages/site-daemon/src/main.ts
@@ -11,6 +11,7 @@
 import {readFileSync} from 'node:fs';
 import {createSiteHost} from './createSiteHost';
 import {type DaemonSettings, readDaemonSettings} from './DaemonSettings';
+import {isRoutineEvent} from './routineEvents';
 
 /** Exit status if the flags or the settings file are invalid. */
 const EXIT_INVALID_SETTINGS = 2;
@@ -56,7 +57,7 @@
     if (!isStopping) {
       isStopping = true;
       void host.stop().then(() => {
-        logWriter.flush();
+        logWriter.close();
         process.exit(0);
       });
     }
@@ -94,9 +95,10 @@
     write: text => void process.stdout.write(text),
     backlogBytes: () => process.stdout.writableLength,
     linesPerSecond: logLinesPerSecond,
+    isRoutine: isRoutineEvent,
     now: () => performance.now(),
   });
-  writeLogsTo(writer.line);
+  writeLogsTo(writer.write);
   enableLogs(logs);
   setInterval(writer.flush, LOG_FLUSH_INTERVAL_MILLIS).unref();
   return writer;
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -18,6 +18,12 @@
   time(name: string, millis: number, labels?: Labels): void;
   /** Registers a value to read at each scrape; returns its unregister function. */
   gauge(name: string, read: () => number): () => void;
+  /** Registers a value for each label value, as `gauge` does for one. */
+  gauges(
+    name: string,
+    label: string,
+    read: () => ReadonlyMap<string, number>,
+  ): () => void;
   /** Renders all time series in the Prometheus text format. */
   render(): string;
 }
@@ -26,7 +32,16 @@
 export function createMetrics(prefix: string): Metrics {
   const counters = new Map<string, number>();
   const histograms = new Map<string, Histogram>();
-  const gauges = new Map<string, () => number>();
+  /** Returns the values of a gauge by series, by the name of the gauge. */
+  const gauges = new Map<string, () => (readonly [string, number])[]>();
+  const registerGauge = (
+    name: string,
+    readSeries: (gaugeName: string) => (readonly [string, number])[],
+  ) => {
+    const gaugeName = `${prefix}_${name}`;
+    gauges.set(gaugeName, () => readSeries(gaugeName));
+    return () => gauges.delete(gaugeName);
+  };
 
   return {
     count: (name, labels = {}, amount = 1) => {
@@ -40,14 +55,21 @@
       const roundedMillis = Math.max(0, Math.round(millis));
       histogram.recordValue(Math.min(MAX_DURATION_MILLIS, roundedMillis));
     },
-    gauge: (name, read) => {
-      gauges.set(`${prefix}_${name}`, read);
-      return () => gauges.delete(`${prefix}_${name}`);
-    },
+    gauge: (name, read) =>
+      registerGauge(name, gaugeName => [[gaugeName, read()]]),
+    gauges: (name, label, read) =>
+      registerGauge(name, gaugeName =>
+        [...read()].map(([labelValue, value]) => [
+          seriesName(gaugeName, {[label]: labelValue}),
+          value,
+        ]),
+      ),
     render: () =>
       [
         ...[...counters].map(([series, value]) => `${series} ${value}`),
-        ...[...gauges].map(([series, read]) => `${series} ${read()}`),
+        ...[...gauges.values()]
+          .flatMap(readSeries => readSeries())
+          .map(([series, value]) => `${series} ${value}`),
         ...[...histograms].flatMap(([series, histogram]) =>
           renderHistogram(series, histogram),
         ),
--- a/packages/telemetry/src/__tests__/unit/textFormats.test.ts
+++ b/packages/telemetry/src/__tests__/unit/textFormats.test.ts
@@ -14,3 +14,18 @@
   t.match(text, /site_calls_total\{kind="a_b"\} 1/);
   t.match(text, /site_wait_milliseconds\{kind="x",quantile="0.5"\} 12/);
 });
+
+void t.test('a gauge with a label has a series for each value', async t => {
+  const metrics = createMetrics('site');
+  const unregister = metrics.gauges(
+    'left_out',
+    'event',
+    () => new Map(Object.entries({advised: 3, 'job-taken': 1})),
+  );
+  t.match(
+    metrics.render(),
+    /site_left_out\{event="advised"\} 3\nsite_left_out\{event="job-taken"\} 1/,
+  );
+  unregister();
+  t.notMatch(metrics.render(), /left_out/);
+});
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,6 @@
 /** Structured logs, one line for each event, and metrics for Prometheus. */
 export {
+  LogEvent,
   createLogger,
   enableLogs,
   formatEvent,
@@ -7,7 +8,13 @@
   type Log,
   type LogFields,
   type LogValue,
+  type WriteEvent,
 } from './Logger';
+export {
+  GATHERED_EVENT,
+  type GatheredFields,
+  splitGatheredFields,
+} from './gatheredEvents';
 export {
   type LineWriter,
   type LineWriterOptions,
--- a/packages/telemetry/src/lineWriter.ts
+++ b/packages/telemetry/src/lineWriter.ts
@@ -1,41 +1,74 @@
+import {type TimedEvent, gatherEvents} from './gatheredEvents';
+import type {LogEvent} from './Logger';
+
 /** Options of `createLineWriter`. */
 export interface LineWriterOptions {
   /** Writes text without blocking. */
   readonly write: (text: string) => void;
   /** Bytes that were written and that the reader has not yet consumed. */
   readonly backlogBytes: () => number;
-  /** Rate limit; lines beyond it are dropped and counted. */
+  /** Rate limit; events beyond it are gathered, and then dropped and counted. */
   readonly linesPerSecond: number;
+  /** Whether events of this name are always gathered, so that others get lines. */
+  readonly isRoutine: (eventName: string) => boolean;
   /** Milliseconds of the runtime's monotonic clock. */
   readonly now: () => number;
 }
 
 /** Writes lines in batches, with a bounded rate and backlog. */
 export interface LineWriter {
-  /** Buffers a line for the next flush, or drops it. */
-  line(text: string): void;
+  /** Buffers the line of an event for the next flush, or drops it. */
+  write(prefix: string, event: LogEvent): void;
   /**
    * Writes the buffered lines, unless the backlog is above its limit; to be called
-   * by a timer and on exit.
+   * by a timer.
    */
   flush(): void;
-  /** Number of lines dropped since the start. */
-  droppedLines(): number;
+  /** Writes all buffered lines, whatever the rate; to be called on exit. */
+  close(): void;
+  /** Number of events dropped since the start, by name. */
+  droppedLines(): ReadonlyMap<string, number>;
+}
+
+/** Events of one name that wait to be gathered into one line. */
+interface EventGroup {
+  /** What precedes the first event on its line. */
+  readonly prefix: string;
+  readonly timedEvents: TimedEvent[];
+  characters: number;
+}
+
+/** A formatted line and when its event, or the first of them, was logged. */
+interface BufferedLine {
+  readonly at: number;
+  readonly text: string;
 }
 
 const MILLIS_PER_SECOND = 1000;
-/** Above this backlog, nothing is written and new lines are dropped. */
+/** Above this backlog, nothing is written. */
 const MAX_BACKLOG_BYTES = 262_144;
+/** Events of one name whose lines are longer in all are not gathered further. */
+const MAX_GROUP_CHARACTERS = 65_536;
+/** A longer line counts as several against the rate. */
+const CHARACTERS_PER_LINE = 1024;
+/** Share of the rate that only lines with gathered events may use. */
+const GATHERED_SHARE = 0.5;
 
-/** Creates a writer that drops lines instead of blocking or exceeding its rate. */
+/**
+ * Creates a writer that gathers events, and then drops them, instead of blocking
+ * or exceeding its rate. Each name of events has its own limit, so that many
+ * events of one name do not displace those of another.
+ */
 export function createLineWriter(options: LineWriterOptions): LineWriter {
-  const {write, backlogBytes, linesPerSecond, now} = options;
-  let bufferedLines: string[] = [];
-  /** Token bucket of the rate limit: each buffered line takes a token. */
+  const {write, backlogBytes, linesPerSecond, isRoutine, now} = options;
+  const minTokensOfOwnLine = linesPerSecond * GATHERED_SHARE;
+  let bufferedLines: BufferedLine[] = [];
+  const groups = new Map<string, EventGroup>();
+  /** Token bucket of the rate limit; a long line may overdraw it. */
   let tokens = linesPerSecond;
   let refilledAt = now();
-  let droppedTotal = 0;
-  let droppedSinceReport = 0;
+  const droppedTotal = new Map<string, number>();
+  const droppedSinceReport = new Map<string, number>();
 
   function refillTokens(): void {
     const elapsedSeconds = (now() - refilledAt) / MILLIS_PER_SECOND;
@@ -43,32 +76,90 @@
     tokens = Math.min(linesPerSecond, tokens + elapsedSeconds * linesPerSecond);
   }
 
+  function bufferLine(at: number, text: string): void {
+    tokens -= Math.max(1, text.length / CHARACTERS_PER_LINE);
+    bufferedLines.push({at, text});
+  }
+
+  function gatherEvent(prefix: string, event: LogEvent): void {
+    const group = groups.get(event.name) ?? {
+      prefix,
+      timedEvents: [],
+      characters: 0,
+    };
+    if (group.characters >= MAX_GROUP_CHARACTERS) {
+      increment(droppedTotal, event.name);
+      increment(droppedSinceReport, event.name);
+      return;
+    }
+    group.timedEvents.push({at: now(), event});
+    group.characters += String(event).length;
+    groups.set(event.name, group);
+  }
+
+  function bufferGroups(areRoutine: boolean, minTokens: number): void {
+    for (const [name, {prefix, timedEvents}] of groups) {
+      if (isRoutine(name) === areRoutine && tokens >= minTokens) {
+        const [first] = timedEvents;
+        const event =
+          timedEvents.length === 1 ? first.event : gatherEvents(timedEvents);
+        bufferLine(first.at, `${prefix}${event}`);
+        groups.delete(name);
+      }
+    }
+  }
+
+  function bufferDroppedReport(): void {
+    const counts = [...droppedSinceReport];
+    const total = counts.reduce((sum, [, count]) => sum + count, 0);
+    const countsText = counts.map(([name, count]) => `${name}:${count}`);
+    bufferLine(
+      now(),
+      `event=log-lines-left-out count=${total} of=${countsText.join(',')}`,
+    );
+    droppedSinceReport.clear();
+  }
+
+  /** Writes what the given number of tokens allows. */
+  function writeLines(minTokens: number): void {
+    bufferGroups(false, minTokens);
+    bufferGroups(true, minTokens);
+    if (droppedSinceReport.size > 0 && tokens >= minTokens) {
+      bufferDroppedReport();
+    }
+    if (bufferedLines.length > 0) {
+      const texts = bufferedLines
+        .sort((a, b) => a.at - b.at)
+        .map(({text}) => text);
+      write(`${texts.join('\n')}\n`);
+      bufferedLines = [];
+    }
+  }
+
   return {
-    line: text => {
+    write: (prefix, event) => {
       refillTokens();
-      if (tokens < 1 || backlogBytes() > MAX_BACKLOG_BYTES) {
-        droppedTotal++;
-        droppedSinceReport++;
-        return;
+      const hasOwnLine =
+        !isRoutine(event.name) &&
+        tokens >= Math.max(1, minTokensOfOwnLine) &&
+        backlogBytes() <= MAX_BACKLOG_BYTES;
+      if (hasOwnLine) {
+        bufferLine(now(), `${prefix}${event}`);
+      } else {
+        gatherEvent(prefix, event);
       }
-      tokens--;
-      bufferedLines.push(text);
     },
     flush: () => {
-      if (backlogBytes() > MAX_BACKLOG_BYTES) {
-        return;
-      }
-      if (droppedSinceReport > 0 && tokens >= 1) {
-        bufferedLines.push(
-          `event=log-lines-left-out count=${droppedSinceReport}`,
-        );
-        droppedSinceReport = 0;
-      }
-      if (bufferedLines.length > 0) {
-        write(`${bufferedLines.join('\n')}\n`);
-        bufferedLines = [];
+      if (backlogBytes() <= MAX_BACKLOG_BYTES) {
+        refillTokens();
+        writeLines(1);
       }
     },
+    close: () => writeLines(-Infinity),
     droppedLines: () => droppedTotal,
   };
 }
+
+function increment(counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
