--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -152,7 +152,13 @@
   kernel.dispatch(CONFIGURATION_IN_FORCE, {
     configuration: buildConfiguration([BENCH_POLICY]),
   });
-  kernel.dispatch(JOURNAL_READ, {entries: [], endOffset: 0, isSnapshot: true});
+  kernel.dispatch(JOURNAL_READ, {
+    entries: [],
+    endOffset: 0,
+    logEndOffset: 0,
+    sentAt: 0,
+    isSnapshot: true,
+  });
   kernel.dispatch(HOLDING_TICK, undefined);
   kernel.dispatch(REQUESTS_READ, {partition: 0, requests: []});
   kernel.dispatch(WORKER_REGISTRY_READ, {
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -38,6 +38,10 @@
   readonly isCaughtUp: boolean;
   /** End offset of the entries applied so far. */
   readonly endOffset: number;
+  /** End offset of the journal, as the log last told it. */
+  readonly logEndOffset: number;
+  /** All entries that were appended before this time have been applied. */
+  readonly completeUntil: number;
   /** The newest holder record in the journal. */
   readonly latestHolderRecord: HolderRecord | undefined;
   /** When the newest holder record was read or, on the holder, appended. */
@@ -64,6 +68,8 @@
   phase: 'following',
   isCaughtUp: false,
   endOffset: 0,
+  logEndOffset: 0,
+  completeUntil: -Infinity,
   latestHolderRecord: undefined,
   holderHeardAt: 0,
   journalReadAt: -Infinity,
--- a/packages/holding/src/__tests__/unit/recordWhileFollowing.test.ts
+++ b/packages/holding/src/__tests__/unit/recordWhileFollowing.test.ts
@@ -42,6 +42,8 @@
     kernel.dispatch(JOURNAL_READ, {
       entries: [],
       endOffset: 0,
+      logEndOffset: 0,
+      sentAt: 0,
       isSnapshot: true,
     });
     kernel.dispatch(recordJob, undefined);
--- a/packages/holding/src/applyEntries.ts
+++ b/packages/holding/src/applyEntries.ts
@@ -1,6 +1,7 @@
 import type {Update} from '@samphireramp/kernel';
+import {reachedLogEnd} from '@samphireramp/stream-log';
 import {HOLDING, DURABLE_PROGRESS} from './HoldingState';
-import type {JournalEntry, StoredEntry} from './messages';
+import type {JournalEntry, JournalRead, StoredEntry} from './messages';
 
 /** Applies a durable entry to the progress that callers are shown. */
 export function applyEntry(update: Update, entry: JournalEntry): void {
@@ -16,12 +17,8 @@
  * Applies entries read from the journal and skips those applied before. A
  * snapshot is applied in full: jobs that are absent from it are deleted.
  */
-export function applyReadEntries(
-  update: Update,
-  entries: readonly StoredEntry[],
-  endOffset: number,
-  isSnapshot: boolean,
-): void {
+export function applyReadEntries(update: Update, read: JournalRead): void {
+  const {entries, endOffset, logEndOffset, isSnapshot} = read;
   const holding = update.write(HOLDING);
   const previous = holding.get();
   if (isSnapshot) {
@@ -45,6 +42,10 @@
     latestHolderRecord,
     holderHeardAt: previous.isCaughtUp ? holderHeardAt : update.now,
     endOffset: Math.max(previous.endOffset, endOffset),
+    logEndOffset: Math.max(previous.logEndOffset, logEndOffset),
+    completeUntil: reachedLogEnd(read)
+      ? Math.max(previous.completeUntil, read.sentAt)
+      : previous.completeUntil,
     isCaughtUp: true,
     journalReadAt: update.now,
   });
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -1,11 +1,13 @@
-import {
-  type PayloadOf,
-  type Plugin,
-  type Update,
-  mergeUnregister,
-} from '@samphireramp/kernel';
+import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
 import type {AppendOutcome} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
+import {
+  CLAIM_TIMEOUT_MILLIS,
+  MIN_APPEND_TIMEOUT_MILLIS,
+  REFUSED_APPEND_RETRY_DELAY_MILLIS,
+  UNANSWERED_APPEND_RETRY_DELAY_MILLIS,
+  appendTimeoutMillis,
+} from './appendTiming';
 import {applyEntry, applyReadEntries} from './applyEntries';
 import {type HoldingOptions, isClaimDue, termOfClaim} from './claimRules';
 import type {HolderRecord} from './HolderRecord';
@@ -30,20 +32,13 @@
   JOURNAL_APPEND_ENDED,
   JOURNAL_READ,
   type JournalEntry,
-  type StoredEntry,
+  type JournalRead,
   RESIGN,
 } from './messages';
 
 /** Interval at which an idle holder appends a holder record as a heartbeat. */
 export const HEARTBEAT_INTERVAL_MILLIS = 150;
 const CLAIM_RETRY_DELAY_MILLIS = 250;
-const REFUSED_APPEND_RETRY_DELAY_MILLIS = 40;
-const UNANSWERED_APPEND_RETRY_DELAY_MILLIS = 5;
-/** Timeout of a first append; resends add the time since the log answered. */
-const MIN_APPEND_TIMEOUT_MILLIS = 350;
-const MAX_APPEND_TIMEOUT_MILLIS = 2000;
-/** A claim is not resent, unlike a batch: its timeout allows for a slow log. */
-const CLAIM_TIMEOUT_MILLIS = 1500;
 
 /** Claims the site for this host, and writes the journal while it holds it. */
 export function createHoldingPlugin(options: HoldingOptions): Plugin {
@@ -89,6 +84,7 @@
       holderHeardAt: update.now,
       journalReadAt: update.now,
       endOffset,
+      logEndOffset: Math.max(holding.get().logEndOffset, endOffset),
       holdingBeganAt: update.now,
       nextBatchNumber: 1,
       batchInFlight: undefined,
@@ -209,7 +205,12 @@
     }
   }
 
-  function commitBatch(update: Update, endOffset: number): void {
+  /** Applies the batch in flight, which is durable, up to `endOffset`. */
+  function commitBatch(
+    update: Update,
+    endOffset: number,
+    completeUntil: number,
+  ): void {
     const holding = update.write(HOLDING);
     const current = holding.get();
     const batch = current.batchInFlight;
@@ -223,6 +224,8 @@
       ...current,
       batchInFlight: undefined,
       endOffset,
+      logEndOffset: Math.max(current.logEndOffset, endOffset),
+      completeUntil: Math.max(current.completeUntil, completeUntil),
       holderHeardAt: update.now,
       journalReadAt: update.now,
     });
@@ -292,7 +295,12 @@
     }
     match(outcome)
       .with({kind: 'appended'}, appended =>
-        commitBatch(update, appended.endOffset),
+        // The journal ended at this host's copy when the append took effect.
+        commitBatch(
+          update,
+          appended.endOffset,
+          batchInFlight.sentAt ?? -Infinity,
+        ),
       )
       // Either an unanswered append made the batch durable, or another host has
       // claimed the site. It is not resent until the journal tells which.
@@ -309,13 +317,13 @@
       .exhaustive();
   }
 
-  function onRead(update: Update, read: PayloadOf<typeof JOURNAL_READ>): void {
+  function onRead(update: Update, read: JournalRead): void {
     const {phase, endOffset: knownEndOffset} = update.read(HOLDING).get();
     if (phase === 'holding') {
-      onReadWhileHolding(update, read.entries, read.endOffset);
+      onReadWhileHolding(update, read);
       return;
     }
-    applyReadEntries(update, read.entries, read.endOffset, read.isSnapshot);
+    applyReadEntries(update, read);
     const {latestHolderRecord} = update.read(HOLDING).get();
     // A claim whose answer was lost may be in the journal all the same. If this
     // read finds it, the holding begins.
@@ -336,28 +344,24 @@
   }
 
   // A new holder record is that of the batch in flight or another host's claim.
-  function onReadWhileHolding(
-    update: Update,
-    entries: readonly StoredEntry[],
-    readEndOffset: number,
-  ): void {
+  function onReadWhileHolding(update: Update, read: JournalRead): void {
     const {endOffset: knownEndOffset, batchInFlight} = update
       .read(HOLDING)
       .get();
-    for (const {offset, entry} of entries) {
+    for (const {offset, entry} of read.entries) {
       if (offset < knownEndOffset || entry.kind !== 'holder') {
         continue;
       }
       if (entry.record.incarnation !== incarnation) {
         endHolding(update, 'other-claim');
-        applyReadEntries(update, entries, readEndOffset, false);
+        applyReadEntries(update, {...read, isSnapshot: false});
         return;
       }
       if (
         batchInFlight !== undefined &&
         entry.record.batch === batchInFlight.number
       ) {
-        commitBatch(update, offset + batchInFlight.entries.length);
+        commitBatch(update, offset + batchInFlight.entries.length, -Infinity);
         return;
       }
     }
@@ -390,11 +394,3 @@
       }),
     );
 }
-
-/** Timeout of a resent append: longer the longer the log has not answered. */
-function appendTimeoutMillis(silentMillis: number): number {
-  return Math.min(
-    MAX_APPEND_TIMEOUT_MILLIS,
-    MIN_APPEND_TIMEOUT_MILLIS + silentMillis,
-  );
-}
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -24,6 +24,7 @@
   JOURNAL_READ,
   type HoldingEndReason,
   type JournalEntry,
+  type JournalRead,
   type StoredEntry,
   RESIGN,
 } from './messages';
--- a/packages/holding/src/messages.ts
+++ b/packages/holding/src/messages.ts
@@ -1,6 +1,6 @@
 import {createCommand, createEffect} from '@samphireramp/kernel';
 import type {Progress} from '@samphireramp/jobs';
-import type {AppendOutcome} from '@samphireramp/stream-log';
+import type {AppendOutcome, StreamRead} from '@samphireramp/stream-log';
 import type {HolderRecord} from './HolderRecord';
 
 /** A decoded record of the journal. */
@@ -15,14 +15,13 @@
   readonly entry: JournalEntry;
 }
 
-/** Reports entries read from the journal. */
-export const JOURNAL_READ = createCommand<{
+/** What one read of the journal returned. */
+export interface JournalRead extends Omit<StreamRead, 'records'> {
   readonly entries: readonly StoredEntry[];
-  /** End offset of the journal when it was read. */
-  readonly endOffset: number;
-  /** Whether the entries are the newest of each key instead of the history. */
-  readonly isSnapshot: boolean;
-}>('journal-read');
+}
+
+/** Reports entries read from the journal. */
+export const JOURNAL_READ = createCommand<JournalRead>('journal-read');
 
 /** Reports the outcome of an append to the journal. */
 export const JOURNAL_APPEND_ENDED = createCommand<{
--- /dev/null
+++ b/packages/site-daemon/src/answerReporter.ts
@@ -0,0 +1,75 @@
+import {HOLDING, heldTerm} from '@samphireramp/holding';
+import type {JobStatus} from '@samphireramp/intake';
+import type {Kernel} from '@samphireramp/kernel';
+import type {Log, LogFields, Metrics} from '@samphireramp/telemetry';
+
+/** Maximum log lines about answers in each interval of `WINDOW_MILLIS`. */
+const MAX_LINES_PER_WINDOW = 10;
+const WINDOW_MILLIS = 1000;
+
+/** Options of `createAnswerReporter`. */
+export interface AnswerReporterOptions {
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Milliseconds of the monotonic clock. */
+  readonly now: () => number;
+}
+
+/** Reports answers that depend on what this host's copy of the journal holds. */
+export interface AnswerReporter {
+  onStatus(jobId: string, status: JobStatus): void;
+  onPending(queue: string, count: number): void;
+}
+
+/**
+ * Counts answers from the copy of the journal and logs them, up to a limit, with
+ * the state of the copy that decided them.
+ */
+export function createAnswerReporter(
+  kernel: Kernel,
+  {log, metrics, now}: AnswerReporterOptions,
+): AnswerReporter {
+  let windowStartedAt = -Infinity;
+  let linesInWindow = 0;
+
+  function logWithinLimit(event: string, fields: LogFields): void {
+    if (now() - windowStartedAt >= WINDOW_MILLIS) {
+      windowStartedAt = now();
+      linesInWindow = 0;
+    }
+    linesInWindow++;
+    if (linesInWindow <= MAX_LINES_PER_WINDOW) {
+      log(event, {...fields, ...describeCopy(kernel, now())});
+    }
+  }
+
+  return {
+    onStatus: (jobId, status) => {
+      if (status === 'absent' || status === 'unsure') {
+        metrics.count('status_answers', {status});
+        logWithinLimit(`status-${status}`, {job: jobId});
+      }
+    },
+    onPending: (queue, count) => {
+      metrics.count('pending_answers');
+      logWithinLimit('pending-counted', {queue, count});
+    },
+  };
+}
+
+/** How far this host's copy of the journal goes, and how old it is. */
+function describeCopy(kernel: Kernel, now: number): LogFields {
+  const holding = kernel.read(HOLDING).get();
+  return {
+    copyEnd: holding.endOffset,
+    journalEnd: holding.logEndOffset,
+    copyMillis: ageOf(holding.completeUntil, now),
+    readMillis: ageOf(holding.journalReadAt, now),
+    holderMillis: ageOf(holding.holderHeardAt, now),
+    term: heldTerm(kernel),
+  };
+}
+
+function ageOf(time: number, now: number): number {
+  return Math.round(now - time);
+}
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -1,6 +1,7 @@
 import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
 import {
   ANSWER_CALL,
+  type JobStatus,
   REQUEST_RECEIVED,
   type Request,
   type RequestAnswer,
@@ -19,6 +20,9 @@
   readonly isStopping: () => boolean;
   /** When this host started, on the monotonic clock. */
   readonly startedAt: number;
+  /** Called with each answer that this host gives from its copy of the journal. */
+  readonly onStatus: (jobId: string, status: JobStatus) => void;
+  readonly onPending: (queue: string, count: number) => void;
 }
 
 /** Implements the job API with the commands and state of the kernel. */
@@ -26,7 +30,7 @@
   kernel: Kernel,
   options: CallerServiceOptions,
 ): CallerService {
-  const {now, wallClock, isStopping, startedAt} = options;
+  const {now, wallClock, isStopping, startedAt, onStatus, onPending} = options;
   /** Functions that answer the open calls, by call id. */
   const pendingCalls = new Map<string, (answer: RequestAnswer) => void>();
   let lastCallNumber = 0;
@@ -48,8 +52,16 @@
     submit: job => dispatchRequest({kind: 'submit', job}),
     cancel: jobId =>
       dispatchRequest({kind: 'cancel', jobId, receivedAt: wallClock()}),
-    status: jobId => jobStatus(kernel, jobId, now(), startedAt),
-    pending: queue => countPending(kernel, queue),
+    status: jobId => {
+      const status = jobStatus(kernel, jobId, now(), startedAt);
+      onStatus(jobId, status);
+      return status;
+    },
+    pending: queue => {
+      const count = countPending(kernel, queue);
+      onPending(queue, count);
+      return count;
+    },
     isStopping,
     wallClock,
   };
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -30,6 +30,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import {createAdvicePlugin} from './advicePlugin';
+import {createAnswerReporter} from './answerReporter';
 import {createCallerService} from './callerService';
 import {createStreamLogPlugin} from './streamLogPlugin';
 import {createObserverPlugin} from './observerPlugin';
@@ -148,6 +149,7 @@
     wallClock,
     startedAt,
     isStopping: () => isStopping,
+    ...createAnswerReporter(kernel, {log, metrics, now}),
   });
   const isReady = () =>
     !isStopping &&
--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -31,6 +31,10 @@
       metrics.gauge('job_views', () => kernel.read(DURABLE_PROGRESS).size),
       metrics.gauge('runs', () => kernel.read(RUNS).size),
       metrics.gauge('workers', () => kernel.read(WORKERS).size),
+      metrics.gauge('journal_lag_records', () => {
+        const {endOffset, logEndOffset} = kernel.read(HOLDING).get();
+        return logEndOffset - endOffset;
+      }),
       metrics.gauge('is_holder', () =>
         heldTerm(kernel) === undefined ? 0 : 1,
       ),
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -100,14 +100,14 @@
             ? FOLLOWER_JOURNAL_READ_PAUSE_MILLIS
             : HOLDER_JOURNAL_READ_PAUSE_MILLIS,
       },
-      listenerFor('progress')((records, endOffset, isSnapshot) => {
+      listenerFor('progress')(({records, ...read}) => {
         const entries = decodeJournal(records, onMalformed('progress'));
-        kernel.dispatch(JOURNAL_READ, {entries, endOffset, isSnapshot});
+        kernel.dispatch(JOURNAL_READ, {entries, ...read});
       }),
     );
     const configuration = streams.follow(
       {stream: 'configuration', ...LOW_TRAFFIC_OPTIONS},
-      listenerFor('configuration')(records =>
+      listenerFor('configuration')(({records}) =>
         applyConfiguration(kernel, options, records),
       ),
     );
@@ -118,7 +118,7 @@
       unfollowHolderStreams();
       const hosts = streams.follow(
         {stream: 'hosts', ...LOW_TRAFFIC_OPTIONS},
-        listenerFor('hosts')(records =>
+        listenerFor('hosts')(({records}) =>
           kernel.dispatch(HOSTS_READ, {
             hosts: decodeHosts(records, onMalformed('hosts')),
           }),
@@ -137,7 +137,7 @@
             listenerFor(
               'requests',
               partition,
-            )(records =>
+            )(({records}) =>
               kernel.dispatch(REQUESTS_READ, {
                 partition,
                 requests: decodeRequests(records, onMalformed('requests')),
@@ -205,13 +205,18 @@
   log: Log,
 ) {
   let isLost = false;
-  return (onRecords: StreamListener['onRecords']): StreamListener => ({
-    onRecords: (records, endOffset, isSnapshot) => {
+  return (onRead: StreamListener['onRead']): StreamListener => ({
+    onRead: read => {
       if (isLost) {
         isLost = false;
-        log('stream-regained', {stream, partition, end: endOffset});
+        log('stream-regained', {
+          stream,
+          partition,
+          end: read.endOffset,
+          logEnd: read.logEndOffset,
+        });
       }
-      onRecords(records, endOffset, isSnapshot);
+      onRead(read);
     },
     onFailure: detail => {
       if (!isLost) {
@@ -247,7 +252,7 @@
   const listener = createListenerFactory('workers', ONLY_PARTITION, log);
   return streams.follow(
     {stream: 'workers', ...LOW_TRAFFIC_OPTIONS},
-    listener((records, _, isSnapshot) => {
+    listener(({records, isSnapshot}) => {
       const newestValues = new Map<string, Buffer>();
       for (const {key, value} of records) {
         newestValues.set(key, value);
--- a/packages/stream-log/src/StreamLog.ts
+++ b/packages/stream-log/src/StreamLog.ts
@@ -40,18 +40,34 @@
   readonly timeoutMillis: number;
 }
 
-/** Receives the records of a followed partition. */
-export interface StreamListener {
+/** What one read of a partition returned. */
+export interface StreamRead {
+  /** Records in order of offset. */
+  readonly records: readonly StoredRecord[];
+  /** Offset after the last record that was read. */
+  readonly endOffset: number;
+  /** End offset of the partition when the log answered the read. */
+  readonly logEndOffset: number;
+  /** When the read was sent, on the runtime's monotonic clock. */
+  readonly sentAt: number;
   /**
-   * Called with records in order of offset, and the offset after the last one
-   * that was read. If `isSnapshot`, the records are the newest of each key, read
-   * because the history is not available: keys that are absent were deleted.
+   * Whether the records are the newest of each key, read because the history is
+   * not available: keys that are absent were deleted.
    */
-  onRecords(
-    records: readonly StoredRecord[],
-    endOffset: number,
-    isSnapshot: boolean,
-  ): void;
+  readonly isSnapshot: boolean;
+}
+
+/** Whether every record that was appended before the read was sent was read. */
+export function reachedLogEnd(
+  read: Pick<StreamRead, 'endOffset' | 'logEndOffset'>,
+): boolean {
+  return read.endOffset >= read.logEndOffset;
+}
+
+/** Receives the records of a followed partition. */
+export interface StreamListener {
+  /** Called after each successful read, also if it returned no records. */
+  onRead(read: StreamRead): void;
   /** Called when a read failed; it is retried. */
   onFailure(detail: string): void;
 }
--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -139,14 +139,15 @@
         return;
       }
       const records = this.records(stream, partition);
-      if (nextOffset === undefined) {
-        nextOffset = records.length;
-        listener.onRecords(snapshotOf(records), nextOffset, true);
-      } else {
-        const newRecords = records.slice(nextOffset);
-        nextOffset = records.length;
-        listener.onRecords(newRecords, nextOffset, false);
-      }
+      const from = nextOffset;
+      nextOffset = records.length;
+      listener.onRead({
+        records: from === undefined ? snapshotOf(records) : records.slice(from),
+        endOffset: nextOffset,
+        logEndOffset: records.length,
+        sentAt: this.timeline.now,
+        isSnapshot: from === undefined,
+      });
       this.timeline.after(READ_INTERVAL_MILLIS, read);
     };
     this.timeline.after(READ_INTERVAL_MILLIS, read);
