Observability: log and measure the delay of a host's loop

Without it a host that lacks processor time can't be told from workers and peers that are slow to answer: the timeouts of all its calls are late, too.

--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -9,12 +9,17 @@
 import {
   HOLDING,
   HOLDING_EVENT,
+  HOLDING_TICK,
   DURABLE_PROGRESS,
   heldTerm,
 } from '@samphireramp/holding';
 import {INTAKE_EVENT} from '@samphireramp/intake';
 import {type Plugin, mergeUnregister} from '@samphireramp/kernel';
 import type {Log, Metrics} from '@samphireramp/telemetry';
+import {HOLDING_TICK_MILLIS} from './timersPlugin';
+
+/** A tick that is later than this is logged: timeouts of calls are late, too. */
+const LONG_LOOP_DELAY_MILLIS = 150;
 
 /** Options of `createObserverPlugin`. */
 export interface ObserverOptions {
@@ -24,8 +29,21 @@
 
 /** Writes logs and metrics from events and state; changes no state. */
 export function createObserverPlugin({metrics, log}: ObserverOptions): Plugin {
-  return kernel =>
-    mergeUnregister(
+  return kernel => {
+    let tickedAt: number | undefined;
+
+    function observeLoopDelay(now: number): void {
+      if (tickedAt !== undefined) {
+        const delayMillis = Math.round(now - tickedAt - HOLDING_TICK_MILLIS);
+        metrics.time('loop_delay', delayMillis);
+        if (delayMillis > LONG_LOOP_DELAY_MILLIS) {
+          log('loop-delayed', {millis: delayMillis, term: heldTerm(kernel)});
+        }
+      }
+      tickedAt = now;
+    }
+
+    return mergeUnregister(
       metrics.gauge('active_jobs', () => listActiveJobs(kernel).length),
       metrics.gauge('known_jobs', () => kernel.read(JOBS).size),
       metrics.gauge('job_views', () => kernel.read(DURABLE_PROGRESS).size),
@@ -74,6 +92,9 @@
           term: heldTerm(kernel),
         });
       }),
+      kernel.registerCommand(HOLDING_TICK, update =>
+        observeLoopDelay(update.now),
+      ),
       kernel.registerEffect(HOLDING_EVENT, event => {
         metrics.count('holding_events', {event: event.event});
         log(event.event, {
@@ -97,4 +118,5 @@
         },
       ),
     );
+  };
 }
--- a/packages/site-daemon/src/timersPlugin.ts
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -14,7 +14,8 @@
 } from '@samphireramp/intake';
 import {type Command, type Plugin, mergeUnregister} from '@samphireramp/kernel';
 
-const HOLDING_TICK_MILLIS = 40;
+/** Interval of `HOLDING_TICK`. */
+export const HOLDING_TICK_MILLIS = 40;
 const FLEET_TICK_MILLIS = 100;
 const DISPATCH_TICK_MILLIS = 100;
 const INTAKE_TICK_MILLIS = 5000;
