Gathered log lines stay short

Events of one name now begin another line after 4 KB, most lines being far shorter, as equal values stand once. The count of what was left out is written before routine lines, which may use up the rate for as long as a flood lasts.

--- a/packages/operator-command/src/__tests__/unit/explainJob.test.ts
+++ b/packages/operator-command/src/__tests__/unit/explainJob.test.ts
@@ -99,7 +99,7 @@
   for (const event of events) {
     writer.write('2026-02-05T22:23:13.000Z samphireramp:host ', event);
   }
-  writer.flush();
+  writer.close();
   return output.split('\n');
 }
 
--- a/packages/telemetry/src/__tests__/unit/lineWriter.test.ts
+++ b/packages/telemetry/src/__tests__/unit/lineWriter.test.ts
@@ -7,7 +7,7 @@
 } from '../../index';
 
 const FLUSH_INTERVAL_MILLIS = 50;
-const MAX_EVENT_CHARACTERS = 65_536;
+const MAX_WAITING_CHARACTERS = 65_536;
 
 function buildWriter(
   linesPerSecond: number,
@@ -145,6 +145,19 @@
   );
 });
 
+void t.test('many events are gathered into several short lines', async t => {
+  const {writer, write, lines} = buildWriter(200, ['advised']);
+  const jobIds = Array.from({length: 500}, (_, index) => `job-${index}`);
+  jobIds.forEach((subject, millis) => write('advised', {subject, millis}));
+  writer.flush();
+  t.ok(lines().length > 1);
+  t.ok(lines().every(line => line.length < 5000));
+  t.same(
+    lines().flatMap(line => line.match(/job-\d+/g) ?? []),
+    jobIds,
+  );
+});
+
 void t.test('lines are written in the order of their events', async t => {
   const {writer, write, lines, state} = buildWriter(200, ['job-taken']);
   write('job-taken', {subject: 'a1'});
@@ -178,12 +191,11 @@
     const maxLines = linesPerSecond * (seconds + 1) + 2;
     t.ok(lines().length <= maxLines, `${lines().length} lines`);
     const characters = lines().join('').length;
-    const maxCharacters = maxLines * 1024 + 2 * MAX_EVENT_CHARACTERS;
+    const maxCharacters = maxLines * 1024 + 2 * MAX_WAITING_CHARACTERS;
     t.ok(characters <= maxCharacters, `${characters} characters`);
     const left = writer.droppedLines();
     t.ok((left.get('advised') ?? 0) > 0);
-    state.now += 60_000;
-    writer.flush();
+    writer.close();
     const reported = lines()
       .flatMap(line => /left-out count=(\d+)/.exec(line)?.[1] ?? [])
       .reduce((sum, count) => sum + Number(count), 0);
--- a/packages/telemetry/src/lineWriter.ts
+++ b/packages/telemetry/src/lineWriter.ts
@@ -47,8 +47,10 @@
 const MILLIS_PER_SECOND = 1000;
 /** Above this backlog, nothing is written. */
 const MAX_BACKLOG_BYTES = 262_144;
-/** Events of one name whose lines are longer in all are not gathered further. */
-const MAX_GROUP_CHARACTERS = 65_536;
+/** Events are gathered into another line once they are this long in all. */
+const MAX_GROUP_CHARACTERS = 4096;
+/** Maximum number of lines of one event name that wait for a flush. */
+const MAX_WAITING_GROUPS = 16;
 /** A longer line counts as several against the rate. */
 const CHARACTERS_PER_LINE = 1024;
 /** Share of the rate that only lines with gathered events may use. */
@@ -63,7 +65,8 @@
   const {write, backlogBytes, linesPerSecond, isRoutine, now} = options;
   const minTokensOfOwnLine = linesPerSecond * GATHERED_SHARE;
   let bufferedLines: BufferedLine[] = [];
-  const groups = new Map<string, EventGroup>();
+  /** Events that wait for a flush, by name. */
+  const waitingGroups = new Map<string, EventGroup[]>();
   /** Token bucket of the rate limit; a long line may overdraw it. */
   let tokens = linesPerSecond;
   let refilledAt = now();
@@ -82,33 +85,42 @@
   }
 
   function gatherEvent(prefix: string, event: LogEvent): void {
-    const group = groups.get(event.name) ?? {
-      prefix,
-      timedEvents: [],
-      characters: 0,
-    };
-    if (group.characters >= MAX_GROUP_CHARACTERS) {
-      increment(droppedTotal, event.name);
-      increment(droppedSinceReport, event.name);
-      return;
+    const groups = waitingGroups.get(event.name) ?? [];
+    let group = groups.at(-1);
+    if (group === undefined || group.characters >= MAX_GROUP_CHARACTERS) {
+      if (groups.length === MAX_WAITING_GROUPS) {
+        increment(droppedTotal, event.name);
+        increment(droppedSinceReport, event.name);
+        return;
+      }
+      group = {prefix, timedEvents: [], characters: 0};
+      groups.push(group);
+      waitingGroups.set(event.name, groups);
     }
     group.timedEvents.push({at: now(), event});
     group.characters += String(event).length;
-    groups.set(event.name, group);
   }
 
-  function bufferGroups(areRoutine: boolean, minTokens: number): void {
-    for (const [name, {prefix, timedEvents}] of groups) {
-      if (isRoutine(name) === areRoutine && tokens >= minTokens) {
-        const [first] = timedEvents;
-        const event =
-          timedEvents.length === 1 ? first.event : gatherEvents(timedEvents);
-        bufferLine(first.at, `${prefix}${event}`);
-        groups.delete(name);
+  function bufferWaitingGroups(areRoutine: boolean, minTokens: number): void {
+    for (const [name, groups] of waitingGroups) {
+      if (isRoutine(name) !== areRoutine) {
+        continue;
+      }
+      const nextGroup = () =>
+        tokens >= minTokens ? groups.shift() : undefined;
+      for (let group = nextGroup(); group; group = nextGroup()) {
+        bufferGroup(group);
       }
     }
   }
 
+  function bufferGroup({prefix, timedEvents}: EventGroup): void {
+    const [first] = timedEvents;
+    const event =
+      timedEvents.length === 1 ? first.event : gatherEvents(timedEvents);
+    bufferLine(first.at, `${prefix}${event}`);
+  }
+
   function bufferDroppedReport(): void {
     const counts = [...droppedSinceReport];
     const total = counts.reduce((sum, [, count]) => sum + count, 0);
@@ -122,11 +134,11 @@
 
   /** Writes what the given number of tokens allows. */
   function writeLines(minTokens: number): void {
-    bufferGroups(false, minTokens);
-    bufferGroups(true, minTokens);
+    bufferWaitingGroups(false, minTokens);
     if (droppedSinceReport.size > 0 && tokens >= minTokens) {
       bufferDroppedReport();
     }
+    bufferWaitingGroups(true, minTokens);
     if (bufferedLines.length > 0) {
       const texts = bufferedLines
         .sort((a, b) => a.at - b.at)
