A job is queued until a worker confirms a start

Cause: a job became "running" when the tasks of a step were placed, before any order had gone out.

Now the state changes when a worker confirms the start of a run, reports it, or reports its end, and not before; that is the evidence a caller's answer needs. It costs one more record a job, which the batch often merges with another. A run adopted from an earlier holder counts as confirmed from its adoption on, so its first report now confirms it too, and the job of a run found at a worker starts as well.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -342,14 +342,13 @@
   );
   // Tasks of a gang share one run number, so that a failed run counts once.
   const gangRun = 1 + Math.max(...tasks.map(task => task.run));
-  const changed = updateStepTasks(row.progress, stepId, (task, index) => {
+  const progress = updateStepTasks(row.progress, stepId, (task, index) => {
     const worker = incarnationByIndex.get(index);
     const run = readyStep.step.isGang ? gangRun : task.run + 1;
     return worker === undefined
       ? task
       : {...task, phase: 'placed', run, worker};
   });
-  const progress: Progress = {...changed, state: 'running'};
   setProgress(update, row, progress);
   for (const {index, candidate} of placements) {
     reserveAndOrderRun(update, readyStep, stepId, index, candidate, progress);
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -20,6 +20,7 @@
   type Task,
   findTask,
   isFinalState,
+  markStarted,
   reservedResources,
   runKey,
   taskKey,
@@ -68,7 +69,7 @@
   wallClock: () => number,
 ): void {
   schedulePlacement(update);
-  const active = findActiveTask(update, runId);
+  const found = findActiveTask(update, runId);
   // The event of a completed job covers its done runs; only other outcomes are
   // logged one by one.
   if (outcome !== 'done') {
@@ -76,12 +77,15 @@
       update,
       runId,
       incarnation,
-      active ? outcome : `${outcome}-unneeded`,
+      found ? outcome : `${outcome}-unneeded`,
     );
   }
-  if (active === undefined || active.task.phase === 'done') {
+  if (found === undefined || found.task.phase === 'done') {
     return;
   }
+  // A run may start and end between two reports of its worker.
+  const progress = markStarted(found.row.progress);
+  const active = {...found, row: {...found.row, progress}};
   if (outcome === 'done' && !active.step.isService) {
     recordSuccess(update, incarnation);
     if (ranMillis !== undefined && checkpoint === '' && !active.step.isGang) {
@@ -213,13 +217,25 @@
   }
 }
 
-/** Stops a confirmed run whose job or occurrence is over or unknown. */
+/**
+ * Records that the job of a confirmed run has started. Stops the run if its job
+ * or occurrence is over or unknown.
+ */
 export function onRunConfirmed(
   update: Update,
   {runId}: PayloadOf<typeof RUN_CONFIRMED>,
 ): void {
-  if (findActiveTask(update, runId) === undefined) {
+  const active = findActiveTask(update, runId);
+  if (active === undefined) {
     stopUnneededRun(update, runId);
+  } else {
+    recordStart(update, active.row);
+  }
+}
+
+function recordStart(update: Update, row: JobRow): void {
+  if (row.progress.state === 'queued') {
+    setProgress(update, row, markStarted(row.progress));
   }
 }
 
@@ -247,6 +263,9 @@
     worker: incarnation,
     detail: isNeeded ? 'kept' : 'unneeded',
   });
+  if (active !== undefined) {
+    recordStart(update, active.row);
+  }
   if (!isNeeded) {
     stopUnneededRun(update, runId);
   }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -113,7 +113,7 @@
   readonly reason: StartRefusal | 'missing' | 'worker-gone' | 'lapsed-silent';
 }>('run-void');
 
-/** A worker confirmed for the first time that a run started. */
+/** A worker confirmed to this holder for the first time that a run started. */
 export const RUN_CONFIRMED = createCommand<{readonly runId: RunId}>(
   'run-confirmed',
 );
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -172,6 +172,7 @@
       continue;
     }
     const isNew = run.confirmedAt === undefined;
+    const isAdopted = run.startOrders === 0 && !run.isReported;
     const hasProgressed = reported.percentDone !== run.percentDone || isNew;
     changeRun(update, key, {
       phase: run.phase === 'stopping' ? 'stopping' : 'running',
@@ -181,7 +182,7 @@
       progressedAt: hasProgressed ? update.now : run.progressedAt,
       checkpoint: reported.checkpoint || run.checkpoint,
     });
-    if (isNew) {
+    if (isNew || isAdopted) {
       update.dispatch(RUN_CONFIRMED, {runId: run.runId});
     }
   }
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -55,7 +55,10 @@
   receivedAt: z.number(),
 });
 
-/** State of a job as reported to callers. */
+/**
+ * State of a job as reported to callers. A job is queued until a worker has
+ * confirmed the start of one of its tasks.
+ */
 export const jobStateSchema = z.enum([
   'queued',
   'running',
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -135,6 +135,13 @@
   );
 }
 
+/** Returns the progress of a job that has started a task. */
+export function markStarted(progress: Progress): Progress {
+  return progress.state === 'queued'
+    ? {...progress, state: 'running'}
+    : progress;
+}
+
 /** Whether all tasks of a step are done. */
 export function isStepDone(occurrence: Occurrence, step: number): boolean {
   return (occurrence.steps[step] ?? []).every(task => task.phase === 'done');
--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -31,8 +31,8 @@
  * - `ROUTE`: no worker runs more tasks of a step than the step allows.
  * - `GANG`: once faults are over, no gang member ends because the others didn't
  *   start in time.
- * - `MIXED`: a job that is shown was submitted, and completed only if all its
- *   tasks are done.
+ * - `MIXED`: a job that is shown was submitted, running only if a task has
+ *   started, and completed only if all its tasks are done.
  * - `REFUSED`: nothing runs for a job whose submits were all refused.
  * - `LOST`: a job is shown as cancelled only if a caller cancelled it, and as
  *   failed only if a task used up its attempts.
@@ -266,6 +266,12 @@
         `${jobId} is shown as cancelled, but no caller cancelled it`,
       );
     }
+    if (state === 'running' && this.countStarts(jobId) === 0) {
+      this.reportViolation(
+        'MIXED',
+        `${jobId} is shown as running, but no task has started`,
+      );
+    }
     if (state === 'completed') {
       for (const key of this.taskKeysOf(submitted.job)) {
         if (!this.doneTasks.has(key)) {
