Stop the other members of a gang that can't be complete

Callers of queues with gangs waited 4 s longer than need be, and members that had started waited until their workers ended them as "alone" or "broken".

Cause: when the start of one member was refused, not confirmed, or lost with its worker, only its own task was opened again. The other members kept their resources and waited for a run that could never come, until the workers gave up; a gang is placed again only when all its tasks are open.

Now a discarded run, and a run whose start is given up, stop the other members at once, wherever they are. An end that a worker reports stops only members that may not have started, as the workers end the others by themselves.

Both new tests failed before: "no gang waits for a member that was refused" (not completed after 2.5 s) and "no gang waits for a member that gives no answer" (GANG at 4020).

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -19,6 +19,7 @@
   RUN_ENDED,
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
+  START_GIVEN_UP,
   WORKERS,
   leasesExpiredAt,
   discardRun,
@@ -58,6 +59,7 @@
   onRunConfirmed,
   onRunDiscarded,
   onRunEnded,
+  onStartGivenUp,
   onUnexpectedRun,
 } from './runFlow';
 import {PLACEMENT_SCHEDULED, schedulePlacement} from './schedulePlacement';
@@ -155,6 +157,7 @@
       ),
       kernel.registerCommand(RUN_DISCARDED, onRunDiscarded),
       kernel.registerCommand(RUN_CONFIRMED, onRunConfirmed),
+      kernel.registerCommand(START_GIVEN_UP, onStartGivenUp),
       kernel.registerCommand(UNEXPECTED_RUN_REPORTED, onUnexpectedRun),
       kernel.registerCommand(ADVICE_RECEIVED, onAdviceReceived),
       kernel.registerCommand(PLACE_TASKS, update => {
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -5,6 +5,7 @@
   RUN_ENDED,
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
+  START_GIVEN_UP,
   adoptRun,
   avoidWorker,
   recordDuration,
@@ -19,7 +20,6 @@
   type Step,
   type Task,
   findTask,
-  isFinalState,
   markStarted,
   reservedResources,
   runKey,
@@ -28,8 +28,10 @@
   updateTask,
 } from '@samphireramp/jobs';
 import {match} from 'ts-pattern';
+import {type ActiveTask, findActiveTask} from './activeTask';
 import {delayStep, invalidateTicket} from './adviceState';
 import {JOBS, type JobRow, policyOf, setProgress} from './DispatchState';
+import {stopIncompleteGang, stopUnstartedMembers} from './gangFlow';
 import {endJob, removeDoneOccurrences} from './jobFlow';
 import {DISPATCH_EVENT} from './messages';
 import {schedulePlacement} from './schedulePlacement';
@@ -39,23 +41,6 @@
 /** A step isn't placed for this long after a worker refused a run of it. */
 const REFUSED_DELAY_MILLIS = 100;
 
-/** A task of a job that is not over, with its job and step. */
-interface ActiveTask {
-  readonly row: JobRow;
-  readonly step: Step;
-  readonly task: Task;
-}
-
-function findActiveTask(update: Update, runId: RunId): ActiveTask | undefined {
-  const row = update.read(JOBS).get(runId.jobId);
-  if (row === undefined || isFinalState(row.progress.state)) {
-    return undefined;
-  }
-  const task = findTask(row.progress, runId);
-  const step = row.job.steps[runId.step];
-  return task && step && {row, step, task};
-}
-
 /** Updates the task and job of a run that ended, as its outcome requires. */
 export function onRunEnded(
   update: Update,
@@ -99,6 +84,7 @@
     onRunDone(update, active, runId, wallClock());
     return;
   }
+  stopUnstartedMembers(update, runId);
   if (outcome === 'failed' && !active.step.isService) {
     onRunFailed(update, active, runId, incarnation, wallClock());
     return;
@@ -213,10 +199,19 @@
     .otherwise(() => undefined);
   const active = findActiveTask(update, runId);
   if (active !== undefined && active.task.phase !== 'done') {
+    stopIncompleteGang(update, runId);
     setProgress(update, active.row, reopenTask(active, runId, checkpoint));
   }
 }
 
+/** Stops the gang of a run whose start its worker never confirmed. */
+export function onStartGivenUp(
+  update: Update,
+  {runId}: PayloadOf<typeof START_GIVEN_UP>,
+): void {
+  stopIncompleteGang(update, runId);
+}
+
 /**
  * Records that the job of a confirmed run has started. Stops the run if its job
  * or occurrence is over or unknown.
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -118,6 +118,11 @@
   'run-confirmed',
 );
 
+/** The start orders of a run were not confirmed, and the run is stopped. */
+export const START_GIVEN_UP = createCommand<{readonly runId: RunId}>(
+  'start-given-up',
+);
+
 /** A worker reported a run that is not expected on it. */
 export const UNEXPECTED_RUN_REPORTED = createCommand<{
   readonly incarnation: string;
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -10,6 +10,7 @@
   ORDER_STOP,
   RUN_CONFIRMED,
   START_ANSWERED,
+  START_GIVEN_UP,
   STOP_ANSWERED,
 } from './messages';
 import type {Run, StartOrder} from './Run';
@@ -90,7 +91,7 @@
     .otherwise(reason => {
       // An earlier order may have started the same run.
       if (run.startOrders > 1 && reason === 'superseded') {
-        stopRun(update, run, 'superseded');
+        giveUpStart(update, run, 'superseded');
       } else if (run.confirmedAt === undefined) {
         discardRun(update, run, reason);
       }
@@ -116,10 +117,15 @@
   if (run.startOrders < MAX_START_ORDERS) {
     sendStartOrder(update, order);
   } else {
-    stopRun(update, run, 'no-answer');
+    giveUpStart(update, run, 'no-answer');
   }
 }
 
+function giveUpStart(update: Update, run: Run, reason: string): void {
+  stopRun(update, run, reason);
+  update.dispatch(START_GIVEN_UP, {runId: run.runId});
+}
+
 /**
  * Orders a worker to stop a run, and repeats the order until the worker reports
  * the end. A run whose start was not ordered yet is discarded.
--- a/testing/src/__tests__/unit/runRegressions.test.ts
+++ b/testing/src/__tests__/unit/runRegressions.test.ts
@@ -1,4 +1,5 @@
 import {countPending} from '@samphireramp/intake';
+import type {Job} from '@samphireramp/jobs';
 import t from 'tap';
 import {
   ModelSite,
@@ -73,3 +74,44 @@
   t.equal(site.readJobState(follower, job.id), 'running');
   t.equal(countPending(follower.kernel, POLICY.name), 0);
 });
+
+/** A job whose only step is a gang with a task on each of four workers. */
+function buildGang(id: string): Job {
+  const need = {cpuMillis: 7000, memoryMegabytes: 1000, accelerators: 0};
+  const step = buildStep({count: 4, need, isGang: true});
+  return buildJob(id, [step], {policy: POLICY, receivedAt: 1000});
+}
+
+void t.test('no gang waits for a member that was refused', async t => {
+  const site = buildSite(4);
+  site.checker.areFaultsOver = () => true;
+  await site.run(1000);
+  const [worker] = site.workers;
+  const start = worker.start.bind(worker);
+  worker.start = (order, term, leaseUntil) =>
+    order.runId.run === 1 ? 'no-room' : start(order, term, leaseUntil);
+  const gang = buildGang('00000000000000b9');
+  void site.submit(site.hosts[0], gang);
+  await site.run(2500);
+  t.equal(site.readJobState(site.hosts[0], gang.id), 'completed');
+  t.same(site.checker.violations, []);
+});
+
+void t.test('no gang waits for a member that gives no answer', async t => {
+  const site = buildSite(4);
+  site.checker.areFaultsOver = () => true;
+  await site.run(1000);
+  // The start order of one member is lost, and so is each repetition of it.
+  const lostOrders = [1, 5, 6];
+  let orders = 0;
+  site.faultState = {
+    ...site.faultState,
+    losesOrderAnswer: () => lostOrders.includes(++orders),
+    orderDelayMillis: () => 60_000,
+  };
+  const gang = buildGang('00000000000000ba');
+  void site.submit(site.hosts[0], gang);
+  await site.run(4500);
+  t.equal(site.readJobState(site.hosts[0], gang.id), 'completed');
+  t.same(site.checker.violations, []);
+});
