Name each worker once in a progress record

Cause: each change of a job writes its whole progress, with the incarnation of its worker (26 characters) for each placed task. A record of 40 tasks on 14 workers had 1,657 bytes; one record for each of the 40 ends made 37,420 bytes, which all hosts read.

The record now lists its workers once and names them by index; a task in its first run is one number, and fields have places in place of names: 555 bytes, and 19,201 for the 40 ends. Records of the earlier format, which are objects, are still read. Hosts of an earlier version can't read the new ones.

The test that bounds the size failed before (1,667 bytes for a bound of 900). The test of the earlier format passes before and after.

--- a/packages/record-codec/src/__tests__/unit/codecs.test.ts
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -16,7 +16,7 @@
   run: fc.integer({min: 1, max: 9}),
   failedRuns: fc.array(fc.integer({min: 1, max: 9}), {maxLength: 3}),
   checkpoint: fc.string(),
-  worker: fc.constantFrom('', 'i-1@7'),
+  worker: fc.constantFrom('', 'i-1@7', 'i-2@8', 'i-3@9'),
 });
 const task: fc.Arbitrary<Task> = fc.oneof(
   fc.constantFrom<Task>(
@@ -57,6 +57,72 @@
   );
 });
 
+/** Progress of a job whose tasks are placed on workers in turn. */
+function buildPlacedProgress(tasks: number, workers: number): Progress {
+  const steps = [
+    Array.from({length: tasks}, (_, index): Task => {
+      const worker = `i-${index % workers}556e98385@1776251519213`;
+      return {phase: 'placed', run: 1, failedRuns: [], checkpoint: '', worker};
+    }),
+  ];
+  return {
+    jobId: '0b6b65ca05d3da36',
+    queue: 'r-urrxcke',
+    state: 'running',
+    receivedAt: 1_776_251_549_270,
+    endedAt: 0,
+    occurrences: [{number: 0, steps}],
+    nextOccurrence: 1,
+  };
+}
+
+void t.test('the record of a wide step names each worker once', async t => {
+  const wide = buildPlacedProgress(40, 14);
+  const {length} = encodeProgress(wide);
+  t.ok(length < 900, `${length} bytes for 40 tasks on 14 workers`);
+  t.same(decodeProgress(wide.jobId, encodeProgress(wide)), wide);
+});
+
+void t.test('records of the earlier format are decoded', async t => {
+  const value = Buffer.from(
+    '{"queue":"q","state":"running","received":7,"ended":9,"next":1,' +
+      '"occurrences":[[0,[[0,1,[2,[1],"7","i-1@7"],[3,[],"",""]]]]]}',
+  );
+  const tasks: Task[] = [
+    {phase: 'open', run: 0, failedRuns: [], checkpoint: '', worker: ''},
+    {phase: 'done', run: 0, failedRuns: [], checkpoint: '', worker: ''},
+    {
+      phase: 'placed',
+      run: 2,
+      failedRuns: [1],
+      checkpoint: '7',
+      worker: 'i-1@7',
+    },
+    {phase: 'open', run: 3, failedRuns: [], checkpoint: '', worker: ''},
+  ];
+  t.same(decodeProgress('00000000000000aa', value), {
+    jobId: '00000000000000aa',
+    queue: 'q',
+    state: 'running',
+    receivedAt: 7,
+    endedAt: 9,
+    occurrences: [{number: 0, steps: [tasks]}],
+    nextOccurrence: 1,
+  });
+  const ended = '{"queue":"q","state":"queued","received":7,"next":0}';
+  t.match(decodeProgress('x', Buffer.from(ended)), {
+    endedAt: 0,
+    occurrences: [],
+  });
+});
+
+void t.test('a record that names an unknown worker is invalid', async t => {
+  for (const task of ['3', '-1', '2.5', '[1,1]', '[1,-2]', '[1,1,[],""]']) {
+    const value = `["q","running",7,0,1,["i-1@7"],[[0,[[${task}]]]]]`;
+    t.equal(decodeProgress('x', Buffer.from(value)), undefined, task);
+  }
+});
+
 void t.test(
   'invalid journal records are reported, tombstones decoded',
   async t => {
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -6,55 +6,70 @@
   jobStateSchema,
 } from '@samphireramp/jobs';
 import * as z from 'zod/mini';
+import {decodeObjectProgress} from './objectProgressCodec';
 import {parseJson} from './parseJson';
 
 /** Record of a task that has never run. */
 const NEVER_RUN = 0;
 /** Record of a task that is done. */
 const DONE = 1;
+/** Added to the index of its worker: record of a task in its first run. */
+const FIRST_RUN = 2;
+/** Index of the worker in the record of a task that is not placed. */
+const NO_WORKER = -1;
 
-// Tasks make up most of a record, so each has the shortest form for its phase.
+// Tasks make up most of a record, so each has the shortest form for its state.
 const taskRecordSchema = z.union([
-  z.literal(NEVER_RUN),
-  z.literal(DONE),
+  z.number(), // NEVER_RUN, DONE, or FIRST_RUN + index of the worker
   z.tuple([
     z.number(), // run
+    z.number(), // index of the worker, or NO_WORKER
+  ]),
+  z.tuple([
+    z.number(), // run
+    z.number(), // index of the worker, or NO_WORKER
     z.array(z.number()), // failed runs
     z.string(), // checkpoint
-    z.string(), // worker; empty unless placed
   ]),
 ]);
 
-const progressRecordSchema = z.object({
-  queue: z.string(),
-  state: jobStateSchema,
-  received: z.number(),
-  ended: z.optional(z.number()),
-  next: z.number(),
-  occurrences: z.optional(
-    z.array(z.tuple([z.number(), z.array(z.array(taskRecordSchema))])),
+// A host reads the records of all jobs: without names of fields they are short.
+const progressRecordSchema = z.tuple([
+  z.string(), // queue
+  jobStateSchema,
+  z.number(), // received at
+  z.number(), // ended at
+  z.number(), // next occurrence
+  z.array(z.string()), // workers of the placed tasks
+  z.array(
+    z.tuple([
+      z.number(), // number of the occurrence
+      z.array(z.array(taskRecordSchema)), // tasks by step
+    ]),
   ),
-});
+]);
 
 type TaskRecord = z.infer<typeof taskRecordSchema>;
 type ProgressRecord = z.infer<typeof progressRecordSchema>;
 
 /** Encodes progress as compact JSON. */
 export function encodeProgress(progress: Progress): Buffer {
-  const record: ProgressRecord = {
-    queue: progress.queue,
-    state: progress.state,
-    received: progress.receivedAt,
-    ended: progress.endedAt === 0 ? undefined : progress.endedAt,
-    next: progress.nextOccurrence,
-    occurrences:
-      progress.occurrences.length === 0
-        ? undefined
-        : progress.occurrences.map(({number, steps}) => [
-            number,
-            steps.map(tasks => tasks.map(encodeTask)),
-          ]),
-  };
+  const workerIndices = new Map<string, number>();
+  const occurrences = progress.occurrences.map(
+    ({number, steps}): [number, TaskRecord[][]] => [
+      number,
+      steps.map(tasks => tasks.map(task => encodeTask(task, workerIndices))),
+    ],
+  );
+  const record: ProgressRecord = [
+    progress.queue,
+    progress.state,
+    progress.receivedAt,
+    progress.endedAt,
+    progress.nextOccurrence,
+    [...workerIndices.keys()],
+    occurrences,
+  ];
   return Buffer.from(JSON.stringify(record));
 }
 
@@ -63,46 +78,87 @@
   jobId: string,
   value: Buffer,
 ): Progress | undefined {
-  const parsed = progressRecordSchema.safeParse(parseJson(value));
-  if (!parsed.success) {
+  const content = parseJson(value);
+  if (!Array.isArray(content)) {
+    return decodeObjectProgress(jobId, content);
+  }
+  const parsed = progressRecordSchema.safeParse(content);
+  if (!parsed.success || !hasKnownWorkers(parsed.data)) {
     return undefined;
   }
-  const record = parsed.data;
+  const [queue, state, receivedAt, endedAt, nextOccurrence, workers] =
+    parsed.data;
+  const occurrences = parsed.data[6].map(([number, steps]): Occurrence => ({
+    number,
+    steps: steps.map(tasks => tasks.map(task => decodeTask(task, workers))),
+  }));
   return {
     jobId,
-    queue: record.queue,
-    state: record.state,
-    receivedAt: record.received,
-    endedAt: record.ended ?? 0,
-    nextOccurrence: record.next,
-    occurrences: (record.occurrences ?? []).map(
-      ([number, steps]): Occurrence => ({
-        number,
-        steps: steps.map(tasks => tasks.map(decodeTask)),
-      }),
-    ),
+    queue,
+    state,
+    receivedAt,
+    endedAt,
+    occurrences,
+    nextOccurrence,
   };
 }
 
-function encodeTask(task: Task): TaskRecord {
-  if (task.phase === 'done') {
+/** Encodes a task, and adds its worker to the workers of the record. */
+function encodeTask(
+  task: Task,
+  workerIndices: Map<string, number>,
+): TaskRecord {
+  const {phase, run, failedRuns, checkpoint, worker} = task;
+  if (phase === 'done') {
     return DONE;
   }
-  if (task.phase === 'open' && task.run === 0) {
+  const index = worker === '' ? NO_WORKER : indexOf(worker, workerIndices);
+  if (failedRuns.length > 0 || checkpoint !== '') {
+    return [run, index, failedRuns, checkpoint];
+  }
+  if (run === 0 && index === NO_WORKER) {
     return NEVER_RUN;
   }
-  const {run, failedRuns, checkpoint, worker} = task;
-  return [run, failedRuns, checkpoint, worker];
+  return run === 1 && index !== NO_WORKER ? FIRST_RUN + index : [run, index];
 }
 
-function decodeTask(record: TaskRecord): Task {
+function indexOf(worker: string, workerIndices: Map<string, number>): number {
+  const index = workerIndices.get(worker) ?? workerIndices.size;
+  workerIndices.set(worker, index);
+  return index;
+}
+
+/** Whether each worker that a task names by its index is in the record. */
+function hasKnownWorkers(record: ProgressRecord): boolean {
+  const [, , , , , workers, occurrences] = record;
+  const isKnown = (task: TaskRecord): boolean => {
+    const index = typeof task === 'number' ? task - FIRST_RUN : task[1];
+    const isUnplaced =
+      typeof task === 'number'
+        ? task === NEVER_RUN || task === DONE
+        : index === NO_WORKER;
+    return isUnplaced || workers[index] !== undefined;
+  };
+  return occurrences.every(([, steps]) =>
+    steps.every(tasks => tasks.every(isKnown)),
+  );
+}
+
+function decodeTask(record: TaskRecord, workers: readonly string[]): Task {
   if (record === NEVER_RUN) {
     return NEW_TASK;
   }
   if (record === DONE) {
     return {...NEW_TASK, phase: 'done'};
   }
-  const [run, failedRuns, checkpoint, worker] = record;
-  const phase = worker === '' ? 'open' : 'placed';
-  return {phase, run, failedRuns, checkpoint, worker};
+  if (typeof record === 'number') {
+    const worker = workers[record - FIRST_RUN];
+    return {...NEW_TASK, phase: 'placed', run: 1, worker};
+  }
+  const [run, index, failedRuns = [], checkpoint = ''] = record;
+  if (index === NO_WORKER) {
+    return {...NEW_TASK, run, failedRuns, checkpoint};
+  }
+  const worker = workers[index];
+  return {phase: 'placed', run, failedRuns, checkpoint, worker};
 }
