--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -5,6 +5,7 @@
   RUN_ENDED,
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
+  START_GIVEN_UP,
   adoptRun,
   avoidWorker,
   recordDuration,
@@ -19,7 +20,7 @@
   type Step,
   type Task,
   findTask,
-  isFinalState,
+  markStarted,
   reservedResources,
   runKey,
   taskKey,
@@ -27,8 +28,10 @@
   updateTask,
 } from '@samphireramp/jobs';
 import {match} from 'ts-pattern';
+import {type ActiveTask, findActiveTask} from './activeTask';
 import {delayStep, invalidateTicket} from './adviceState';
 import {JOBS, type JobRow, policyOf, setProgress} from './DispatchState';
+import {stopIncompleteGang, stopUnstartedMembers} from './gangFlow';
 import {endJob, removeDoneOccurrences} from './jobFlow';
 import {DISPATCH_EVENT} from './messages';
 import {schedulePlacement} from './schedulePlacement';
@@ -38,23 +41,6 @@
 /** A step isn't placed for this long after a worker refused a run of it. */
 const REFUSED_DELAY_MILLIS = 100;
 
-/** A task of a job that is not over, with its job and step. */
-interface ActiveTask {
-  readonly row: JobRow;
-  readonly step: Step;
-  readonly task: Task;
-}
-
-function findActiveTask(update: Update, runId: RunId): ActiveTask | undefined {
-  const row = update.read(JOBS).get(runId.jobId);
-  if (row === undefined || isFinalState(row.progress.state)) {
-    return undefined;
-  }
-  const task = findTask(row.progress, runId);
-  const step = row.job.steps[runId.step];
-  return task && step && {row, step, task};
-}
-
 /** Updates the task and job of a run that ended, as its outcome requires. */
 export function onRunEnded(
   update: Update,
@@ -68,7 +54,7 @@
   wallClock: () => number,
 ): void {
   schedulePlacement(update);
-  const active = findActiveTask(update, runId);
+  const found = findActiveTask(update, runId);
   // The event of a completed job covers its done runs; only other outcomes are
   // logged one by one.
   if (outcome !== 'done') {
@@ -76,12 +62,15 @@
       update,
       runId,
       incarnation,
-      active ? outcome : `${outcome}-unneeded`,
+      found ? outcome : `${outcome}-unneeded`,
     );
   }
-  if (active === undefined || active.task.phase === 'done') {
+  if (found === undefined || found.task.phase === 'done') {
     return;
   }
+  // A run may start and end between two reports of its worker.
+  const progress = markStarted(found.row.progress);
+  const active = {...found, row: {...found.row, progress}};
   if (outcome === 'done' && !active.step.isService) {
     recordSuccess(update, incarnation);
     if (ranMillis !== undefined && checkpoint === '' && !active.step.isGang) {
@@ -95,6 +84,7 @@
     onRunDone(update, active, runId, wallClock());
     return;
   }
+  stopUnstartedMembers(update, runId);
   if (outcome === 'failed' && !active.step.isService) {
     onRunFailed(update, active, runId, incarnation, wallClock());
     return;
@@ -209,17 +199,38 @@
     .otherwise(() => undefined);
   const active = findActiveTask(update, runId);
   if (active !== undefined && active.task.phase !== 'done') {
+    stopIncompleteGang(update, runId);
     setProgress(update, active.row, reopenTask(active, runId, checkpoint));
   }
 }
 
-/** Stops a confirmed run whose job or occurrence is over or unknown. */
+/** Stops the gang of a run whose start its worker never confirmed. */
+export function onStartGivenUp(
+  update: Update,
+  {runId}: PayloadOf<typeof START_GIVEN_UP>,
+): void {
+  stopIncompleteGang(update, runId);
+}
+
+/**
+ * Records that the job of a confirmed run has started. Stops the run if its job
+ * or occurrence is over or unknown.
+ */
 export function onRunConfirmed(
   update: Update,
   {runId}: PayloadOf<typeof RUN_CONFIRMED>,
 ): void {
-  if (findActiveTask(update, runId) === undefined) {
+  const active = findActiveTask(update, runId);
+  if (active === undefined) {
     stopUnneededRun(update, runId);
+  } else {
+    recordStart(update, active.row);
+  }
+}
+
+function recordStart(update: Update, row: JobRow): void {
+  if (row.progress.state === 'queued') {
+    setProgress(update, row, markStarted(row.progress));
   }
 }
 
@@ -247,6 +258,9 @@
     worker: incarnation,
     detail: isNeeded ? 'kept' : 'unneeded',
   });
+  if (active !== undefined) {
+    recordStart(update, active.row);
+  }
   if (!isNeeded) {
     stopUnneededRun(update, runId);
   }
