--- a/packages/operator-command/src/__tests__/unit/explainJob.test.ts
+++ b/packages/operator-command/src/__tests__/unit/explainJob.test.ts
@@ -17,6 +17,8 @@
   '2026-02-05T22:23:13.100Z samphireramp:host event=job-completed subject=00000000000000a2 queue=q';
 const COMPLETED =
   '2026-02-05T22:23:15.000Z samphireramp:host event=job-completed subject=00000000000000a1 queue=q detail=objective-in-5';
+const UNSURE =
+  '2026-02-05T22:23:14.000Z samphireramp:host event=status-unsure job=00000000000000a1 copyEnd=7 journalEnd=9';
 const LATE_RUN_END =
   '2026-02-05T22:23:15.200Z samphireramp:host event=run-ended subject=00000000000000a1.0.0.1#1 worker=w-1@5 detail=stopped-unneeded';
 
@@ -82,6 +84,11 @@
   },
 );
 
+void t.test('an answer to a caller does not hide the state', async t => {
+  const history = explainJob('00000000000000a1', parseLines(UNSURE, ACCEPTED));
+  t.equal(history?.verdict, 'accepted; no holder has read it yet (tries-1)');
+});
+
 void t.test('a job that no line mentions has no history', async t => {
   t.equal(explainJob('00000000000000ff', parseLines(ACCEPTED)), undefined);
 });
--- a/packages/operator-command/src/explainJob.ts
+++ b/packages/operator-command/src/explainJob.ts
@@ -21,6 +21,8 @@
   'worker-silent',
   'worker-regained',
 ]);
+/** Answers about a job, which do not change its state. */
+const ANSWER_EVENTS = new Set(['status-absent', 'status-unsure']);
 /**
  * A history includes host and worker events up to this long after the last line
  * that mentions the job.
@@ -87,7 +89,8 @@
 function describeState(jobLines: readonly LogLine[]): string {
   const sorted = [...jobLines].sort((a, b) => a.at - b.at);
   const final = sorted.findLast(({event}) => /^job-(?!taken)/.test(event));
-  const last = final ?? sorted.at(-1);
+  const lastChange = sorted.findLast(({event}) => !ANSWER_EVENTS.has(event));
+  const last = final ?? lastChange ?? sorted.at(-1);
   if (last === undefined) {
     return 'unknown';
   }
