Advice on the workers with room, not on the first hundred of the list

Callers saw: on a site of 246 workers, steps that are not urgent started late and in pieces.

Cause: a call for advice names at most 100 workers, and took the first of the list that lacked advice or a valid ticket, whether or not they had room. So all steps crowded onto the same hundred workers. With a hundred names each, repeated by every waiting step, the calls filled all hosts: each waited 1.2 s behind others, just the longest wait that the holder allows, and those through far hosts timed out (71 of 190).

Now a step names workers in an order of its own, those with room first, as many as its open tasks need by the share of permits seen at the queue, and half as many again; further ones while they lengthen the call by little. A gang that fits renews the tickets of the workers it will use in one call, and keeps to them while the call is open. No step calls while those ahead await advice on twice the CPU that is free, or no host can take its call.

The tests 'the first request names workers with room' and 'a gang renews the tickets of the workers it will use' failed before (2 calls, not 1; 20 workers named, not under 10).

--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -1,5 +1,6 @@
 import {
   type PayloadOf,
+  type StateReader,
   type Update,
   createTableSlice,
   createValueSlice,
@@ -7,9 +8,16 @@
 import {type AdviceTerms, type StepId, stepKey} from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE, type StepAdvice} from './adviceState';
 import {addCall, chooseHost, removeCall} from './adviserCalls';
-import {ADVICE_RECEIVED, DISPATCH_EVENT, REQUEST_ADVICE} from './messages';
+import {
+  ADVICE_RECEIVED,
+  DISPATCH_EVENT,
+  type Permit,
+  REQUEST_ADVICE,
+} from './messages';
 import {schedulePlacement} from './schedulePlacement';
 
+/** The share of permitted workers counts as this at least. */
+const MIN_PERMIT_SHARE = 0.05;
 /** Maximum number of workers in one request. */
 export const MAX_WORKERS_PER_REQUEST = 100;
 /** Part of a request's timeout that doesn't depend on its expected duration. */
@@ -19,6 +27,8 @@
 
 interface OpenAdviceRequest {
   readonly step: StepId;
+  /** Name of the step's queue. */
+  readonly queue: string;
   readonly host: string;
   readonly workerIds: readonly string[];
   readonly sentAt: number;
@@ -31,6 +41,55 @@
 /** Number of requests for advice so far, which is the id of the latest one. */
 export const ADVICE_REQUEST_COUNT = createValueSlice('ask-count', 0);
 
+/** Permits among the workers that were asked about for the first time. */
+interface PermitCounts {
+  readonly queried: number;
+  readonly permitted: number;
+}
+
+/** What is assumed of a queue before the first answer. */
+const INITIAL_PERMIT_COUNTS: PermitCounts = {queried: 20, permitted: 10};
+/** Counts beyond this are halved, so that later answers count more. */
+const MAX_PERMIT_COUNT = 4000;
+
+/** Counts of permits by queue name. */
+export const PERMIT_COUNTS = createTableSlice<PermitCounts>('permit-counts');
+
+/** Returns the share of the workers that steps of a queue are permitted on. */
+export function permitShareOf(state: StateReader, queue: string): number {
+  const {queried, permitted} =
+    state.read(PERMIT_COUNTS).get(queue) ?? INITIAL_PERMIT_COUNTS;
+  return Math.max(MIN_PERMIT_SHARE, permitted / queried);
+}
+
+/** Returns the ids of the workers named in the open request of a step. */
+export function workersOfOpenRequest(
+  state: StateReader,
+  {openRequestId}: StepAdvice,
+): readonly string[] {
+  return openRequestId === undefined
+    ? []
+    : (state.read(OPEN_ADVICE_REQUESTS).get(openRequestId)?.workerIds ?? []);
+}
+
+function countPermits(
+  update: Update,
+  queue: string,
+  previous: StepAdvice,
+  workerIds: readonly string[],
+  permits: readonly Permit[],
+): void {
+  const counts = update.write(PERMIT_COUNTS);
+  const before = counts.get(queue) ?? INITIAL_PERMIT_COUNTS;
+  const factor = before.queried > MAX_PERMIT_COUNT ? 0.5 : 1;
+  const isNew = (id: string) => !previous.queriedWorkers.has(id);
+  const permitted = permits.filter(({workerId}) => isNew(workerId)).length;
+  counts.set(queue, {
+    queried: before.queried * factor + workerIds.filter(isNew).length,
+    permitted: before.permitted * factor + permitted,
+  });
+}
+
 /**
  * Requests advice on workers for a step, unless a request for it is open or no
  * host can take the call now.
@@ -39,6 +98,7 @@
   update: Update,
   self: string,
   step: StepId,
+  queue: string,
   terms: AdviceTerms,
   workerIds: readonly string[],
 ): void {
@@ -62,7 +122,7 @@
   const sentAt = update.now;
   update
     .write(OPEN_ADVICE_REQUESTS)
-    .set(requestId, {step, host, workerIds: includedIds, sentAt});
+    .set(requestId, {step, queue, host, workerIds: includedIds, sentAt});
   // The adviser handles one call of a host at a time, so this one may wait.
   const timeoutMillis = expectedMillis * 3 + RESPONSE_MARGIN_MILLIS;
   update.emit(REQUEST_ADVICE, {
@@ -99,6 +159,10 @@
   if (previous?.openRequestId !== requestId) {
     return;
   }
+  if (advice.kind === 'answered') {
+    const {queue, workerIds} = request;
+    countPermits(update, queue, previous, workerIds, advice.permits);
+  }
   const next: StepAdvice = {...previous, openRequestId: undefined};
   update
     .write(ADVICE)
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -27,6 +27,7 @@
 import {
   ADVICE_REQUEST_COUNT,
   OPEN_ADVICE_REQUESTS,
+  PERMIT_COUNTS,
   onAdviceReceived,
 } from './adviceFlow';
 import {CALLS_BY_HOST} from './adviserCalls';
@@ -133,6 +134,7 @@
       kernel.registerSlice(CALLS_BY_HOST),
       kernel.registerSlice(OPEN_ADVICE_REQUESTS),
       kernel.registerSlice(ADVICE_REQUEST_COUNT),
+      kernel.registerSlice(PERMIT_COUNTS),
       kernel.registerSlice(PLACEMENT_SCHEDULED),
       kernel.registerSlice(RESERVATIONS),
       kernel.registerSlice(FORGET_CHECKED_AT),
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -1,6 +1,5 @@
-import type {Update} from '@samphireramp/kernel';
-import {stepKey} from '@samphireramp/jobs';
-import {requestMoreAdvice} from './adviceNeeds';
+import {workersOfOpenRequest} from './adviceFlow';
+import {requestMoreAdvice, spreadOver} from './adviceNeeds';
 import type {StepAdvice} from './adviceState';
 import {
   type Candidate,
@@ -14,18 +13,16 @@
   isNearData,
   isPermitted,
 } from './candidates';
-import {stepIdOf} from './readySteps';
-import type {Reservation} from './reservations';
+import type {PlacementPass} from './PlacementPass';
 
 /** Chooses workers for all tasks of a gang, or keeps free resources for it. */
 export function chooseGangPlacements(
-  update: Update,
-  self: string,
+  pass: PlacementPass,
   readyStep: ReadyStep,
   advice: StepAdvice,
   suitable: readonly Candidate[],
-  reservations: Reservation[],
 ): Placement[] {
+  const {update} = pass;
   const permitted = suitable.filter(({worker}) =>
     isPermitted(worker, readyStep, advice),
   );
@@ -34,64 +31,50 @@
   );
   const placements = packGang(startable, readyStep);
   if (placements !== undefined) {
-    deductPlacements(readyStep, placements);
+    for (const {candidate} of placements) {
+      deductTasks(candidate, readyStep, 1);
+    }
     return placements;
   }
-  const placementsWithoutTickets = packGang(permitted, readyStep);
-  if (placementsWithoutTickets !== undefined) {
+  const tasks = readyStep.openTasks.length;
+  const withTicket = new Set([
+    ...startable.map(({worker}) => worker.id),
+    ...workersOfOpenRequest(update, advice),
+  ]);
+  const chosen = packGang(permitted, readyStep, withTicket);
+  if (chosen !== undefined) {
     // The gang fits but lacks tickets: its resources are kept until they come.
-    requestMoreAdvice(update, self, readyStep, advice, permitted);
-    for (const {candidate} of placementsWithoutTickets) {
-      reserveTasks(reservations, candidate, readyStep, 1);
+    const chosenWorkers = new Set(chosen.map(({candidate}) => candidate));
+    const spares = permitted.filter(each => !chosenWorkers.has(each));
+    requestMoreAdvice(pass, readyStep, advice, tasks, () => [
+      ...chosenWorkers,
+      ...spares,
+    ]);
+    for (const {candidate} of chosen) {
+      pass.reserve(candidate, readyStep, 1);
     }
     return [];
   }
-  if (wouldFitOnEmptyWorkers(permitted, readyStep)) {
-    // Workers not asked about yet may have free resources sooner: without this
-    // the gang would wait for busy workers while others are free.
-    const others = suitable.filter(
-      ({worker}) => !advice.queriedWorkers.has(worker.id),
+  // Workers not asked about yet may have free resources sooner: without them the
+  // gang would wait for busy workers while others are free.
+  const hasUnasked = suitable.some(
+    candidate =>
+      !advice.queriedWorkers.has(candidate.worker.id) &&
+      countFittingTasks(candidate, readyStep) > 0,
+  );
+  if (hasUnasked || advice.queriedWorkers.size === 0) {
+    requestMoreAdvice(pass, readyStep, advice, tasks, () =>
+      rankForGang(spreadOver(suitable, readyStep), readyStep),
     );
-    requestMoreAdvice(update, self, readyStep, advice, others);
+  }
+  if (wouldFitOnEmptyWorkers(permitted, readyStep)) {
     // Resources that are free now are kept for the gang until the rest is free
     // too. Otherwise other steps could take them again and again.
-    for (const candidate of permitted) {
-      const tasks = countFittingTasks(candidate, readyStep);
-      reserveTasks(reservations, candidate, readyStep, tasks);
-    }
-  } else {
-    requestMoreAdvice(update, self, readyStep, advice, suitable);
+    pass.gather(permitted, readyStep);
   }
   return [];
 }
 
-/** Keeps resources on a worker from the steps behind in the pass. */
-function reserveTasks(
-  reservations: Reservation[],
-  candidate: Candidate,
-  readyStep: ReadyStep,
-  tasks: number,
-): void {
-  if (tasks > 0) {
-    deductTasks(candidate, readyStep, tasks);
-    reservations.push({
-      step: stepKey(stepIdOf(readyStep)),
-      incarnation: candidate.worker.incarnation,
-      tasks,
-      taskResources: readyStep.taskResources,
-    });
-  }
-}
-
-function deductPlacements(
-  readyStep: ReadyStep,
-  placements: readonly Placement[],
-): void {
-  for (const {candidate} of placements) {
-    deductTasks(candidate, readyStep, 1);
-  }
-}
-
 function wouldFitOnEmptyWorkers(
   permitted: readonly Candidate[],
   readyStep: ReadyStep,
@@ -103,28 +86,33 @@
   return taskCount >= readyStep.openTasks.length;
 }
 
-/** Finds workers for all tasks of a gang; undefined if they don't all fit. */
+/**
+ * Finds workers for all tasks of a gang, first those in `preferredIds`; undefined
+ * if the tasks don't all fit.
+ */
 function packGang(
   candidates: readonly Candidate[],
   readyStep: ReadyStep,
+  preferredIds: ReadonlySet<string> = new Set(),
 ): Placement[] | undefined {
+  const ranked = rankForGang(candidates, readyStep, preferredIds);
   if (readyStep.step.prefersOneRack) {
-    const onOneRack = packGangOnOneRack(candidates, readyStep);
+    const onOneRack = packOnOneRack(ranked, readyStep);
     if (onOneRack !== undefined) {
       return onOneRack;
     }
   }
-  return packTasks(candidates, readyStep);
+  return packInOrder(ranked, readyStep);
 }
 
-function packGangOnOneRack(
-  candidates: readonly Candidate[],
+function packOnOneRack(
+  ranked: readonly Candidate[],
   readyStep: ReadyStep,
 ): Placement[] | undefined {
-  const racks = new Set(candidates.map(({worker}) => worker.rack));
+  const racks = new Set(ranked.map(({worker}) => worker.rack));
   for (const rack of racks) {
-    const placements = packTasks(
-      candidates.filter(({worker}) => worker.rack === rack),
+    const placements = packInOrder(
+      ranked.filter(({worker}) => worker.rack === rack),
       readyStep,
     );
     if (placements !== undefined) {
@@ -135,39 +123,47 @@
 }
 
 /**
- * Fills the workers near the data first, then those that fit the most tasks;
- * undefined if not all tasks of the step fit.
+ * Sorts the workers on which a task fits: near the data first, then the preferred
+ * ones, then those that fit the most tasks. The others follow.
  */
-function packTasks(
+function rankForGang(
   candidates: readonly Candidate[],
   readyStep: ReadyStep,
-): Placement[] | undefined {
-  const fitting = candidates
+  preferredIds: ReadonlySet<string> = new Set(),
+): Candidate[] {
+  return candidates
     .map(candidate => ({
       candidate,
       tasks: countFittingTasks(candidate, readyStep),
+      isNear: Number(isNearData(candidate, readyStep)),
+      isPreferred: Number(preferredIds.has(candidate.worker.id)),
     }))
-    .filter(({tasks}) => tasks > 0)
     .sort(
       (a, b) =>
-        Number(isNearData(b.candidate, readyStep)) -
-          Number(isNearData(a.candidate, readyStep)) ||
+        Number(b.tasks > 0) - Number(a.tasks > 0) ||
+        b.isNear - a.isNear ||
+        b.isPreferred - a.isPreferred ||
         b.tasks - a.tasks ||
         freeShare(a.candidate) - freeShare(b.candidate),
-    );
+    )
+    .map(({candidate}) => candidate);
+}
+
+/** Fills workers in order; undefined if not all tasks of the step fit. */
+function packInOrder(
+  ranked: readonly Candidate[],
+  readyStep: ReadyStep,
+): Placement[] | undefined {
+  const {openTasks} = readyStep;
   const placements: Placement[] = [];
-  for (const {candidate, tasks} of fitting) {
+  for (const candidate of ranked) {
+    const tasks = countFittingTasks(candidate, readyStep);
     for (let task = 0; task < tasks; task++) {
-      if (placements.length === readyStep.openTasks.length) {
+      if (placements.length === openTasks.length) {
         return placements;
       }
-      placements.push({
-        index: readyStep.openTasks[placements.length],
-        candidate,
-      });
+      placements.push({index: openTasks[placements.length], candidate});
     }
   }
-  return placements.length === readyStep.openTasks.length
-    ? placements
-    : undefined;
+  return placements.length === openTasks.length ? placements : undefined;
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -13,18 +13,13 @@
   updateStepTasks,
 } from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE} from './adviceState';
-import {
-  type Candidate,
-  type Placement,
-  type ReadyStep,
-  listCandidates,
-  meetsRequirements,
-} from './candidates';
+import {type Candidate, type Placement, type ReadyStep} from './candidates';
 import {JOBS, expectsProgress, setProgress} from './DispatchState';
 import {chooseGangPlacements} from './gangPlacement';
 import {DISPATCH_EVENT} from './messages';
+import {PlacementPass} from './PlacementPass';
 import {listReadySteps, stepIdOf} from './readySteps';
-import {RESERVATIONS, type Reservation} from './reservations';
+import {RESERVATIONS} from './reservations';
 import {schedulePlacement} from './schedulePlacement';
 import {chooseTaskPlacements} from './taskPlacement';
 
@@ -39,8 +34,7 @@
   ) {
     return;
   }
-  const candidates = listCandidates(update, update.now);
-  const reservations: Reservation[] = [];
+  const pass = new PlacementPass(update, self);
   let placedSteps = 0;
   for (const readyStep of listReadySteps(update)) {
     if (placedSteps >= MAX_STEPS_PER_PASS) {
@@ -49,30 +43,23 @@
     }
     const stepId = stepIdOf(readyStep);
     const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
-    const isAwaitingAdvice =
-      advice.permits.size === 0 && advice.openRequestId !== undefined;
-    if (isAwaitingAdvice || advice.notBefore > update.now) {
+    if (advice.notBefore > update.now) {
+      continue;
+    }
+    if (advice.permits.size === 0 && advice.openRequestId !== undefined) {
+      pass.addAwaited(readyStep, readyStep.openTasks.length);
       continue;
     }
-    const suitable = candidates.filter(({worker}) =>
-      meetsRequirements(worker, readyStep),
-    );
+    const suitable = pass.suitableFor(readyStep);
     const placements = readyStep.step.isGang
-      ? chooseGangPlacements(
-          update,
-          self,
-          readyStep,
-          advice,
-          suitable,
-          reservations,
-        )
-      : chooseTaskPlacements(update, self, readyStep, advice, suitable);
+      ? chooseGangPlacements(pass, readyStep, advice, suitable)
+      : chooseTaskPlacements(pass, readyStep, advice, suitable);
     if (placements.length > 0) {
       placedSteps++;
       placeStep(update, readyStep, placements);
     }
   }
-  update.write(RESERVATIONS).set(reservations);
+  update.write(RESERVATIONS).set(pass.reservations);
 }
 
 /** Records the placements and orders the runs once the record is durable. */
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -1,5 +1,4 @@
-import type {Update} from '@samphireramp/kernel';
-import {requestMoreAdvice} from './adviceNeeds';
+import {requestMoreAdvice, spreadOver} from './adviceNeeds';
 import type {StepAdvice} from './adviceState';
 import {
   type Candidate,
@@ -11,29 +10,34 @@
   hasRequiredTicket,
   isNearData,
 } from './candidates';
+import type {PlacementPass} from './PlacementPass';
 
 /** Chooses workers for the tasks of a step, one by one until none fits. */
 export function chooseTaskPlacements(
-  update: Update,
-  self: string,
+  pass: PlacementPass,
   readyStep: ReadyStep,
   advice: StepAdvice,
   suitable: readonly Candidate[],
 ): Placement[] {
   const startable = suitable.filter(({worker}) =>
-    hasRequiredTicket(worker, readyStep, advice, update.now),
+    hasRequiredTicket(worker, readyStep, advice, pass.update.now),
   );
   const placements: Placement[] = [];
+  const placedOn = new Map<Candidate, number>();
   for (const index of readyStep.openTasks) {
-    const candidate = chooseBestFit(startable, readyStep, placements);
+    const candidate = chooseBestFit(startable, readyStep, placedOn);
     if (candidate === undefined) {
       break;
     }
     deductTasks(candidate, readyStep, 1);
     placements.push({index, candidate});
+    placedOn.set(candidate, (placedOn.get(candidate) ?? 0) + 1);
   }
-  if (placements.length < readyStep.openTasks.length) {
-    requestMoreAdvice(update, self, readyStep, advice, suitable);
+  const tasksLeft = readyStep.openTasks.length - placements.length;
+  if (tasksLeft > 0) {
+    requestMoreAdvice(pass, readyStep, advice, tasksLeft, () =>
+      spreadOver(suitable, readyStep),
+    );
   }
   return placements;
 }
@@ -42,19 +46,16 @@
 function chooseBestFit(
   startable: readonly Candidate[],
   readyStep: ReadyStep,
-  placements: readonly Placement[],
+  placedOn: ReadonlyMap<Candidate, number>,
 ): Candidate | undefined {
   let bestCandidate: Candidate | undefined;
   let bestScore = Infinity;
   for (const candidate of startable) {
-    const onCandidate = placements.filter(
-      placement => placement.candidate === candidate,
-    );
     // Free resources exclude these placements already, the limit doesn't.
     const limit = readyStep.step.mostOnOneWorker;
     const fits =
       countFittingTasks(candidate, readyStep) >
-      (limit > 0 ? onCandidate.length : 0);
+      (limit > 0 ? (placedOn.get(candidate) ?? 0) : 0);
     if (!fits) {
       continue;
     }
--- a/testing/src/__tests__/unit/placementRegressions.test.ts
+++ b/testing/src/__tests__/unit/placementRegressions.test.ts
@@ -68,3 +68,40 @@
     );
   },
 );
+
+/** Lists how many workers each answered request of a step named. */
+function listAdvisedCounts(site: ModelSite, step: string): number[] {
+  return site.events
+    .map(
+      line =>
+        JSON.parse(line) as {event: string; subject: string; detail: string},
+    )
+    .filter(({event, subject}) => event === 'advised' && subject === step)
+    .map(({detail}) => Number(/of (\d+)$/.exec(detail)?.[1]));
+}
+
+void t.test('the first request names workers with room', async t => {
+  // More workers than one request names; the first ones are full.
+  const site = await buildSite(130);
+  submitStep(site, 'c3', URGENT, {count: 100, need: FULL_NEED});
+  await site.run(300);
+  submitStep(site, 'c4', ADVISED, {need: FULL_NEED});
+  await site.run(300);
+  t.equal(site.checker.countStarts('c4'), 1);
+  t.equal(listAdvisedCounts(site, 'c4.0.0').length, 1);
+});
+
+void t.test('a gang renews the tickets of the workers it will use', async t => {
+  const site = await buildSite(20);
+  // Each task runs longer than a ticket is valid.
+  const blocker = {count: 20, need: FULL_NEED, estimateMillis: 4000};
+  submitStep(site, 'c5', URGENT, blocker);
+  await site.run(300);
+  const need = {...FULL_NEED, cpuMillis: 6000};
+  submitStep(site, 'c6', ADVISED, {count: 4, need, isGang: true});
+  await site.run(6000);
+  t.equal(site.checker.countStarts('c6'), 4);
+  const counts = listAdvisedCounts(site, 'c6.0.0');
+  t.equal(counts.length, 2, 'one further request');
+  t.ok(counts[1] < 10, `it names ${counts[1]} workers`);
+});
