Gangs that don't fit yet leave room for other steps

Callers saw: steps behind several waiting gangs stood, although there was room that none of these gangs could use yet.

Cause: each gang that didn't fit kept all that was free for it on its workers until the rest came free. One gang keeps less than it needs, but all of them together could keep the whole site, for gangs that start one after the other.

Now they gather until they hold a tenth of the site's CPU; the most urgent one gathers in any case. One that fits and waits for tickets keeps its workers as before.

The test 'gangs that do not fit yet leave room for other steps' failed before: the step behind two waiting gangs didn't start.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -17,6 +17,9 @@
  * that is free: not all of them get permits for it.
  */
 const AWAITED_PER_FREE_CPU = 2;
+/** Share of the site's CPU that is kept for gangs that don't fit yet. */
+const MAX_GATHERED_SHARE = 0.1;
+
 /** One placement pass: what is still free, and what steps ahead wait for. */
 export class PlacementPass {
   readonly reservations: Reservation[] = [];
@@ -26,7 +29,9 @@
     readonly Candidate[]
   >();
   private readonly freeCpuMillis: number;
+  private readonly totalCpuMillis: number;
   private awaitedCpuMillis = 0;
+  private gatheredCpuMillis = 0;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
 
@@ -36,10 +41,10 @@
     readonly self: string,
   ) {
     this.candidates = listCandidates(update, update.now);
-    this.freeCpuMillis = this.candidates.reduce(
-      (sum, {cpuMillis}) => sum + cpuMillis,
-      0,
-    );
+    const sum = (cpuMillis: (candidate: Candidate) => number) =>
+      this.candidates.reduce((total, each) => total + cpuMillis(each), 0);
+    this.freeCpuMillis = sum(({cpuMillis}) => cpuMillis);
+    this.totalCpuMillis = sum(({worker}) => worker.capacity.cpuMillis);
   }
 
   /** Lists the workers that meet the requirements of a step. */
@@ -93,11 +98,19 @@
     }
   }
 
-  /** Keeps the resources that are free now for a gang that doesn't fit yet. */
+  /**
+   * Keeps the resources that are free now for a gang that doesn't fit yet, unless
+   * more urgent ones gather a large share of the site already.
+   */
   gather(permitted: readonly Candidate[], readyStep: ReadyStep): void {
+    const limit = this.totalCpuMillis * MAX_GATHERED_SHARE;
+    if (this.gatheredCpuMillis > limit) {
+      return;
+    }
     for (const candidate of permitted) {
       const tasks = countFittingTasks(candidate, readyStep);
       this.reserve(candidate, readyStep, tasks);
+      this.gatheredCpuMillis += readyStep.taskResources.cpuMillis * tasks;
     }
   }
 }
--- a/testing/src/__tests__/unit/placementRegressions.test.ts
+++ b/testing/src/__tests__/unit/placementRegressions.test.ts
@@ -105,3 +105,20 @@
   t.equal(counts.length, 2, 'one further request');
   t.ok(counts[1] < 10, `it names ${counts[1]} workers`);
 });
+
+void t.test('gangs that do not fit yet leave room for other steps', async t => {
+  const site = await buildSite(10);
+  submitStep(site, 'c7', URGENT, {count: 5, need: FULL_NEED});
+  await site.run(300);
+  for (const [id, cpuMillis] of [
+    ['c8', 4500],
+    ['c9', 2500],
+  ] as const) {
+    const need = {...FULL_NEED, cpuMillis};
+    submitStep(site, id, ADVISED, {count: 7, need, isGang: true});
+    await site.run(300);
+  }
+  submitStep(site, 'ca', PATIENT, {need: {...FULL_NEED, cpuMillis: 2000}});
+  await site.run(1000);
+  t.equal(site.checker.countStarts('ca'), 1);
+});
