--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -9,8 +9,13 @@
   taskKey,
 } from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
+import {fits, isSameStep} from './checkerRules';
 import type {ModelWorker} from './ModelWorker';
 
+/** An accepted job is known at every host this long after its acceptance. */
+const VISIBLE_MILLIS = 3000;
+/** How old the number of pending jobs may be that a host reports. */
+const PENDING_AGE_MILLIS = 2000;
 /** Once faults are over, no run may start later than this after a cancel. */
 const CANCEL_LIMIT_MILLIS = 3000;
 /** Bounds how long before its due time a task may start. */
@@ -32,9 +37,11 @@
  * - `GANG`: once faults are over, no gang member ends because the others didn't
  *   start in time.
  * - `MIXED`: a job that is shown was submitted, and completed only if all its
- *   tasks are done.
+ *   tasks are done; a host counts at least half of the jobs that have been
+ *   accepted for a while and that no worker has begun.
  * - `REFUSED`: nothing runs for a job whose submits were all refused.
- * - `LOST`: a job is shown as cancelled only if a caller cancelled it, and as
+ * - `LOST`: no host denies a job that has been accepted for a while; a job is
+ *   shown as cancelled only if a caller cancelled it, and as
  *   failed only if a task used up its attempts.
  */
 export type Invariant =
@@ -284,6 +291,45 @@
     }
   }
 
+  /** A host told a caller that there is no such job. */
+  onAbsentShown(jobId: string): void {
+    const submitted = this.jobs.get(jobId);
+    if (submitted !== undefined && this.isVisible(submitted, VISIBLE_MILLIS)) {
+      this.reportViolation(
+        'LOST',
+        `${jobId}, accepted at ${submitted.acceptedAt}, is shown as absent`,
+      );
+    }
+  }
+
+  /** A host told a caller how many jobs of a queue are pending. */
+  onPendingShown(queue: string, count: number): void {
+    const waiting = [...this.jobs.values()].filter(
+      submitted =>
+        submitted.job.policy.name === queue &&
+        submitted.job.occurrences === 1 &&
+        submitted.job.firstDueAt === 0 &&
+        this.countStarts(submitted.job.id) === 0 &&
+        this.isVisible(submitted, VISIBLE_MILLIS + PENDING_AGE_MILLIS),
+    );
+    if (count < waiting.length / 2) {
+      this.reportViolation(
+        'MIXED',
+        `${count} jobs are shown as pending, ${waiting.length} wait`,
+      );
+    }
+  }
+
+  /** Whether a job that nobody cancelled was accepted `millis` ago or earlier. */
+  private isVisible(submitted: SubmittedJob, millis: number): boolean {
+    const {acceptedAt, isCancelRequested} = submitted;
+    return (
+      !isCancelRequested &&
+      acceptedAt !== undefined &&
+      this.timeline.now - acceptedAt > millis
+    );
+  }
+
   /** Whether a task or gang of the job failed in all its attempts. */
   private hasExhaustedAttempts({job, maxAttempts}: SubmittedJob): boolean {
     return this.taskKeysOf(job).some(key => {
@@ -337,23 +383,3 @@
     this.workers.forEach(worker => worker.endGang(runId, outcome));
   }
 }
-
-/** Whether a run's need fits beside what a worker has reserved already. */
-function fits(load: {
-  reserved: Resources;
-  capacity: Resources;
-  need: Resources;
-}): boolean {
-  const {reserved, capacity, need} = load;
-  return (
-    reserved.cpuMillis + need.cpuMillis <= capacity.cpuMillis &&
-    reserved.memoryMegabytes + need.memoryMegabytes <=
-      capacity.memoryMegabytes &&
-    reserved.accelerators + need.accelerators <= capacity.accelerators
-  );
-}
-
-/** Whether two task keys differ only in the index of the task in its step. */
-function isSameStep(a: string, b: string): boolean {
-  return a.slice(0, a.lastIndexOf('.')) === b.slice(0, b.lastIndexOf('.'));
-}
--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -27,6 +27,23 @@
   appendDelayMillis(): number;
 }
 
+/** How the log answers the reads of a host that follows a partition. */
+export interface ReadBehaviour {
+  /** Whether reads succeed. */
+  readonly isAvailable: boolean;
+  /** Maximum number of records in the answer to a read. */
+  readonly maxRecords: number;
+  /** Time between two reads. */
+  readonly intervalMillis: number;
+}
+
+/** Each read returns all new records. */
+export const PROMPT_READS: ReadBehaviour = {
+  isAvailable: true,
+  maxRecords: Infinity,
+  intervalMillis: READ_INTERVAL_MILLIS,
+};
+
 /**
  * An in-memory log. A reader that follows a partition first receives a snapshot,
  * then each new record.
@@ -77,6 +94,13 @@
    */
   requestAppendMillis: (partition: number) => number = () => APPEND_MILLIS;
 
+  /** Time that an append to another stream takes; tests replace it. */
+  otherAppendMillis: () => number = () => APPEND_MILLIS;
+
+  /** How reads of a host are answered; tests replace it. */
+  readBehaviour: (host: string, stream: StreamName) => ReadBehaviour = () =>
+    PROMPT_READS;
+
   private append(host: string, request: AppendRequest): Promise<AppendOutcome> {
     const {timeline, faultState} = this;
     return new Promise(resolve => {
@@ -95,7 +119,7 @@
       const appendMillis =
         request.stream === 'requests'
           ? this.requestAppendMillis(request.partition)
-          : APPEND_MILLIS;
+          : this.otherAppendMillis();
       const delayMillis = appendMillis + faultState.appendDelayMillis();
       timeline.after(delayMillis, () => {
         const outcome = this.applyAppend(request);
@@ -133,22 +157,27 @@
       if (isStopped || !isAlive()) {
         return;
       }
-      if (this.faultState.logAvailability(host) !== 'answers') {
+      const behaviour = this.readBehaviour(host, stream);
+      const {isAvailable, maxRecords, intervalMillis} = behaviour;
+      if (!isAvailable || this.faultState.logAvailability(host) !== 'answers') {
         listener.onFailure('out of reach');
         this.timeline.after(READ_RETRY_MILLIS, read);
         return;
       }
       const records = this.records(stream, partition);
       const from = nextOffset;
-      nextOffset = records.length;
+      nextOffset = Math.min(records.length, (from ?? Infinity) + maxRecords);
       listener.onRead({
-        records: from === undefined ? snapshotOf(records) : records.slice(from),
+        records:
+          from === undefined
+            ? snapshotOf(records)
+            : records.slice(from, nextOffset),
         endOffset: nextOffset,
         logEndOffset: records.length,
         sentAt: this.timeline.now,
         isSnapshot: from === undefined,
       });
-      this.timeline.after(READ_INTERVAL_MILLIS, read);
+      this.timeline.after(intervalMillis, read);
     };
     this.timeline.after(READ_INTERVAL_MILLIS, read);
     return {
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -2,8 +2,6 @@
   CONFIGURATION_IN_FORCE,
   DISPATCH_EVENT,
   DISPATCH_TICK,
-  PLACE_TASKS,
-  SCHEDULE_PLACEMENT,
   createDispatchPlugin,
 } from '@samphireramp/dispatch';
 import {
@@ -22,14 +20,11 @@
 } from '@samphireramp/holding';
 import {
   ANSWER_CALL,
-  FLUSH_REQUESTS,
-  HEDGE_REQUESTS,
   INTAKE_EVENT,
-  SCHEDULE_FLUSH,
-  SCHEDULE_HEDGE,
   REQUEST_RECEIVED,
   type Request,
   type RequestAnswer,
+  countPending,
   createIntakePlugin,
   jobStatus,
 } from '@samphireramp/intake';
@@ -47,6 +42,7 @@
 import {ModelLog} from './ModelLog';
 import type {ModelHost, ModelSiteOptions} from './ModelHost';
 import {ModelWorker} from './ModelWorker';
+import {registerModelTimers} from './modelTimers';
 import {ModelAdviser} from './ModelAdviser';
 import {NO_SITE_FAULTS, type SiteFaultState} from './SiteFaultState';
 
@@ -157,12 +153,24 @@
       return 'unsure';
     }
     const state = jobStatus(host.kernel, jobId, this.clock.now, 0);
-    if (state !== 'absent' && state !== 'unsure') {
+    if (state === 'absent') {
+      this.checker.onAbsentShown(jobId);
+    } else if (state !== 'unsure') {
       this.checker.onStateShown(jobId, state);
     }
     return state;
   }
 
+  /** Returns the number of pending jobs that a host reports, after checking it. */
+  readPending(host: ModelHost, queue: string) {
+    if (!host.isUp) {
+      return 'unsure';
+    }
+    const count = countPending(host.kernel, queue);
+    this.checker.onPendingShown(queue, count);
+    return count;
+  }
+
   /** Returns the first host that considers itself the holder, if any. */
   holder(): ModelHost | undefined {
     return this.hosts.find(
@@ -341,19 +349,7 @@
           this.events.push(JSON.stringify(line));
         }),
       ),
-      kernel.registerEffect(SCHEDULE_PLACEMENT, () =>
-        this.defer(host, 2, () => kernel.dispatch(PLACE_TASKS, undefined)),
-      ),
-      kernel.registerEffect(SCHEDULE_FLUSH, ({millis}) =>
-        this.defer(host, millis, () =>
-          kernel.dispatch(FLUSH_REQUESTS, undefined),
-        ),
-      ),
-      kernel.registerEffect(SCHEDULE_HEDGE, ({batchId, millis}) =>
-        this.defer(host, millis, () =>
-          kernel.dispatch(HEDGE_REQUESTS, {batchId}),
-        ),
-      ),
+      registerModelTimers(host, this.clock),
     );
     const tick = () => {
       if (!isAlive()) {
@@ -381,19 +377,4 @@
       configuration: buildConfiguration(this.options.policies),
     });
   }
-
-  /** Runs a callback later, unless the process ends; waits for a frozen host. */
-  private defer(host: ModelHost, millis: number, callback: () => void): void {
-    const {kernel} = host;
-    this.clock.after(millis, () => {
-      if (!host.isUp || host.kernel !== kernel) {
-        return;
-      }
-      if (host.isFrozen) {
-        this.defer(host, TICK_MILLIS, callback);
-      } else {
-        callback();
-      }
-    });
-  }
 }
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -6,7 +6,12 @@
   buildPolicy,
   buildStep,
 } from './jobFixture';
-export {ModelLog, type LogFaultState} from './ModelLog';
+export {
+  ModelLog,
+  PROMPT_READS,
+  type LogFaultState,
+  type ReadBehaviour,
+} from './ModelLog';
 export type {ModelHost, ModelSiteOptions} from './ModelHost';
 export {ModelSite} from './ModelSite';
 export {NO_SITE_FAULTS, type SiteFaultState} from './SiteFaultState';
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -278,7 +278,9 @@
     }
   });
   const readState = () => {
-    site.readJobState(randomHost(), pick(jobs).id);
+    const {id, policy} = pick(jobs);
+    site.readJobState(randomHost(), id);
+    site.readPending(randomHost(), policy.name);
     after(READ_INTERVAL_MILLIS, readState);
   };
   readState();
