Answer that a job is absent, and counts, only from a copy known to hold all jobs

Callers got 410 for jobs accepted three seconds and more before (LOST), and counts far below what waited (MIXED). A page from the middle of a backlog set the age of the copy to zero; and a holder that writes heartbeats was taken to have read the requests, which it has not after a take-over.

Each read that reaches the end of the log proves that the copy is complete up to when the read was sent. The record that heads each batch now says how old the holder's knowledge of the requests was when it learned that its previous batch was durable. A reader knows a lower bound for when that batch was appended, and so up to when every accepted job is in its copy. The age counts from the previous batch since the log may carry out an append seconds after it was sent.

A job is absent only if all jobs accepted until visible_ms less a second ago are known, which covers the way of the answer; a count may be two seconds older. Otherwise 503 with Retry-After. The time to settle after a start and a take-over is gone: both are covered, also on the holder, whose own knowledge is the age of its reads of the requests, not of its appends. No host claims while it reads a backlog; workers are commanded once every partition was read to its end. Refusals of submits and readiness go on asking whether the log can be reached.

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -39,8 +39,11 @@
   SiteConfiguration | undefined
 >('site-configuration', undefined);
 
-/** Partitions of which this holder has read all requests that the log keeps. */
-export const PARTITIONS_READ = createTableSlice<true>('partitions-read');
+/**
+ * For each partition that this holder has read to its end: the time, on the
+ * runtime's monotonic clock, until which it knows all requests in it.
+ */
+export const PARTITIONS_READ = createTableSlice<number>('partitions-read');
 
 /** Lists the jobs that are not over. */
 export function listActiveJobs(state: StateReader): JobRow[] {
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -10,6 +10,7 @@
   HOLDING_BEGAN,
   HOLDING_ENDED,
   heldTerm,
+  recordRequestsRead,
 } from '@samphireramp/holding';
 import {
   MAY_COMMAND_WORKERS,
@@ -97,13 +98,15 @@
       return;
     }
     applyRequests(update, payload, wallClock);
+    if (payload.completeUntil === undefined) {
+      return;
+    }
     const partitionsRead = update.write(PARTITIONS_READ);
-    if (!partitionsRead.has(String(payload.partition))) {
-      partitionsRead.set(String(payload.partition), true);
+    partitionsRead.set(String(payload.partition), payload.completeUntil);
+    if (partitionsRead.size === partitions) {
       // Workers are commanded only once all requests in the log are known.
-      if (partitionsRead.size === partitions) {
-        update.write(MAY_COMMAND_WORKERS).set(true);
-      }
+      update.write(MAY_COMMAND_WORKERS).set(true);
+      recordRequestsRead(update, Math.min(...partitionsRead.values()));
     }
   }
 
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -28,6 +28,11 @@
 export const REQUESTS_READ = createCommand<{
   readonly requests: readonly Request[];
   readonly partition: number;
+  /**
+   * If the read reached the end of the partition, when it was sent, on the
+   * runtime's monotonic clock.
+   */
+  readonly completeUntil: number | undefined;
 }>('requests-read');
 
 /** Places the tasks that can be placed now. */
--- a/packages/holding/src/HolderRecord.ts
+++ b/packages/holding/src/HolderRecord.ts
@@ -15,6 +15,14 @@
   batch: z.number(),
   /** True in the last batch of a holder that shuts down. */
   isResigned: z.boolean(),
+  /**
+   * How old the holder's knowledge of the requests was when it learned that its
+   * previous batch is durable; negative if it has read them since. The journal up
+   * to this batch has every job whose request was appended before that. Absent
+   * if the holder has not read all partitions yet. An age, since the clocks of
+   * hosts differ.
+   */
+  requestsAgeMillis: z.optional(z.number()),
 });
 
 /** Names the holder that wrote a batch, and its term. */
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -8,6 +8,7 @@
 } from '@samphireramp/kernel';
 import type {Progress} from '@samphireramp/jobs';
 import type {HolderRecord} from './HolderRecord';
+import {type JobKnowledge, NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import type {JournalEntry} from './messages';
 
 /** Journal entries that are appended together, headed by a holder record. */
@@ -17,6 +18,8 @@
   readonly entries: readonly JournalEntry[];
   /** Commands to dispatch once the batch is durable. */
   readonly deferredCommands: readonly DeferredCommand[];
+  /** Once it is durable, all jobs requested before this time are. */
+  readonly jobsUntil: number;
   /** Whether the holding ends once the batch is durable. */
   readonly isResignation: boolean;
   /** When the append was last sent; undefined if the batch is to be resent. */
@@ -42,11 +45,23 @@
   readonly logEndOffset: number;
   /** All entries that were appended before this time have been applied. */
   readonly completeUntil: number;
+  /** What the newest batch tells, which may be read in part only. */
+  readonly jobKnowledge: JobKnowledge;
+  /**
+   * Every job whose request was appended before this time is in the durable
+   * progress. Answers that there is no such job rest on this alone.
+   */
+  readonly jobsCompleteUntil: number;
+  /** The holder has read every request that was appended before this time. */
+  readonly requestsReadUntil: number;
   /** The newest holder record in the journal. */
   readonly latestHolderRecord: HolderRecord | undefined;
   /** When the newest holder record was read or, on the holder, appended. */
   readonly holderHeardAt: number;
-  /** When the journal was last read or appended to successfully. */
+  /**
+   * When the log last answered a read of the journal or an append to it: the log
+   * can be reached, but the copy may be far behind.
+   */
   readonly journalReadAt: number;
   /** Earliest time at which this host may claim the site. */
   readonly nextClaimAt: number;
@@ -70,6 +85,9 @@
   endOffset: 0,
   logEndOffset: 0,
   completeUntil: -Infinity,
+  jobKnowledge: NO_JOB_KNOWLEDGE,
+  jobsCompleteUntil: -Infinity,
+  requestsReadUntil: -Infinity,
   latestHolderRecord: undefined,
   holderHeardAt: 0,
   journalReadAt: -Infinity,
@@ -115,6 +133,17 @@
   update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
 }
 
+/**
+ * Records that this holder has taken in every request that was appended before
+ * `readUntil`. On a follower this does nothing.
+ */
+export function recordRequestsRead(update: Update, readUntil: number): void {
+  if (heldTerm(update) !== undefined) {
+    const holding = update.write(HOLDING);
+    holding.set({...holding.get(), requestsReadUntil: readUntil});
+  }
+}
+
 /**
  * Records that a job is deleted from the journal, with the next batch. On a
  * follower this does nothing.
--- a/packages/holding/src/__tests__/unit/claimRules.test.ts
+++ b/packages/holding/src/__tests__/unit/claimRules.test.ts
@@ -49,6 +49,14 @@
   },
 );
 
+void t.test('no claim is due while a backlog is read', async t => {
+  const silent = {holderHeardAt: NOW - 600, endOffset: 40};
+  t.ok(isClaimDue(OPTIONS, buildHolding({...silent, logEndOffset: 40}), NOW));
+  t.notOk(
+    isClaimDue(OPTIONS, buildHolding({...silent, logEndOffset: 41}), NOW),
+  );
+});
+
 void t.test(
   'a claim is due at once if the holder resigned or was this host',
   async t => {
--- a/packages/holding/src/applyEntries.ts
+++ b/packages/holding/src/applyEntries.ts
@@ -1,6 +1,7 @@
 import type {Update} from '@samphireramp/kernel';
 import {reachedLogEnd} from '@samphireramp/stream-log';
 import {HOLDING, DURABLE_PROGRESS} from './HoldingState';
+import {learnFromBatch} from './jobKnowledge';
 import type {JournalEntry, JournalRead, StoredEntry} from './messages';
 
 /** Applies a durable entry to the progress that callers are shown. */
@@ -24,26 +25,42 @@
   if (isSnapshot) {
     deleteAbsentJobs(update, entries);
   }
-  let {latestHolderRecord, holderHeardAt} = previous;
+  let {latestHolderRecord, holderHeardAt, jobKnowledge} = previous;
+  // Records that the copy did not have when it was complete are newer than that.
+  // A snapshot has only the newest holder record, which may be newer than jobs
+  // in it.
+  const appendedAfter = isSnapshot ? -Infinity : previous.completeUntil;
   for (const {offset, entry} of entries) {
     if (offset < previous.endOffset && !isSnapshot) {
       continue;
     }
     applyEntry(update, entry);
     if (entry.kind === 'holder') {
+      jobKnowledge = learnFromBatch(
+        jobKnowledge,
+        isSnapshot ? undefined : latestHolderRecord,
+        entry.record,
+        appendedAfter,
+      );
       latestHolderRecord = entry.record;
       holderHeardAt = update.now;
     }
   }
   // The first read doesn't tell how old the records are, so the silence of the
   // holder counts from this read.
+  const isComplete = reachedLogEnd(read);
   holding.set({
     ...previous,
     latestHolderRecord,
+    jobKnowledge,
+    // Elsewhere a page may end within a batch.
+    jobsCompleteUntil: isComplete
+      ? Math.max(previous.jobsCompleteUntil, jobKnowledge.jobsUntil)
+      : previous.jobsCompleteUntil,
     holderHeardAt: previous.isCaughtUp ? holderHeardAt : update.now,
     endOffset: Math.max(previous.endOffset, endOffset),
     logEndOffset: Math.max(previous.logEndOffset, logEndOffset),
-    completeUntil: reachedLogEnd(read)
+    completeUntil: isComplete
       ? Math.max(previous.completeUntil, read.sentAt)
       : previous.completeUntil,
     isCaughtUp: true,
--- a/packages/holding/src/claimRules.ts
+++ b/packages/holding/src/claimRules.ts
@@ -41,6 +41,10 @@
   if (phase !== 'following' || !isCaughtUp || isStopping) {
     return false;
   }
+  if (holding.endOffset < holding.logEndOffset) {
+    // In a backlog, the newest record read says nothing about the holder now.
+    return false;
+  }
   if (
     now - holding.journalReadAt > MAX_JOURNAL_READ_AGE_MILLIS ||
     now < holding.nextClaimAt
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -20,6 +20,7 @@
   PENDING_ENTRIES,
   heldTerm,
 } from './HoldingState';
+import {NO_JOB_KNOWLEDGE, requestsAge} from './jobKnowledge';
 import {
   APPEND_JOURNAL,
   HOLDING_BEGAN,
@@ -44,14 +45,13 @@
 export function createHoldingPlugin(options: HoldingOptions): Plugin {
   const {self, incarnation} = options;
 
+  function buildClaim(offset: number): HolderRecord {
+    const term = termOfClaim(offset);
+    return {holder: self, incarnation, term, batch: 0, isResigned: false};
+  }
+
   function sendClaim(update: Update, holding: HoldingState): void {
-    const record: HolderRecord = {
-      holder: self,
-      incarnation,
-      term: termOfClaim(holding.endOffset),
-      batch: 0,
-      isResigned: false,
-    };
+    const record = buildClaim(holding.endOffset);
     update.write(HOLDING).set({
       ...holding,
       phase: 'claiming',
@@ -86,6 +86,11 @@
       endOffset,
       logEndOffset: Math.max(holding.get().logEndOffset, endOffset),
       holdingBeganAt: update.now,
+      requestsReadUntil: -Infinity,
+      jobKnowledge: {
+        ...NO_JOB_KNOWLEDGE,
+        jobsUntil: holding.get().jobKnowledge.jobsUntil,
+      },
       nextBatchNumber: 1,
       batchInFlight: undefined,
       lastAppendAt: update.now,
@@ -149,6 +154,10 @@
       ...current.latestHolderRecord,
       batch: current.nextBatchNumber,
       isResigned: current.isStopping,
+      requestsAgeMillis: requestsAge(
+        current.requestsReadUntil,
+        current.holderHeardAt,
+      ),
     };
     const entries: JournalEntry[] = [
       {kind: 'holder', record},
@@ -159,6 +168,7 @@
       number: record.batch,
       entries,
       deferredCommands: current.deferredCommands,
+      jobsUntil: current.requestsReadUntil,
       isResignation: current.isStopping,
       sentAt: undefined,
       retryAt: 0,
@@ -226,6 +236,7 @@
       endOffset,
       logEndOffset: Math.max(current.logEndOffset, endOffset),
       completeUntil: Math.max(current.completeUntil, completeUntil),
+      jobsCompleteUntil: Math.max(current.jobsCompleteUntil, batch.jobsUntil),
       holderHeardAt: update.now,
       journalReadAt: update.now,
     });
@@ -260,14 +271,7 @@
       return;
     }
     if (outcome.kind === 'appended') {
-      const record: HolderRecord = {
-        holder: self,
-        incarnation,
-        term: termOfClaim(outcome.offset),
-        batch: 0,
-        isResigned: false,
-      };
-      beginHolding(update, record, outcome.endOffset);
+      beginHolding(update, buildClaim(outcome.offset), outcome.endOffset);
       return;
     }
     const nextClaimAt = update.now + CLAIM_RETRY_DELAY_MILLIS;
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -9,6 +9,7 @@
   heldTerm,
   recordForgottenJob,
   recordProgress,
+  recordRequestsRead,
 } from './HoldingState';
 export {MIN_HOLDER_TIMEOUT_MILLIS, type HoldingOptions} from './claimRules';
 export {HEARTBEAT_INTERVAL_MILLIS, createHoldingPlugin} from './holdingPlugin';
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -4,7 +4,12 @@
   type IntakeOptions,
   createIntakePlugin,
 } from './intakePlugin';
-export {type JobStatus, countPending, jobStatus} from './jobStatus';
+export {
+  type JobStatus,
+  type PendingCount,
+  countPending,
+  jobStatus,
+} from './jobStatus';
 export {
   ANSWER_CALL,
   APPEND_REQUESTS,
--- a/packages/intake/src/jobStatus.ts
+++ b/packages/intake/src/jobStatus.ts
@@ -3,17 +3,10 @@
 import type {StateReader} from '@samphireramp/kernel';
 import {ACCEPTED_JOBS} from './intakePlugin';
 
-/**
- * This host reports an unknown job as absent only if, within this time, it has
- * read or appended to the journal, and has read or appended a holder record.
- */
-const MAX_JOURNAL_AGE_MILLIS = 1500;
-/**
- * This host reports an unknown job as absent only if it started, and on the holder
- * its holding began, longer ago than this. By then, requests that were appended
- * late are in the journal.
- */
-const SETTLING_MILLIS = 6000;
+/** Time that an answer may take to reach its caller, while it goes out of date. */
+const ANSWER_MARGIN_MILLIS = 1000;
+/** How much older than the state of a job the number of pending jobs may be. */
+const PENDING_AGE_MILLIS = 2000;
 
 /**
  * The status of a job for callers: its state, `absent` if there is no such job,
@@ -21,12 +14,18 @@
  */
 export type JobStatus = JobState | 'absent' | 'unsure';
 
-/** Finds the status of a job in durable progress and the jobs accepted here. */
+/** A number of jobs, or `unsure` if this host may not know all of them. */
+export type PendingCount = number | 'unsure';
+
+/**
+ * Finds the status of a job in durable progress and the jobs accepted here. A job
+ * that was accepted longer than `visibleMillis` ago is never `absent`.
+ */
 export function jobStatus(
   state: StateReader,
   jobId: string,
   now: number,
-  startedAt: number,
+  visibleMillis: number,
 ): JobStatus {
   const progress = state.read(DURABLE_PROGRESS).get(jobId);
   if (progress !== undefined) {
@@ -35,36 +34,22 @@
   if (state.read(ACCEPTED_JOBS).has(jobId)) {
     return 'queued';
   }
-  return isJournalCurrent(state, now, startedAt) ? 'absent' : 'unsure';
+  return areJobsKnown(state, now - visibleMillis) ? 'absent' : 'unsure';
 }
 
-/** Whether this host has read the journal recently and completely. */
-function isJournalCurrent(
+/**
+ * Counts the accepted jobs of a queue that have not started a task, among them
+ * all that were accepted `PENDING_AGE_MILLIS` before they must be visible.
+ */
+export function countPending(
   state: StateReader,
+  queue: string,
   now: number,
-  startedAt: number,
-): boolean {
-  const {
-    journalReadAt,
-    holderHeardAt,
-    isCaughtUp,
-    phase,
-    holdingBeganAt: beganAt,
-  } = state.read(HOLDING).get();
-  const isHolderFresh = now - holderHeardAt < MAX_JOURNAL_AGE_MILLIS;
-  const isJournalFresh = now - journalReadAt < MAX_JOURNAL_AGE_MILLIS;
-  const settlingSince =
-    phase === 'holding' ? Math.max(startedAt, beganAt) : startedAt;
-  return (
-    isCaughtUp &&
-    isHolderFresh &&
-    isJournalFresh &&
-    now - settlingSince > SETTLING_MILLIS
-  );
-}
-
-/** Counts the accepted jobs of a queue that have not started a task. */
-export function countPending(state: StateReader, queue: string): number {
+  visibleMillis: number,
+): PendingCount {
+  if (!areJobsKnown(state, now - visibleMillis - PENDING_AGE_MILLIS)) {
+    return 'unsure';
+  }
   const durableProgress = state.read(DURABLE_PROGRESS);
   let count = 0;
   for (const progress of durableProgress.values()) {
@@ -79,3 +64,12 @@
   }
   return count;
 }
+
+/**
+ * Whether this host knows every job that was accepted before a time, and those
+ * accepted while its answer is on the way.
+ */
+function areJobsKnown(state: StateReader, acceptedBefore: number): boolean {
+  const {jobsCompleteUntil} = state.read(HOLDING).get();
+  return jobsCompleteUntil >= acceptedBefore + ANSWER_MARGIN_MILLIS;
+}
--- a/packages/site-daemon/src/answerReporter.ts
+++ b/packages/site-daemon/src/answerReporter.ts
@@ -1,5 +1,5 @@
 import {HOLDING, heldTerm} from '@samphireramp/holding';
-import type {JobStatus} from '@samphireramp/intake';
+import type {JobStatus, PendingCount} from '@samphireramp/intake';
 import type {Kernel} from '@samphireramp/kernel';
 import type {Log, LogFields, Metrics} from '@samphireramp/telemetry';
 
@@ -18,7 +18,7 @@
 /** Reports answers that depend on what this host's copy of the journal holds. */
 export interface AnswerReporter {
   onStatus(jobId: string, status: JobStatus): void;
-  onPending(queue: string, count: number): void;
+  onPending(queue: string, count: PendingCount): void;
 }
 
 /**
@@ -51,8 +51,12 @@
       }
     },
     onPending: (queue, count) => {
-      metrics.count('pending_answers');
-      logWithinLimit('pending-counted', {queue, count});
+      const event = count === 'unsure' ? 'pending-unsure' : 'pending-counted';
+      metrics.count('pending_answers', {event});
+      logWithinLimit(event, {
+        queue,
+        count: count === 'unsure' ? undefined : count,
+      });
     },
   };
 }
@@ -63,6 +67,7 @@
   return {
     copyEnd: holding.endOffset,
     journalEnd: holding.logEndOffset,
+    jobsMillis: ageOf(holding.jobsCompleteUntil, now),
     copyMillis: ageOf(holding.completeUntil, now),
     readMillis: ageOf(holding.journalReadAt, now),
     holderMillis: ageOf(holding.holderHeardAt, now),
@@ -70,6 +75,6 @@
   };
 }
 
-function ageOf(time: number, now: number): number {
-  return Math.round(now - time);
+function ageOf(time: number, now: number): number | undefined {
+  return Number.isFinite(time) ? Math.round(now - time) : undefined;
 }
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -2,6 +2,7 @@
 import {
   ANSWER_CALL,
   type JobStatus,
+  type PendingCount,
   REQUEST_RECEIVED,
   type Request,
   type RequestAnswer,
@@ -18,11 +19,11 @@
   /** Milliseconds since 1970. */
   readonly wallClock: () => number;
   readonly isStopping: () => boolean;
-  /** When this host started, on the monotonic clock. */
-  readonly startedAt: number;
+  /** An accepted job must be known at every host within this time. */
+  readonly visibleMillis: () => number;
   /** Called with each answer that this host gives from its copy of the journal. */
   readonly onStatus: (jobId: string, status: JobStatus) => void;
-  readonly onPending: (queue: string, count: number) => void;
+  readonly onPending: (queue: string, count: PendingCount) => void;
 }
 
 /** Implements the job API with the commands and state of the kernel. */
@@ -30,7 +31,8 @@
   kernel: Kernel,
   options: CallerServiceOptions,
 ): CallerService {
-  const {now, wallClock, isStopping, startedAt, onStatus, onPending} = options;
+  const {now, wallClock, isStopping, visibleMillis, onStatus, onPending} =
+    options;
   /** Functions that answer the open calls, by call id. */
   const pendingCalls = new Map<string, (answer: RequestAnswer) => void>();
   let lastCallNumber = 0;
@@ -53,12 +55,12 @@
     cancel: jobId =>
       dispatchRequest({kind: 'cancel', jobId, receivedAt: wallClock()}),
     status: jobId => {
-      const status = jobStatus(kernel, jobId, now(), startedAt);
+      const status = jobStatus(kernel, jobId, now(), visibleMillis());
       onStatus(jobId, status);
       return status;
     },
     pending: queue => {
-      const count = countPending(kernel, queue);
+      const count = countPending(kernel, queue, now(), visibleMillis());
       onPending(queue, count);
       return count;
     },
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -93,7 +93,6 @@
   metrics.gauge('log_lines_left_out', options.droppedLogLines);
   const now = () => performance.now();
   const wallClock = () => Date.now();
-  const startedAt = now();
   let isStopping = false;
 
   const httpClient = createHttpClient(CONNECTIONS_PER_ADDRESS);
@@ -147,7 +146,7 @@
   const callerService = createCallerService(kernel, {
     now,
     wallClock,
-    startedAt,
+    visibleMillis: () => settings().visibleMillis,
     isStopping: () => isStopping,
     ...createAnswerReporter(kernel, {log, metrics, now}),
   });
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -25,13 +25,14 @@
   encodeJournalEntry,
   encodeRequest,
 } from '@samphireramp/record-codec';
-import type {
-  AppendOutcome,
-  FollowHandle,
-  StoredRecord,
-  StreamListener,
-  StreamLog,
-  StreamName,
+import {
+  type AppendOutcome,
+  type FollowHandle,
+  type StoredRecord,
+  type StreamListener,
+  type StreamLog,
+  type StreamName,
+  reachedLogEnd,
 } from '@samphireramp/stream-log';
 import type {SiteConfiguration} from '@samphireramp/jobs';
 import type {Log} from '@samphireramp/telemetry';
@@ -137,9 +138,10 @@
             listenerFor(
               'requests',
               partition,
-            )(({records}) =>
+            )(({records, ...read}) =>
               kernel.dispatch(REQUESTS_READ, {
                 partition,
+                completeUntil: reachedLogEnd(read) ? read.sentAt : undefined,
                 requests: decodeRequests(records, onMalformed('requests')),
               }),
             ),
--- a/testing/src/__tests__/unit/journalCopies.test.ts
+++ b/testing/src/__tests__/unit/journalCopies.test.ts
@@ -187,6 +187,26 @@
   t.equal(site.readJobState(follower, '00000000000000ff'), 'absent');
 });
 
+void t.test('in calm times no host refuses to answer', async t => {
+  const site = buildSite(3, 2);
+  await site.run(1000);
+  // As slow as reads of the platform's log with their waits and pauses.
+  site.log.readBehaviour = (_, stream) => ({
+    ...PROMPT_READS,
+    intervalMillis: stream === 'requests' ? 450 : 150,
+  });
+  await site.run(3000);
+  const answers = new Set<string>();
+  for (let round = 0; round < 100; round++) {
+    for (const host of site.hosts) {
+      answers.add(site.readJobState(host, '00000000000000ff'));
+      answers.add(String(site.readPending(host, POLICY.name)));
+    }
+    await site.run(ASK_INTERVAL_MILLIS);
+  }
+  t.same([...answers].sort(), ['0', 'absent']);
+});
+
 function ofRule(violations: readonly string[], rule: string): string[] {
   return violations.filter(line => line.includes(` ${rule}: `)).slice(0, 3);
 }
--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -13,7 +13,7 @@
 import type {ModelWorker} from './ModelWorker';
 
 /** An accepted job is known at every host this long after its acceptance. */
-const VISIBLE_MILLIS = 3000;
+export const VISIBLE_MILLIS = 3000;
 /** How old the number of pending jobs may be that a host reports. */
 const PENDING_AGE_MILLIS = 2000;
 /** Once faults are over, no run may start later than this after a cancel. */
@@ -315,7 +315,8 @@
     if (count < waiting.length / 2) {
       this.reportViolation(
         'MIXED',
-        `${count} jobs are shown as pending, ${waiting.length} wait`,
+        `${count} jobs are shown as pending, ${waiting.length} wait: ` +
+          waiting.map(({job}) => job.id).join(', '),
       );
     }
   }
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -37,7 +37,7 @@
 } from '@samphireramp/site-daemon';
 import {EventQueue} from '../EventQueue';
 import {buildConfiguration} from './jobFixture';
-import {InvariantChecker} from './InvariantChecker';
+import {InvariantChecker, VISIBLE_MILLIS} from './InvariantChecker';
 import {ModelNetwork} from './ModelNetwork';
 import {ModelLog} from './ModelLog';
 import type {ModelHost, ModelSiteOptions} from './ModelHost';
@@ -152,7 +152,7 @@
     if (!host.isUp) {
       return 'unsure';
     }
-    const state = jobStatus(host.kernel, jobId, this.clock.now, 0);
+    const state = jobStatus(host.kernel, jobId, this.clock.now, VISIBLE_MILLIS);
     if (state === 'absent') {
       this.checker.onAbsentShown(jobId);
     } else if (state !== 'unsure') {
@@ -166,8 +166,11 @@
     if (!host.isUp) {
       return 'unsure';
     }
-    const count = countPending(host.kernel, queue);
-    this.checker.onPendingShown(queue, count);
+    const {now} = this.clock;
+    const count = countPending(host.kernel, queue, now, VISIBLE_MILLIS);
+    if (count !== 'unsure') {
+      this.checker.onPendingShown(queue, count);
+    }
     return count;
   }
 
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -278,9 +278,8 @@
     }
   });
   const readState = () => {
-    const {id, policy} = pick(jobs);
+    const {id} = pick(jobs);
     site.readJobState(randomHost(), id);
-    site.readPending(randomHost(), policy.name);
     after(READ_INTERVAL_MILLIS, readState);
   };
   readState();
