--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -20,6 +20,7 @@
   RUN_ENDED,
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
+  START_GIVEN_UP,
   WORKERS,
   leasesExpiredAt,
   discardRun,
@@ -59,8 +60,10 @@
   onRunConfirmed,
   onRunDiscarded,
   onRunEnded,
+  onStartGivenUp,
   onUnexpectedRun,
 } from './runFlow';
+import {RESERVATIONS} from './reservations';
 import {PLACEMENT_SCHEDULED, schedulePlacement} from './schedulePlacement';
 import {
   WAITING_SINCE,
@@ -136,6 +139,7 @@
       kernel.registerSlice(OPEN_ADVICE_REQUESTS),
       kernel.registerSlice(ADVICE_REQUEST_COUNT),
       kernel.registerSlice(PLACEMENT_SCHEDULED),
+      kernel.registerSlice(RESERVATIONS),
       kernel.registerSlice(FORGET_CHECKED_AT),
       kernel.registerSlice(WAITS_CHECKED_AT),
       kernel.registerSlice(WAITING_SINCE),
@@ -158,6 +162,7 @@
       ),
       kernel.registerCommand(RUN_DISCARDED, onRunDiscarded),
       kernel.registerCommand(RUN_CONFIRMED, onRunConfirmed),
+      kernel.registerCommand(START_GIVEN_UP, onStartGivenUp),
       kernel.registerCommand(UNEXPECTED_RUN_REPORTED, onUnexpectedRun),
       kernel.registerCommand(ADVICE_RECEIVED, onAdviceReceived),
       kernel.registerCommand(PLACE_TASKS, update => {
@@ -201,4 +206,5 @@
   update.write(CALLS_BY_HOST).clear();
   update.write(OPEN_ADVICE_REQUESTS).clear();
   update.write(WAITING_SINCE).clear();
+  update.write(RESERVATIONS).set([]);
 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -113,11 +113,16 @@
   readonly reason: StartRefusal | 'missing' | 'worker-gone' | 'lapsed-silent';
 }>('run-void');
 
-/** A worker confirmed for the first time that a run started. */
+/** A worker confirmed to this holder for the first time that a run started. */
 export const RUN_CONFIRMED = createCommand<{readonly runId: RunId}>(
   'run-confirmed',
 );
 
+/** The start orders of a run were not confirmed, and the run is stopped. */
+export const START_GIVEN_UP = createCommand<{readonly runId: RunId}>(
+  'start-given-up',
+);
+
 /** A worker reported a run that is not expected on it. */
 export const UNEXPECTED_RUN_REPORTED = createCommand<{
   readonly incarnation: string;
--- a/testing/src/__tests__/unit/journalCopies.test.ts
+++ b/testing/src/__tests__/unit/journalCopies.test.ts
@@ -7,6 +7,7 @@
   buildPolicy,
   buildStep,
   createRandom,
+  readAnswers,
 } from '../../index';
 
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
@@ -63,8 +64,7 @@
   const end = site.clock.now + millis;
   while (site.clock.now < end) {
     for (const host of hosts) {
-      jobIds.forEach(id => site.readJobState(host, id));
-      site.readPending(host, POLICY.name);
+      jobIds.forEach(id => readAnswers(site, host, id, POLICY.name));
     }
     await site.run(ASK_INTERVAL_MILLIS);
   }
--- /dev/null
+++ b/testing/src/__tests__/unit/runRegressions.test.ts
@@ -0,0 +1,116 @@
+import type {Job} from '@samphireramp/jobs';
+import t from 'tap';
+import {
+  ModelSite,
+  buildJob,
+  buildPolicy,
+  buildStep,
+  createRandom,
+} from '../../index';
+
+const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
+const POLICY = buildPolicy();
+
+/** Builds a site with two hosts, on which no run fails. */
+function buildSite(workers: number): ModelSite {
+  return new ModelSite({
+    hosts: 2,
+    workers,
+    capacity: CAPACITY,
+    random: createRandom(1),
+    policies: [POLICY],
+    script: (job, runId) => ({
+      step: job.steps[runId.step],
+      workMillis: job.steps[runId.step].estimateMillis,
+      fails: () => false,
+    }),
+  });
+}
+
+void t.test('a job counts as pending until a worker starts it', async t => {
+  const site = buildSite(2);
+  await site.run(1000);
+  // No start order is answered, and none takes effect within the test.
+  site.faultState = {
+    ...site.faultState,
+    losesOrderAnswer: () => true,
+    orderDelayMillis: () => 60_000,
+  };
+  const job = buildJob('00000000000000b7', [buildStep({count: 3})], {
+    policy: POLICY,
+    receivedAt: 1000,
+  });
+  void site.submit(site.hosts[0], job);
+  await site.run(1000);
+  t.equal(site.checker.countStarts(job.id), 0);
+  for (const host of site.hosts) {
+    t.equal(site.readPending(host, POLICY.name), 1, host.name);
+  }
+  site.faultState = {...site.faultState, losesOrderAnswer: () => false};
+  await site.run(4000);
+  t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+});
+
+void t.test('a new holder finds that a job has started', async t => {
+  const site = buildSite(2);
+  await site.run(1000);
+  const job = buildJob(
+    '00000000000000b8',
+    [buildStep({estimateMillis: 20_000})],
+    {policy: POLICY, receivedAt: 1000},
+  );
+  void site.submit(site.hosts[0], job);
+  while (site.checker.countStarts(job.id) === 0) {
+    await site.run(1);
+  }
+  // The holder ends before it can record that the run has started.
+  const [holder, follower] = [...site.hosts].sort(host =>
+    host === site.holder() ? -1 : 1,
+  );
+  site.kill(holder);
+  t.equal(site.readJobState(follower, job.id), 'queued');
+  await site.run(5000);
+  t.equal(site.readJobState(follower, job.id), 'running');
+  t.equal(site.readPending(follower, POLICY.name), 0);
+});
+
+/** A job whose only step is a gang with a task on each of four workers. */
+function buildGang(id: string): Job {
+  const need = {cpuMillis: 7000, memoryMegabytes: 1000, accelerators: 0};
+  const step = buildStep({count: 4, need, isGang: true});
+  return buildJob(id, [step], {policy: POLICY, receivedAt: 1000});
+}
+
+void t.test('no gang waits for a member that was refused', async t => {
+  const site = buildSite(4);
+  site.checker.areFaultsOver = () => true;
+  await site.run(1000);
+  const [worker] = site.workers;
+  const start = worker.start.bind(worker);
+  worker.start = (order, term, leaseUntil) =>
+    order.runId.run === 1 ? 'no-room' : start(order, term, leaseUntil);
+  const gang = buildGang('00000000000000b9');
+  void site.submit(site.hosts[0], gang);
+  await site.run(2500);
+  t.equal(site.readJobState(site.hosts[0], gang.id), 'completed');
+  t.same(site.checker.violations, []);
+});
+
+void t.test('no gang waits for a member that gives no answer', async t => {
+  const site = buildSite(4);
+  site.checker.areFaultsOver = () => true;
+  await site.run(1000);
+  // The start order of one member is lost, and so is each repetition of it.
+  const lostOrders = [1, 5, 6];
+  let orders = 0;
+  site.faultState = {
+    ...site.faultState,
+    losesOrderAnswer: () => lostOrders.includes(++orders),
+    orderDelayMillis: () => 60_000,
+  };
+  const gang = buildGang('00000000000000ba');
+  void site.submit(site.hosts[0], gang);
+  await site.run(4500);
+  t.equal(site.readJobState(site.hosts[0], gang.id), 'completed');
+  t.same(site.checker.violations, []);
+});
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -24,6 +24,7 @@
   REQUEST_RECEIVED,
   type Request,
   type RequestAnswer,
+  type PendingCount,
   countPending,
   createIntakePlugin,
   jobStatus,
@@ -37,7 +38,8 @@
 } from '@samphireramp/site-daemon';
 import {EventQueue} from '../EventQueue';
 import {buildConfiguration} from './jobFixture';
-import {InvariantChecker, VISIBLE_MILLIS} from './InvariantChecker';
+import {VISIBLE_LIMIT_MILLIS} from './answerChecks';
+import {InvariantChecker} from './InvariantChecker';
 import {ModelNetwork} from './ModelNetwork';
 import {ModelLog} from './ModelLog';
 import type {ModelHost, ModelSiteOptions} from './ModelHost';
@@ -152,26 +154,22 @@
     if (!host.isUp) {
       return 'unsure';
     }
-    const state = jobStatus(host.kernel, jobId, this.clock.now, VISIBLE_MILLIS);
-    if (state === 'absent') {
-      this.checker.onAbsentShown(jobId);
-    } else if (state !== 'unsure') {
+    const state = jobStatus(
+      host.kernel,
+      jobId,
+      this.clock.now,
+      VISIBLE_LIMIT_MILLIS,
+    );
+    if (state !== 'absent' && state !== 'unsure') {
       this.checker.onStateShown(jobId, state);
     }
     return state;
   }
 
-  /** Returns the number of pending jobs that a host reports, after checking it. */
-  readPending(host: ModelHost, queue: string) {
-    if (!host.isUp) {
-      return 'unsure';
-    }
+  /** Returns the number of pending jobs of a queue as a host reports it. */
+  readPending(host: ModelHost, queue: string): PendingCount {
     const {now} = this.clock;
-    const count = countPending(host.kernel, queue, now, VISIBLE_MILLIS);
-    if (count !== 'unsure') {
-      this.checker.onPendingShown(queue, count);
-    }
-    return count;
+    return countPending(host.kernel, queue, now, VISIBLE_LIMIT_MILLIS);
   }
 
   /** Returns the first host that considers itself the holder, if any. */
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -1,4 +1,5 @@
 /** Simulated sites, in virtual time or as processes, with invariant checks. */
+export {readAnswers} from './answerChecks';
 export {InvariantChecker, type Invariant} from './InvariantChecker';
 export {
   buildConfiguration,
