Calls for advice wait at the holder, not in line at the hosts

Cause: the holder made a call through a host as long as it was expected to wait less than 1.2 s there. With many steps waiting all hosts stood at this limit, so every call waited that long behind earlier ones of less urgent steps. Its tickets came too late for the room it was made for, and the wait left the calls through far hosts less than their timeout.

Now a call waits 150 ms at a host at most; the others wait at the holder, which makes them in the order of urgency and names the workers that have room by then.

The test 'long calls are not made behind other long ones' failed before.

--- a/packages/dispatch/src/__tests__/unit/adviserCalls.test.ts
+++ b/packages/dispatch/src/__tests__/unit/adviserCalls.test.ts
@@ -53,6 +53,15 @@
   t.equal(choose(SHORT_MILLIS), 'host-0');
 });
 
+void t.test('long calls are not made behind other long ones', async t => {
+  const {run, choose} = buildHosts(7);
+  for (let call = 0; call < 4; call++) {
+    const host = choose(LONG_MILLIS) ?? '';
+    run(update => addCall(update, host, LONG_MILLIS));
+  }
+  t.equal(choose(LONG_MILLIS), undefined);
+});
+
 void t.test('a single host takes long calls too', async t => {
   const {choose} = buildHosts(1);
   t.equal(choose(LONG_MILLIS), 'host-0');
--- a/packages/dispatch/src/adviserCalls.ts
+++ b/packages/dispatch/src/adviserCalls.ts
@@ -16,7 +16,7 @@
 /** Share of the hosts through which no medium calls are made. */
 const SHARE_WITHOUT_MEDIUM_CALLS = 0.2;
 /** A host is skipped while a new call would wait there this long or longer. */
-const MAX_WAIT_MILLIS = 1200;
+const MAX_WAIT_MILLIS = 150;
 /** Maximum open calls through one host; the adviser refuses the 33rd. */
 const MAX_OPEN_CALLS = 24;
 /** A host is skipped for this long after a call through it failed. */
