Log lines of a lasting flood take turns with those of other events

Groups were written in the order of their names, so that as long as refusals came faster than the rate, a gathered change of the holder waited behind them. The test failed before: the line was not out 2 s after its event.

--- a/packages/telemetry/src/__tests__/unit/lineWriter.test.ts
+++ b/packages/telemetry/src/__tests__/unit/lineWriter.test.ts
@@ -227,6 +227,26 @@
   );
 });
 
+void t.test(
+  'a lasting flood of one event delays no other for long',
+  async t => {
+    const {writer, write, lines, state} = buildWriter(20);
+    for (let step = 0; step < 200; step++) {
+      state.now += FLUSH_INTERVAL_MILLIS;
+      for (let index = 0; index < 1000; index++) {
+        write('submit-refused', {job: `job-${step}-${index}`});
+      }
+      if (step === 100) {
+        write('holding-ended', {term: 7});
+      }
+      writer.flush();
+      if (step === 140) {
+        t.ok(lines().includes('event=holding-ended term=7'));
+      }
+    }
+  },
+);
+
 void t.test('a stalled reader does not block the writer', async t => {
   const {writer, write, written, state} = buildWriter(10);
   state.backlog = 1_000_000;
--- a/packages/telemetry/src/lineWriter.ts
+++ b/packages/telemetry/src/lineWriter.ts
@@ -65,7 +65,7 @@
   const {write, backlogBytes, linesPerSecond, isRoutine, now} = options;
   const minTokensOfOwnLine = linesPerSecond * GATHERED_SHARE;
   let bufferedLines: BufferedLine[] = [];
-  /** Events that wait for a flush, by name. */
+  /** Groups that wait for a flush, at least one for each name. */
   const waitingGroups = new Map<string, EventGroup[]>();
   /** Token bucket of the rate limit; a long line may overdraw it. */
   let tokens = linesPerSecond;
@@ -101,16 +101,28 @@
     group.characters += String(event).length;
   }
 
-  function bufferWaitingGroups(areRoutine: boolean, minTokens: number): void {
+  /** Takes the group that waits first; its name goes behind the others. */
+  function takeGroup(isRoutineGroup: boolean): EventGroup | undefined {
     for (const [name, groups] of waitingGroups) {
-      if (isRoutine(name) !== areRoutine) {
-        continue;
+      if (isRoutine(name) === isRoutineGroup) {
+        const group = groups.shift();
+        waitingGroups.delete(name);
+        if (groups.length > 0) {
+          waitingGroups.set(name, groups);
+        }
+        return group;
       }
-      const nextGroup = () =>
-        tokens >= minTokens ? groups.shift() : undefined;
-      for (let group = nextGroup(); group; group = nextGroup()) {
-        bufferGroup(group);
+    }
+    return undefined;
+  }
+
+  function bufferGroups(areRoutine: boolean, minTokens: number): void {
+    while (tokens >= minTokens) {
+      const group = takeGroup(areRoutine);
+      if (group === undefined) {
+        return;
       }
+      bufferGroup(group);
     }
   }
 
@@ -134,11 +146,11 @@
 
   /** Writes what the given number of tokens allows. */
   function writeLines(minTokens: number): void {
-    bufferWaitingGroups(false, minTokens);
+    bufferGroups(false, minTokens);
     if (droppedSinceReport.size > 0 && tokens >= minTokens) {
       bufferDroppedReport();
     }
-    bufferWaitingGroups(true, minTokens);
+    bufferGroups(true, minTokens);
     if (bufferedLines.length > 0) {
       const texts = bufferedLines
         .sort((a, b) => a.at - b.at)
