Read on after an own batch: another host's claim may follow it

When the append of a batch has no answer and another host then claims the site, one read can return both. The holder took note of its batch and left the rest of the page, which no later read returns: it went on as the holder until the next record of the other host, and its copy lacked the progress recorded in between for good. Found by reading; the new test failed before (still the holder, the job unknown).

--- /dev/null
+++ b/packages/holding/src/__tests__/unit/claimAfterOwnBatch.test.ts
@@ -0,0 +1,85 @@
+import {newProgress} from '@samphireramp/jobs';
+import {createKernel} from '@samphireramp/kernel';
+import {buildJob, buildStep} from '@samphireramp/testing';
+import t from 'tap';
+import {
+  DURABLE_PROGRESS,
+  HOLDING_TICK,
+  JOURNAL_APPEND_ENDED,
+  JOURNAL_READ,
+  createHoldingPlugin,
+  heldTerm,
+} from '../../index';
+
+void t.test(
+  'a claim read together with an own batch ends the holding',
+  async t => {
+    const clock = {now: 0};
+    const kernel = createKernel({
+      now: () => clock.now,
+      onError: error => {
+        throw error;
+      },
+    });
+    kernel.register(
+      createHoldingPlugin({
+        self: 'host-a',
+        incarnation: 'incarnation-a',
+        roundTripMillis: () => 1,
+        claimDelayMillis: () => 0,
+      }),
+    );
+    const read = {isSnapshot: false, sentAt: 0};
+    kernel.dispatch(JOURNAL_READ, {
+      ...read,
+      entries: [],
+      endOffset: 0,
+      logEndOffset: 0,
+      isSnapshot: true,
+    });
+    clock.now = 1000;
+    kernel.dispatch(HOLDING_TICK, undefined);
+    const outcome = {kind: 'appended', offset: 0, endOffset: 1} as const;
+    kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+    clock.now = 1200;
+    kernel.dispatch(HOLDING_TICK, undefined);
+    // The append of batch 1 has no answer. It is durable, and host-b has claimed
+    // the site since and recorded a job.
+    const record = {batch: 1, isResigned: false, term: 1};
+    const job = buildJob('00000000000000aa', [buildStep()]);
+    kernel.dispatch(JOURNAL_READ, {
+      ...read,
+      entries: [
+        {
+          offset: 1,
+          entry: {
+            kind: 'holder',
+            record: {
+              ...record,
+              holder: 'host-a',
+              incarnation: 'incarnation-a',
+            },
+          },
+        },
+        {
+          offset: 2,
+          entry: {
+            kind: 'holder',
+            record: {
+              ...record,
+              holder: 'host-b',
+              incarnation: 'incarnation-b',
+              term: 3,
+              batch: 0,
+            },
+          },
+        },
+        {offset: 3, entry: {kind: 'progress', progress: newProgress(job)}},
+      ],
+      endOffset: 4,
+      logEndOffset: 4,
+    });
+    t.equal(heldTerm(kernel), undefined);
+    t.ok(kernel.read(DURABLE_PROGRESS).has(job.id));
+  },
+);
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -358,17 +358,16 @@
       }
       if (entry.record.incarnation !== incarnation) {
         endHolding(update, 'other-claim');
-        applyReadEntries(update, {...read, isSnapshot: false});
-        return;
+        break;
       }
-      if (
-        batchInFlight !== undefined &&
-        entry.record.batch === batchInFlight.number
-      ) {
+      if (entry.record.batch === batchInFlight?.number) {
         commitBatch(update, offset + batchInFlight.entries.length, -Infinity);
-        return;
       }
     }
+    // No later read returns these entries.
+    if (heldTerm(update) === undefined) {
+      applyReadEntries(update, read);
+    }
   }
 
   return kernel =>
