Short calls for advice keep a few hosts to themselves, not two fifths of them

Cause: long calls skip the nearest two fifths of the hosts. On a site of 42 hosts in two regions these are 17 of the near 22, while all short calls together keep two hosts busy.

Now long calls skip five hosts at most and medium ones three. Sites of up to twelve hosts are as before.

The test 'long calls use most near hosts of a large site' failed before.

--- a/packages/dispatch/src/__tests__/unit/adviserCalls.test.ts
+++ b/packages/dispatch/src/__tests__/unit/adviserCalls.test.ts
@@ -11,8 +11,11 @@
 const SHORT_MILLIS = 16;
 const LONG_MILLIS = 830;
 
-/** Builds a kernel with live hosts; `host-0` is the one that chooses. */
-function buildHosts(hostCount: number) {
+/**
+ * Builds a kernel with live hosts, the last of which may be in another region;
+ * `host-0` is the one that chooses.
+ */
+function buildHosts(hostCount: number, farHostCount = 0) {
   const kernel = createKernel({
     now: () => 1000,
     onError: error => {
@@ -21,9 +24,13 @@
   });
   kernel.register(createHostsPlugin());
   kernel.registerSlice(CALLS_BY_HOST);
-  const names = Array.from({length: hostCount}, (_, index) => `host-${index}`);
+  const firstFar = hostCount - farHostCount;
   kernel.dispatch(HOSTS_READ, {
-    hosts: names.map(name => ({name, address: name, zone: 'z', region: 'r'})),
+    hosts: Array.from({length: hostCount}, (_, index) => {
+      const isFar = index >= firstFar;
+      const name = `${isFar ? 'far' : 'host'}-${index}`;
+      return {name, address: name, zone: 'z', region: isFar ? 'far' : 'r'};
+    }),
   });
   const run = (code: (update: Update) => void) => {
     const command = createCommand<void>('run');
@@ -62,6 +69,16 @@
   t.equal(choose(LONG_MILLIS), undefined);
 });
 
+void t.test('long calls use most near hosts of a large site', async t => {
+  const farHosts = 20;
+  const {run, choose} = buildHosts(42, farHosts);
+  for (let call = 0; call < 15; call++) {
+    const host = choose(LONG_MILLIS) ?? '';
+    t.match(host, /^host-/, 'a host of the same region');
+    run(update => addCall(update, host, LONG_MILLIS));
+  }
+});
+
 void t.test('a single host takes long calls too', async t => {
   const {choose} = buildHosts(1);
   t.equal(choose(LONG_MILLIS), 'host-0');
--- a/packages/dispatch/src/adviserCalls.ts
+++ b/packages/dispatch/src/adviserCalls.ts
@@ -15,6 +15,10 @@
 const SHARE_WITHOUT_LONG_CALLS = 0.4;
 /** Share of the hosts through which no medium calls are made. */
 const SHARE_WITHOUT_MEDIUM_CALLS = 0.2;
+/** Maximum hosts through which no long calls are made. */
+const MAX_HOSTS_WITHOUT_LONG_CALLS = 5;
+/** Maximum hosts through which no medium calls are made. */
+const MAX_HOSTS_WITHOUT_MEDIUM_CALLS = 3;
 /** A host is skipped while a new call would wait there this long or longer. */
 const MAX_WAIT_MILLIS = 150;
 /** Maximum open calls through one host; the adviser refuses the 33rd. */
@@ -76,10 +80,16 @@
 /** Index of the nearest host that takes calls of this expected duration. */
 function firstAllowedIndex(hostCount: number, expectedMillis: number): number {
   if (expectedMillis >= LONG_CALL_MILLIS) {
-    return Math.ceil(hostCount * SHARE_WITHOUT_LONG_CALLS);
+    return Math.min(
+      Math.ceil(hostCount * SHARE_WITHOUT_LONG_CALLS),
+      MAX_HOSTS_WITHOUT_LONG_CALLS,
+    );
   }
   return expectedMillis >= MEDIUM_CALL_MILLIS
-    ? Math.ceil(hostCount * SHARE_WITHOUT_MEDIUM_CALLS)
+    ? Math.min(
+        Math.ceil(hostCount * SHARE_WITHOUT_MEDIUM_CALLS),
+        MAX_HOSTS_WITHOUT_MEDIUM_CALLS,
+      )
     : 0;
 }
 
