--- a/packages/holding/src/applyEntries.ts
+++ b/packages/holding/src/applyEntries.ts
@@ -16,12 +16,17 @@
 
 /**
  * Applies entries read from the journal and skips those applied before. A
- * snapshot is applied in full: jobs that are absent from it are deleted.
+ * snapshot is applied in full: jobs that are absent from it are deleted. One that
+ * ends before the copy does is skipped.
  */
 export function applyReadEntries(update: Update, read: JournalRead): void {
   const {entries, endOffset, logEndOffset, isSnapshot} = read;
   const holding = update.write(HOLDING);
   const previous = holding.get();
+  if (isSnapshot && endOffset < previous.endOffset) {
+    holding.set({...previous, journalReadAt: update.now});
+    return;
+  }
   if (isSnapshot) {
     deleteAbsentJobs(update, entries);
   }
