Advice awaited on full workers holds up no step for other workers

Callers could wait without end: no step calls for advice while those ahead await it for twice the CPU that is free, and both were counted over the whole site.

Both are now counted for the workers that meet the same requirements. A call that no host could take is no longer counted as awaited. The new test 'steps that await advice on full workers hold up none for other workers' failed before.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -13,24 +13,29 @@
 import type {Reservation} from './reservations';
 
 /**
- * Steps request advice until those ahead await it for this many times the CPU
- * that is free: not all of them get permits for it.
+ * Steps request advice until those ahead with the same requirements await it for
+ * this many times the CPU that is free for them: not all of them get permits.
  */
 const AWAITED_PER_FREE_CPU = 2;
 /** Share of the site's CPU that is kept for gangs that don't fit yet. */
 const MAX_GATHERED_SHARE = 0.1;
 
+/** The workers that meet some requirements, and the demand for them. */
+interface SuitableWorkers {
+  readonly candidates: readonly Candidate[];
+  /** CPU that is free on them when the pass begins. */
+  readonly freeCpuMillis: number;
+  /** CPU that steps ahead await advice for. */
+  awaitedCpuMillis: number;
+}
+
 /** One placement pass: what is still free, and what steps ahead wait for. */
 export class PlacementPass {
   readonly reservations: Reservation[] = [];
   private readonly candidates: readonly Candidate[];
-  private readonly suitableByRequirement = new Map<
-    string,
-    readonly Candidate[]
-  >();
-  private readonly freeCpuMillis: number;
+  private readonly suitableByRequirement = new Map<string, SuitableWorkers>();
+  private readonly cpuMillisAtStart: ReadonlyMap<Candidate, number>;
   private readonly totalCpuMillis: number;
-  private awaitedCpuMillis = 0;
   private gatheredCpuMillis = 0;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
@@ -41,35 +46,51 @@
     readonly self: string,
   ) {
     this.candidates = listCandidates(update, update.now);
-    const sum = (cpuMillis: (candidate: Candidate) => number) =>
-      this.candidates.reduce((total, each) => total + cpuMillis(each), 0);
-    this.freeCpuMillis = sum(({cpuMillis}) => cpuMillis);
-    this.totalCpuMillis = sum(({worker}) => worker.capacity.cpuMillis);
+    this.cpuMillisAtStart = new Map(
+      this.candidates.map(candidate => [candidate, candidate.cpuMillis]),
+    );
+    this.totalCpuMillis = this.candidates.reduce(
+      (total, {worker}) => total + worker.capacity.cpuMillis,
+      0,
+    );
   }
 
   /** Lists the workers that meet the requirements of a step. */
   suitableFor(readyStep: ReadyStep): readonly Candidate[] {
+    return this.suitableWorkersOf(readyStep).candidates;
+  }
+
+  private suitableWorkersOf(readyStep: ReadyStep): SuitableWorkers {
     const {policy, step} = readyStep;
     const key = JSON.stringify([policy.pool, step.requiredLabel]);
     const known = this.suitableByRequirement.get(key);
     if (known !== undefined) {
       return known;
     }
-    const suitable = this.candidates.filter(({worker}) =>
+    const candidates = this.candidates.filter(({worker}) =>
       meetsRequirements(worker, readyStep),
     );
+    const freeCpuMillis = candidates.reduce(
+      (total, each) => total + (this.cpuMillisAtStart.get(each) ?? 0),
+      0,
+    );
+    const suitable = {candidates, freeCpuMillis, awaitedCpuMillis: 0};
     this.suitableByRequirement.set(key, suitable);
     return suitable;
   }
 
   /**
-   * Whether free resources are left that no step ahead awaits advice for, and a
-   * host can call the adviser now.
+   * Whether the suitable workers of a step have free resources that no step ahead
+   * awaits advice for, and a host can call the adviser now.
    */
-  mayRequestAdvice({decisionMillis}: AdviceTerms): boolean {
+  mayRequestAdvice(
+    readyStep: ReadyStep,
+    {decisionMillis}: AdviceTerms,
+  ): boolean {
     const {update, self} = this;
+    const {freeCpuMillis, awaitedCpuMillis} = this.suitableWorkersOf(readyStep);
     const isAllAwaited =
-      this.awaitedCpuMillis > this.freeCpuMillis * AWAITED_PER_FREE_CPU;
+      awaitedCpuMillis > freeCpuMillis * AWAITED_PER_FREE_CPU;
     if (isAllAwaited || decisionMillis >= this.refusedDecisionMillis) {
       return false;
     }
@@ -81,8 +102,9 @@
   }
 
   /** Counts tasks of a step that has requested advice and waits for it. */
-  addAwaited({taskResources}: ReadyStep, tasks: number): void {
-    this.awaitedCpuMillis += taskResources.cpuMillis * tasks;
+  addAwaited(readyStep: ReadyStep, tasks: number): void {
+    const suitable = this.suitableWorkersOf(readyStep);
+    suitable.awaitedCpuMillis += readyStep.taskResources.cpuMillis * tasks;
   }
 
   /** Keeps resources on a worker from the steps behind. */
--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -92,7 +92,7 @@
 
 /**
  * Requests advice on workers for a step, unless a request for it is open or no
- * host can take the call now.
+ * host can take the call now. Returns whether it was sent.
  */
 export function requestAdvice(
   update: Update,
@@ -101,18 +101,18 @@
   queue: string,
   terms: AdviceTerms,
   workerIds: readonly string[],
-): void {
+): boolean {
   const key = stepKey(step);
   const advice = update.read(ADVICE).get(key) ?? NO_ADVICE;
   if (advice.openRequestId !== undefined || workerIds.length === 0) {
-    return;
+    return false;
   }
   const includedIds = workerIds.slice(0, MAX_WORKERS_PER_REQUEST);
   const expectedMillis =
     terms.decisionMillis + terms.perWorkerMillis * includedIds.length;
   const host = chooseHost(update, self, expectedMillis, update.now);
   if (host === undefined) {
-    return;
+    return false;
   }
   const count = update.write(ADVICE_REQUEST_COUNT);
   count.set(count.get() + 1);
@@ -132,6 +132,7 @@
     workerIds: includedIds,
     timeoutMillis,
   });
+  return true;
 }
 
 /** Stores the advice received for a step and schedules a placement pass. */
--- a/packages/dispatch/src/adviceNeeds.ts
+++ b/packages/dispatch/src/adviceNeeds.ts
@@ -38,7 +38,7 @@
     return;
   }
   const isOpen = advice.openRequestId !== undefined;
-  const mayRequest = !isOpen && pass.mayRequestAdvice(policy.advice);
+  const mayRequest = !isOpen && pass.mayRequestAdvice(readyStep, policy.advice);
   const ids = mayRequest
     ? chooseWorkersToName(
         pass,
@@ -49,7 +49,8 @@
         tasks,
       )
     : [];
-  if (ids.length > 0) {
+  const isRequested =
+    ids.length > 0 &&
     requestAdvice(
       pass.update,
       pass.self,
@@ -58,8 +59,7 @@
       policy.advice,
       ids,
     );
-  }
-  if (isOpen || ids.length > 0) {
+  if (isOpen || isRequested) {
     pass.addAwaited(readyStep, tasks);
   }
 }
--- a/testing/src/__tests__/unit/placementRegressions.test.ts
+++ b/testing/src/__tests__/unit/placementRegressions.test.ts
@@ -122,3 +122,31 @@
   await site.run(1000);
   t.equal(site.checker.countStarts('ca'), 1);
 });
+
+void t.test(
+  'steps that await advice on full workers hold up none for other workers',
+  async t => {
+    const slowAdvice = {...ADVICE, decisionMillis: 800};
+    const wide = buildPolicy({name: 'wide', priority: 1, advice: slowAdvice});
+    const small = buildPolicy({name: 'small', priority: 2, advice: ADVICE});
+    const site = await buildSite(8, {
+      hosts: 8,
+      policies: [URGENT, wide, small],
+    });
+    await site.run(1000);
+    const [{rack: fullRack}] = site.workers;
+    const onFullRack = site.workers.filter(({rack}) => rack === fullRack);
+    const other = site.workers.find(({rack}) => rack !== fullRack);
+    submitStep(site, 'd0', URGENT, {
+      count: onFullRack.length,
+      need: FULL_NEED,
+      requiredLabel: fullRack,
+    });
+    await site.run(500);
+    submitStep(site, 'd1', wide, {count: 200, requiredLabel: fullRack});
+    await site.run(200);
+    submitStep(site, 'd2', small, {requiredLabel: other?.rack});
+    await site.run(300);
+    t.equal(site.checker.countStarts('d2'), 1);
+  },
+);
