--- a/packages/holding/src/__tests__/unit/claimAfterOwnBatch.test.ts
+++ b/packages/holding/src/__tests__/unit/claimAfterOwnBatch.test.ts
@@ -1,46 +1,20 @@
 import {newProgress} from '@samphireramp/jobs';
-import {createKernel} from '@samphireramp/kernel';
 import {buildJob, buildStep} from '@samphireramp/testing';
 import t from 'tap';
 import {
   DURABLE_PROGRESS,
   HOLDING_TICK,
-  JOURNAL_APPEND_ENDED,
   JOURNAL_READ,
-  createHoldingPlugin,
   heldTerm,
 } from '../../index';
+import {buildHost} from '../buildHost';
 
 void t.test(
   'a claim read together with an own batch ends the holding',
   async t => {
-    const clock = {now: 0};
-    const kernel = createKernel({
-      now: () => clock.now,
-      onError: error => {
-        throw error;
-      },
-    });
-    kernel.register(
-      createHoldingPlugin({
-        self: 'host-a',
-        incarnation: 'incarnation-a',
-        roundTripMillis: () => 1,
-        claimDelayMillis: () => 0,
-      }),
-    );
-    const read = {isSnapshot: false, sentAt: 0};
-    kernel.dispatch(JOURNAL_READ, {
-      ...read,
-      entries: [],
-      endOffset: 0,
-      logEndOffset: 0,
-      isSnapshot: true,
-    });
-    clock.now = 1000;
-    kernel.dispatch(HOLDING_TICK, undefined);
-    const outcome = {kind: 'appended', offset: 0, endOffset: 1} as const;
-    kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+    const {clock, kernel, readEmptyJournal, claimAt} = buildHost();
+    readEmptyJournal();
+    claimAt(1000);
     clock.now = 1200;
     kernel.dispatch(HOLDING_TICK, undefined);
     // The append of batch 1 has no answer. It is durable, and host-b has claimed
@@ -48,7 +22,8 @@
     const record = {batch: 1, isResigned: false, term: 1};
     const job = buildJob('00000000000000aa', [buildStep()]);
     kernel.dispatch(JOURNAL_READ, {
-      ...read,
+      isSnapshot: false,
+      sentAt: 0,
       entries: [
         {
           offset: 1,
--- a/packages/holding/src/__tests__/unit/jobKnowledge.test.ts
+++ b/packages/holding/src/__tests__/unit/jobKnowledge.test.ts
@@ -1,29 +1,10 @@
-import {createKernel} from '@samphireramp/kernel';
 import t from 'tap';
-import {
-  HOLDING,
-  JOURNAL_READ,
-  type JournalRead,
-  createHoldingPlugin,
-} from '../../index';
+import {HOLDING, JOURNAL_READ, type JournalRead} from '../../index';
+import {buildHost} from '../buildHost';
 
 /** A follower's copy of the journal, and what the holder writes there. */
 function buildFollower() {
-  const clock = {now: 0};
-  const kernel = createKernel({
-    now: () => clock.now,
-    onError: error => {
-      throw error;
-    },
-  });
-  kernel.register(
-    createHoldingPlugin({
-      self: 'host-a',
-      incarnation: 'incarnation-a',
-      roundTripMillis: () => 1,
-      claimDelayMillis: () => 0,
-    }),
-  );
+  const {clock, kernel} = buildHost();
   const holder = {holder: 'host-b', incarnation: 'incarnation-b', term: 1};
   const buildBatch = (batch: number, requestsAgeMillis?: number) => ({
     offset: batch,
--- a/packages/holding/src/__tests__/unit/snapshotOlderThanOwnBatch.test.ts
+++ b/packages/holding/src/__tests__/unit/snapshotOlderThanOwnBatch.test.ts
@@ -1,24 +1,23 @@
 import {newProgress} from '@samphireramp/jobs';
-import {createCommand, createKernel} from '@samphireramp/kernel';
+import {createCommand} from '@samphireramp/kernel';
 import {buildJob, buildStep} from '@samphireramp/testing';
 import t from 'tap';
 import {
   DURABLE_PROGRESS,
   HOLDING_FENCED,
-  HOLDING_TICK,
   type HolderRecord,
   JOURNAL_APPEND_ENDED,
   JOURNAL_READ,
-  createHoldingPlugin,
   heldTerm,
   recordProgress,
 } from '../../index';
+import {HOST_INCARNATION, HOST_NAME, buildHost} from '../buildHost';
 
 const JOB = buildJob('00000000000000aa', [buildStep()]);
 const RECORD_JOB = createCommand<void>('record-job');
 const CLAIM: HolderRecord = {
-  holder: 'host-a',
-  incarnation: 'incarnation-a',
+  holder: HOST_NAME,
+  incarnation: HOST_INCARNATION,
   term: 1,
   batch: 0,
   isResigned: false,
@@ -26,37 +25,12 @@
 
 /** Builds a host that has claimed the site and recorded a job at offset 2. */
 function buildHolder() {
-  const clock = {now: 0};
-  const kernel = createKernel({
-    now: () => clock.now,
-    onError: error => {
-      throw error;
-    },
-  });
-  kernel.register(
-    createHoldingPlugin({
-      self: CLAIM.holder,
-      incarnation: CLAIM.incarnation,
-      roundTripMillis: () => 1,
-      claimDelayMillis: () => 0,
-    }),
-  );
+  const {clock, kernel, readEmptyJournal, claimAt} = buildHost();
   kernel.registerCommand(RECORD_JOB, update =>
     recordProgress(update, newProgress(JOB)),
   );
-  kernel.dispatch(JOURNAL_READ, {
-    entries: [],
-    endOffset: 0,
-    logEndOffset: 0,
-    sentAt: 0,
-    isSnapshot: true,
-  });
-  clock.now = 1000;
-  kernel.dispatch(HOLDING_TICK, undefined);
-  kernel.dispatch(JOURNAL_APPEND_ENDED, {
-    batch: 0,
-    outcome: {kind: 'appended', offset: 0, endOffset: 1},
-  });
+  readEmptyJournal();
+  claimAt(1000);
   clock.now = 1600;
   kernel.dispatch(RECORD_JOB, undefined);
   kernel.dispatch(JOURNAL_APPEND_ENDED, {
