--- a/packages/dispatch/src/adviceNeeds.ts
+++ b/packages/dispatch/src/adviceNeeds.ts
@@ -20,6 +20,8 @@
  * of its fixed duration at most.
  */
 const CHEAP_EXTENSION_SHARE = 0.5;
+/** Lower bound of the time that a named worker adds, which may be given as 0. */
+const MIN_PER_WORKER_MILLIS = 0.001;
 
 /**
  * Requests advice on the workers that a step is expected to need, in the order of
@@ -110,7 +112,7 @@
 function countCheapWorkers(terms: AdviceTerms): number {
   return Math.ceil(
     (terms.decisionMillis * CHEAP_EXTENSION_SHARE) /
-      Math.max(1e-3, terms.perWorkerMillis),
+      Math.max(MIN_PER_WORKER_MILLIS, terms.perWorkerMillis),
   );
 }
 
