--- a/packages/holding/src/__tests__/unit/jobKnowledge.test.ts
+++ b/packages/holding/src/__tests__/unit/jobKnowledge.test.ts
@@ -70,3 +70,11 @@
   t.equal(readAt(1100, [buildBatch(6, 10)]), -Infinity);
   t.equal(readAt(1200, [buildBatch(7, 10)]), 990);
 });
+
+void t.test('the batch of a snapshot tells no age to the next one', async t => {
+  const {buildBatch, readAt} = buildFollower();
+  readAt(1000, [], {isSnapshot: true});
+  readAt(5000, [buildBatch(5, 0)], {isSnapshot: true});
+  t.equal(readAt(5100, [buildBatch(6, 0)]), -Infinity);
+  t.equal(readAt(5200, [buildBatch(7, 0)]), 5000);
+});
