Schedules check the state that a frozen host would show, again

When the reads of schedules began to check counts, they left out frozen hosts, so that the states these would show were no longer checked as before: a check loosened unawares, found by the review. The state is read at every host again; absence and counts are checked where a host can answer.

--- a/testing/src/site/answerChecks.ts
+++ b/testing/src/site/answerChecks.ts
@@ -7,18 +7,22 @@
 /** Time after which an accepted job must be counted as pending until it starts. */
 const COUNTED_LIMIT_MILLIS = VISIBLE_LIMIT_MILLIS + 2000;
 
-/** Reads the state of a job and the count of a queue at a host, and checks both. */
+/**
+ * Reads the state of a job and the count of a queue at a host, and checks both. A
+ * frozen host answers nobody; only the state that it would show is checked.
+ */
 export function readAnswers(
   site: ModelSite,
   host: ModelHost,
   jobId: string,
   queue: string,
 ): void {
+  const state = site.readJobState(host, jobId);
   if (!host.isUp || host.isFrozen) {
     return;
   }
   const {checker, clock} = site;
-  if (site.readJobState(host, jobId) === 'absent') {
+  if (state === 'absent') {
     checkAbsentAnswer(checker, host.name, jobId, clock.now);
   }
   const count = site.readPending(host, queue);
