A restarted worker refuses start orders that its earlier life left unanswered

Cause: of two start orders for a run one gets no answer; the run ends, the worker restarts under the same id, and the order is carried out late by the new life, which knows nothing. The holder waited for the registry to show the new life, and knew only runs that had not ended.

--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -27,6 +27,7 @@
   resendStopOrders,
 } from './runOrders';
 import {stopStalledRuns} from './stalledRuns';
+import {UNANSWERED_ORDERS, forgetUnansweredOrders} from './unansweredOrders';
 import {FLEET_LOG_SLOWDOWN} from './workerHealth';
 import {onWorkerRegistryRead} from './workerRegistry';
 
@@ -41,6 +42,7 @@
       kernel.registerSlice(FLEET_LOG_SLOWDOWN),
       kernel.registerSlice(WORKERS),
       kernel.registerSlice(RUNS),
+      kernel.registerSlice(UNANSWERED_ORDERS),
       kernel.registerCommand(WORKER_REGISTRY_READ, onWorkerRegistryRead),
       kernel.registerCommand(WORKER_REPORTED, onWorkerReported),
       kernel.registerCommand(POLL_FAILED, onPollFailed),
@@ -62,6 +64,7 @@
     pollIfDue(update, worker);
     discardRunsIfLeaseExpired(update, worker);
   }
+  forgetUnansweredOrders(update);
   resendStopOrders(update);
   stopStalledRuns(update);
 }
@@ -70,5 +73,6 @@
 function clearFleetState(update: Update): void {
   update.write(WORKERS).clear();
   update.write(RUNS).clear();
+  update.write(UNANSWERED_ORDERS).clear();
   update.write(MAY_COMMAND_WORKERS).set(false);
 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -72,6 +72,8 @@
 /** A start order was answered, or its answer did not come in time. */
 export const START_ANSWERED = createCommand<{
   readonly order: StartOrder;
+  /** Id of the worker that the order was sent to. */
+  readonly workerId: string;
   readonly term: number;
   readonly outcome: 'started' | 'silent' | StartRefusal;
 }>('start-answered');
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -14,6 +14,7 @@
   STOP_ANSWERED,
 } from './messages';
 import type {Run, StartOrder} from './Run';
+import {recordUnansweredOrder} from './unansweredOrders';
 import {removeWorker, discardRun} from './workerRemoval';
 
 /** Timeout of a start order, which is then repeated on another connection. */
@@ -60,11 +61,18 @@
 /** Handles the answer to a start order. */
 export function onStartAnswered(
   update: Update,
-  {order, term, outcome}: PayloadOf<typeof START_ANSWERED>,
+  {order, workerId, term, outcome}: PayloadOf<typeof START_ANSWERED>,
 ): void {
   const key = runKey(order.runId);
   const run = update.read(RUNS).get(key);
-  if (run === undefined || term !== heldTerm(update)) {
+  if (term !== heldTerm(update)) {
+    return;
+  }
+  if (outcome === 'silent') {
+    const sentAt = run?.lastOrderAt ?? update.now;
+    recordUnansweredOrder(update, order.runId, workerId, sentAt);
+  }
+  if (run === undefined) {
     return;
   }
   if (outcome !== 'started') {
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -91,7 +91,7 @@
     return;
   }
   if (report.incarnation !== incarnation) {
-    awaitNextIncarnation(update, worker);
+    awaitNextIncarnation(update, worker, report.incarnation);
     return;
   }
   if (!worker.hasReported || worker.isSilent) {
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -4,6 +4,7 @@
 import {pollIfDue} from './workerPolling';
 import {FLEET_EVENT, RESOURCES_CHANGED, WORKER_REGISTRY_READ} from './messages';
 import {stopRun} from './runOrders';
+import {forbidUnansweredOrders} from './unansweredOrders';
 import type {Worker, WorkerRecord} from './Worker';
 import {removeWorker, mayStillStart} from './workerRemoval';
 
@@ -45,6 +46,7 @@
     update
       .write(WORKERS)
       .set(record.incarnation, createWorker(record, update.now));
+    forbidUnansweredOrders(update, record);
     emitWorkerEvent(update, record.incarnation, 'worker-listed', record.pool);
   } else {
     if (known.isDraining !== record.isDraining) {
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -3,6 +3,7 @@
 import {RUNS, WORKERS, changeWorker} from './FleetState';
 import {FLEET_EVENT, RESOURCES_CHANGED, RUN_DISCARDED} from './messages';
 import type {Run} from './Run';
+import {forbidUnansweredOrders} from './unansweredOrders';
 import type {Worker} from './Worker';
 
 /** Drops a run that can't be running, without a reported end. */
@@ -55,10 +56,15 @@
 
 /**
  * Handles an answer from a later incarnation that is not in the worker registry
- * yet. Runs that may still start are kept until it is registered, or until
+ * yet. It is told to refuse the orders that may still arrive. Runs that may still start are kept until it is registered, or until
  * their lease is sure to have expired; the others are discarded.
  */
-export function awaitNextIncarnation(update: Update, worker: Worker): void {
+export function awaitNextIncarnation(
+  update: Update,
+  worker: Worker,
+  incarnation: string,
+): void {
+  forbidUnansweredOrders(update, {...worker, incarnation});
   const runs = update.read(RUNS).withKey(worker.incarnation);
   if (!runs.some(mayStillStart)) {
     removeWorker(update, worker, 'reborn');
--- a/testing/src/__tests__/unit/runRegressions.test.ts
+++ b/testing/src/__tests__/unit/runRegressions.test.ts
@@ -114,3 +114,31 @@
   t.equal(site.readJobState(site.hosts[0], gang.id), 'completed');
   t.same(site.checker.violations, []);
 });
+
+void t.test(
+  'a restarted worker refuses an order sent to its earlier life',
+  async t => {
+    const site = buildSite(1);
+    site.checker.areFaultsOver = () => true;
+    await site.run(1000);
+    // The first order is carried out late; its repetition starts the run.
+    let orders = 0;
+    site.faultState = {
+      ...site.faultState,
+      losesOrderAnswer: () => ++orders === 1,
+      orderDelayMillis: () => 5000,
+    };
+    const job = buildJob('00000000000000bb', [buildStep()], {
+      policy: POLICY,
+      receivedAt: 1000,
+    });
+    void site.submit(site.hosts[0], job);
+    await site.run(1500);
+    t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+    // Its entry in the registry is still that of its earlier life.
+    site.workers[0].restart();
+    await site.run(6000);
+    t.equal(site.checker.countStarts(job.id), 1);
+    t.same(site.checker.violations, []);
+  },
+);
