--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,6 +7,7 @@
   'jobs',
   'stream-log',
   'holding',
+  'job-states',
   'intake',
   'fleet',
   'dispatch',
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -7,9 +7,8 @@
   createValueSlice,
 } from '@samphireramp/kernel';
 import type {Progress} from '@samphireramp/jobs';
-import type {HolderRecord} from './HolderRecord';
-import {type JobKnowledge, NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import type {JournalEntry} from './messages';
+import {EMPTY_COPY, type StreamCopy} from './streamCopy';
 
 /** Journal entries that are appended together, headed by a holder record. */
 export interface JournalBatch {
@@ -35,34 +34,10 @@
 }
 
 /** What this host knows of the journal and of the holder of the site. */
-export interface HoldingState {
+export interface HoldingState extends StreamCopy {
   readonly phase: 'following' | 'claiming' | 'holding';
-  /** Whether the journal was read to its end at least once. */
-  readonly isCaughtUp: boolean;
-  /** End offset of the entries applied so far. */
-  readonly endOffset: number;
-  /** End offset of the journal, as the log last told it. */
-  readonly logEndOffset: number;
-  /** All entries that were appended before this time have been applied. */
-  readonly completeUntil: number;
-  /** What the newest batch tells, which may be read in part only. */
-  readonly jobKnowledge: JobKnowledge;
-  /**
-   * Every job whose request was appended before this time is in the durable
-   * progress. Answers that there is no such job rest on this alone.
-   */
-  readonly jobsCompleteUntil: number;
   /** The holder has read every request that was appended before this time. */
   readonly requestsReadUntil: number;
-  /** The newest holder record in the journal. */
-  readonly latestHolderRecord: HolderRecord | undefined;
-  /** When the newest holder record was read or, on the holder, appended. */
-  readonly holderHeardAt: number;
-  /**
-   * When the log last answered a read of the journal or an append to it: the log
-   * can be reached, but the copy may be far behind.
-   */
-  readonly journalReadAt: number;
   /** Earliest time at which this host may claim the site. */
   readonly nextClaimAt: number;
   /** Whether this host is shutting down: it resigns and claims no more. */
@@ -80,17 +55,9 @@
 }
 
 const INITIAL_STATE: HoldingState = {
+  ...EMPTY_COPY,
   phase: 'following',
-  isCaughtUp: false,
-  endOffset: 0,
-  logEndOffset: 0,
-  completeUntil: -Infinity,
-  jobKnowledge: NO_JOB_KNOWLEDGE,
-  jobsCompleteUntil: -Infinity,
   requestsReadUntil: -Infinity,
-  latestHolderRecord: undefined,
-  holderHeardAt: 0,
-  journalReadAt: -Infinity,
   nextClaimAt: 0,
   isStopping: false,
   holdingBeganAt: 0,
@@ -115,6 +82,16 @@
   return phase === 'holding' ? latestHolderRecord?.term : undefined;
 }
 
+/**
+ * Drops the copy of the journal, which this host no longer follows. Claims need
+ * a copy, so that this host makes none until it has read the journal again.
+ */
+export function dropJournalCopy(update: Update): void {
+  const holding = update.write(HOLDING);
+  holding.set({...holding.get(), ...EMPTY_COPY});
+  update.write(DURABLE_PROGRESS).clear();
+}
+
 /** Appends pending entries to the journal, after the batch in flight if any. */
 export const FLUSH_JOURNAL = createCommand<void>('journal-due');
 
--- a/packages/holding/src/__tests__/unit/claimRules.test.ts
+++ b/packages/holding/src/__tests__/unit/claimRules.test.ts
@@ -22,7 +22,7 @@
   };
   const heldByOther = {
     isCaughtUp: true,
-    journalReadAt: NOW,
+    readAt: NOW,
     holderHeardAt: NOW,
     latestHolderRecord,
   };
@@ -41,7 +41,7 @@
 void t.test(
   'no claim is due without a recent journal read or while stopping',
   async t => {
-    const staleRead = {holderHeardAt: 0, journalReadAt: NOW - 2000};
+    const staleRead = {holderHeardAt: 0, readAt: NOW - 2000};
     t.notOk(isClaimDue(OPTIONS, buildHolding(staleRead), NOW));
     t.notOk(isClaimDue(OPTIONS, buildHolding({isCaughtUp: false}), NOW));
     const stopping = {holderHeardAt: 0, isStopping: true};
--- a/packages/holding/src/claimRules.ts
+++ b/packages/holding/src/claimRules.ts
@@ -46,7 +46,7 @@
     return false;
   }
   if (
-    now - holding.journalReadAt > MAX_JOURNAL_READ_AGE_MILLIS ||
+    now - holding.readAt > MAX_JOURNAL_READ_AGE_MILLIS ||
     now < holding.nextClaimAt
   ) {
     return false;
@@ -84,3 +84,12 @@
 export function termOfClaim(offset: number): number {
   return offset + 1;
 }
+
+/** Creates the record of a claim that is appended at `offset`. */
+export function createClaim(
+  {self, incarnation}: HoldingOptions,
+  offset: number,
+): HolderRecord {
+  const term = termOfClaim(offset);
+  return {holder: self, incarnation, term, batch: 0, isResigned: false};
+}
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -9,7 +9,12 @@
   appendTimeoutMillis,
 } from './appendTiming';
 import {applyEntry, applyReadEntries} from './applyEntries';
-import {type HoldingOptions, isClaimDue, termOfClaim} from './claimRules';
+import {
+  type HoldingOptions,
+  createClaim,
+  isClaimDue,
+  termOfClaim,
+} from './claimRules';
 import type {HolderRecord} from './HolderRecord';
 import {
   type JournalBatch,
@@ -34,6 +39,7 @@
   JOURNAL_READ,
   type JournalEntry,
   type JournalRead,
+  PROGRESS_DURABLE,
   RESIGN,
 } from './messages';
 
@@ -45,13 +51,8 @@
 export function createHoldingPlugin(options: HoldingOptions): Plugin {
   const {self, incarnation} = options;
 
-  function buildClaim(offset: number): HolderRecord {
-    const term = termOfClaim(offset);
-    return {holder: self, incarnation, term, batch: 0, isResigned: false};
-  }
-
   function sendClaim(update: Update, holding: HoldingState): void {
-    const record = buildClaim(holding.endOffset);
+    const record = createClaim(options, holding.endOffset);
     update.write(HOLDING).set({
       ...holding,
       phase: 'claiming',
@@ -82,7 +83,7 @@
       phase: 'holding',
       latestHolderRecord: record,
       holderHeardAt: update.now,
-      journalReadAt: update.now,
+      readAt: update.now,
       endOffset,
       logEndOffset: Math.max(holding.get().logEndOffset, endOffset),
       holdingBeganAt: update.now,
@@ -210,7 +211,7 @@
       sendBatch(
         update,
         batch,
-        appendTimeoutMillis(update.now - holding.journalReadAt),
+        appendTimeoutMillis(update.now - holding.readAt),
       );
     }
   }
@@ -238,8 +239,9 @@
       completeUntil: Math.max(current.completeUntil, completeUntil),
       jobsCompleteUntil: Math.max(current.jobsCompleteUntil, batch.jobsUntil),
       holderHeardAt: update.now,
-      journalReadAt: update.now,
+      readAt: update.now,
     });
+    update.dispatch(PROGRESS_DURABLE, {entries: batch.entries});
     for (const {command, payload} of batch.deferredCommands) {
       update.dispatch(command, payload);
     }
@@ -271,7 +273,11 @@
       return;
     }
     if (outcome.kind === 'appended') {
-      beginHolding(update, buildClaim(outcome.offset), outcome.endOffset);
+      beginHolding(
+        update,
+        createClaim(options, outcome.offset),
+        outcome.endOffset,
+      );
       return;
     }
     const nextClaimAt = update.now + CLAIM_RETRY_DELAY_MILLIS;
@@ -380,6 +386,7 @@
       kernel.registerCommand(JOURNAL_APPEND_ENDED, onAppended),
       kernel.registerCommand(HOLDING_BEGAN, () => undefined),
       kernel.registerCommand(HOLDING_ENDED, () => undefined),
+      kernel.registerCommand(PROGRESS_DURABLE, () => undefined),
       kernel.registerCommand(HOLDING_FENCED, update =>
         endHolding(update, 'fenced-by-worker'),
       ),
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -6,11 +6,19 @@
   type HoldingState,
   DURABLE_PROGRESS,
   dispatchWhenDurable,
+  dropJournalCopy,
   heldTerm,
   recordForgottenJob,
   recordProgress,
   recordRequestsRead,
 } from './HoldingState';
+export {
+  EMPTY_COPY,
+  type StreamCopy,
+  advanceCopy,
+  isOutdatedSnapshot,
+} from './streamCopy';
+export {requestsAge} from './jobKnowledge';
 export {MIN_HOLDER_TIMEOUT_MILLIS, type HoldingOptions} from './claimRules';
 export {HEARTBEAT_INTERVAL_MILLIS, createHoldingPlugin} from './holdingPlugin';
 export {
@@ -27,5 +35,6 @@
   type JournalEntry,
   type JournalRead,
   type StoredEntry,
+  PROGRESS_DURABLE,
   RESIGN,
 } from './messages';
--- a/packages/holding/src/messages.ts
+++ b/packages/holding/src/messages.ts
@@ -30,6 +30,11 @@
   readonly outcome: AppendOutcome;
 }>('journal-appended');
 
+/** Entries that this holder recorded are durable. */
+export const PROGRESS_DURABLE = createCommand<{
+  readonly entries: readonly JournalEntry[];
+}>('progress-durable');
+
 /** Periodic tick: a claim, a heartbeat or the resend of a batch may be due. */
 export const HOLDING_TICK = createCommand<void>('holding-tick');
 
--- a/packages/hosts/src/hostsPlugin.ts
+++ b/packages/hosts/src/hostsPlugin.ts
@@ -19,6 +19,8 @@
   address: z.string(),
   zone: z.string(),
   region: z.string(),
+  /** Number of CPU cores, which may be a fraction; absent if unknown. */
+  cores: z.optional(z.number()),
 });
 
 /** Address and location of a host. */
--- a/packages/intake/src/intakePlugin.ts
+++ b/packages/intake/src/intakePlugin.ts
@@ -6,7 +6,7 @@
   createValueSlice,
   mergeUnregister,
 } from '@samphireramp/kernel';
-import {HOLDING, DURABLE_PROGRESS} from '@samphireramp/holding';
+import {JOB_STATES, STATES_COPY} from '@samphireramp/job-states';
 import {isFinalState} from '@samphireramp/jobs';
 import {
   ANSWER_CALL,
@@ -57,8 +57,8 @@
  */
 const BATCH_TIMEOUT_MILLIS = 1600;
 /**
- * Requests are refused if no read of the journal, or append to it, has succeeded
- * for longer than this.
+ * Requests are refused if no read of the states of jobs has succeeded for
+ * longer than this.
  */
 const LOG_UNREACHABLE_MILLIS = 1200;
 /** How long callers whose request is refused are told to wait before a retry. */
@@ -96,7 +96,7 @@
 
 /**
  * Jobs that this host accepted recently, by job id. They count as queued until
- * the holder has read the request and this host has read their progress.
+ * the holder has read the request and this host has read their state.
  */
 export const ACCEPTED_JOBS = createTableSlice<AcceptedJob>('accepted');
 
@@ -327,17 +327,17 @@
  */
 function isRedundant(update: Update, request: Request): boolean {
   const jobId = jobIdOf(request);
-  const progress = update.read(DURABLE_PROGRESS).get(jobId);
+  const known = update.read(JOB_STATES).get(jobId);
   if (request.kind === 'submit') {
-    return progress !== undefined || update.read(ACCEPTED_JOBS).has(jobId);
+    return known !== undefined || update.read(ACCEPTED_JOBS).has(jobId);
   }
-  return progress !== undefined && isFinalState(progress.state);
+  return known !== undefined && isFinalState(known.state);
 }
 
 /** Whether this host seems cut off from the log, so that appends would fail. */
 function isLogUnreachable(update: Update): boolean {
-  const {journalReadAt, isCaughtUp} = update.read(HOLDING).get();
-  return isCaughtUp && update.now - journalReadAt > LOG_UNREACHABLE_MILLIS;
+  const {readAt, isCaughtUp} = update.read(STATES_COPY).get();
+  return isCaughtUp && update.now - readAt > LOG_UNREACHABLE_MILLIS;
 }
 
 /** The partition for a batch's first attempt: a hash of its first job's id. */
--- a/packages/intake/src/jobStatus.ts
+++ b/packages/intake/src/jobStatus.ts
@@ -1,4 +1,4 @@
-import {HOLDING, DURABLE_PROGRESS} from '@samphireramp/holding';
+import {JOB_STATES, knowsJobsUntil} from '@samphireramp/job-states';
 import type {JobState} from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 import {ACCEPTED_JOBS} from './intakePlugin';
@@ -18,7 +18,7 @@
 export type PendingCount = number | 'unsure';
 
 /**
- * Finds the status of a job in durable progress and the jobs accepted here. A job
+ * Finds the status of a job in the published states and the jobs accepted here. A job
  * that was accepted longer than `visibleMillis` ago is never `absent`.
  */
 export function jobStatus(
@@ -27,9 +27,9 @@
   now: number,
   visibleMillis: number,
 ): JobStatus {
-  const progress = state.read(DURABLE_PROGRESS).get(jobId);
-  if (progress !== undefined) {
-    return progress.state;
+  const known = state.read(JOB_STATES).get(jobId);
+  if (known !== undefined) {
+    return known.state;
   }
   if (state.read(ACCEPTED_JOBS).has(jobId)) {
     return 'queued';
@@ -50,15 +50,10 @@
   if (!areJobsKnown(state, now - visibleMillis - PENDING_AGE_MILLIS)) {
     return 'unsure';
   }
-  const durableProgress = state.read(DURABLE_PROGRESS);
-  let count = 0;
-  for (const progress of durableProgress.values()) {
-    if (progress.queue === queue && progress.state === 'queued') {
-      count++;
-    }
-  }
+  const jobStates = state.read(JOB_STATES);
+  let count = jobStates.withKey(queue).length;
   for (const [jobId, acceptedJob] of state.read(ACCEPTED_JOBS).entries()) {
-    if (acceptedJob.queue === queue && !durableProgress.has(jobId)) {
+    if (acceptedJob.queue === queue && !jobStates.has(jobId)) {
       count++;
     }
   }
@@ -70,6 +65,5 @@
  * accepted while its answer is on the way.
  */
 function areJobsKnown(state: StateReader, acceptedBefore: number): boolean {
-  const {jobsCompleteUntil} = state.read(HOLDING).get();
-  return jobsCompleteUntil >= acceptedBefore + ANSWER_MARGIN_MILLIS;
+  return knowsJobsUntil(state, acceptedBefore + ANSWER_MARGIN_MILLIS);
 }
--- /dev/null
+++ b/packages/job-states/src/applyStates.ts
@@ -0,0 +1,68 @@
+import type {Update} from '@samphireramp/kernel';
+import {
+  type HolderRecord,
+  advanceCopy,
+  isOutdatedSnapshot,
+} from '@samphireramp/holding';
+import {match} from 'ts-pattern';
+import {JOB_STATES, STANDBYS, STATES_COPY} from './JobStates';
+import type {StateEntry, StatesRead, StoredStateEntry} from './messages';
+
+/** Applies an entry of the stream to the states that callers are shown. */
+export function applyStateEntry(update: Update, entry: StateEntry): void {
+  const states = update.write(JOB_STATES);
+  match(entry)
+    .with({kind: 'state'}, ({jobId, queue, state}) =>
+      states.set(jobId, {queue, state}),
+    )
+    .with({kind: 'forgotten'}, ({jobId}) => states.delete(jobId))
+    .with({kind: 'standbys'}, ({hosts}) => update.write(STANDBYS).set(hosts))
+    .with({kind: 'holder'}, () => undefined)
+    .exhaustive();
+}
+
+/**
+ * Applies entries read from the stream and skips those applied before. A snapshot
+ * is applied in full: jobs that are absent from it are deleted.
+ */
+export function applyStatesRead(update: Update, read: StatesRead): void {
+  const {entries, isSnapshot} = read;
+  const copy = update.write(STATES_COPY);
+  const previous = copy.get();
+  if (isOutdatedSnapshot(previous, read)) {
+    copy.set({...previous, readAt: update.now});
+    return;
+  }
+  if (isSnapshot) {
+    deleteAbsentStates(update, entries);
+  }
+  const holderRecords: HolderRecord[] = [];
+  for (const {offset, entry} of entries) {
+    if (offset < previous.endOffset && !isSnapshot) {
+      continue;
+    }
+    applyStateEntry(update, entry);
+    if (entry.kind === 'holder') {
+      holderRecords.push(entry.record);
+    }
+  }
+  copy.set(advanceCopy(previous, read, holderRecords, update.now));
+}
+
+function deleteAbsentStates(
+  update: Update,
+  entries: readonly StoredStateEntry[],
+): void {
+  const presentJobIds = new Set<string>();
+  for (const {entry} of entries) {
+    if (entry.kind === 'state') {
+      presentJobIds.add(entry.jobId);
+    }
+  }
+  const states = update.write(JOB_STATES);
+  for (const jobId of [...states.keys()]) {
+    if (!presentJobIds.has(jobId)) {
+      states.delete(jobId);
+    }
+  }
+}
--- a/packages/record-codec/src/index.ts
+++ b/packages/record-codec/src/index.ts
@@ -8,3 +8,4 @@
   encodeRequestTombstones,
   encodeRequest,
 } from './requestCodec';
+export {decodeStates, encodeStateEntry} from './stateCodec';
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -1,12 +1,8 @@
-import {
-  type JournalEntry,
-  type StoredEntry,
-  holderRecordSchema,
-} from '@samphireramp/holding';
+import type {JournalEntry, StoredEntry} from '@samphireramp/holding';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
-import {parseJson} from './parseJson';
 import {decodeProgress, encodeProgress} from './progressCodec';
+import {decodeHolderRecord} from './stateCodec';
 
 const HOLDER_KEY = 'holder';
 const JOB_PREFIX = 'job.';
@@ -52,8 +48,8 @@
 
 function decodeEntry({key, value}: LogRecord): JournalEntry | undefined {
   if (key === HOLDER_KEY) {
-    const parsed = holderRecordSchema.safeParse(parseJson(value));
-    return parsed.success ? {kind: 'holder', record: parsed.data} : undefined;
+    const record = decodeHolderRecord(value);
+    return record && {kind: 'holder', record};
   }
   if (!key.startsWith(JOB_PREFIX)) {
     return undefined;
--- a/packages/site-daemon/src/__tests__/unit/answerReporter.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/answerReporter.test.ts
@@ -1,4 +1,5 @@
-import {JOURNAL_READ, createHoldingPlugin} from '@samphireramp/holding';
+import {createHoldingPlugin} from '@samphireramp/holding';
+import {STATES_READ, createJobStatesPlugin} from '@samphireramp/job-states';
 import {createKernel} from '@samphireramp/kernel';
 import {type LogFields, createMetrics} from '@samphireramp/telemetry';
 import t from 'tap';
@@ -21,6 +22,14 @@
       claimDelayMillis: () => 0,
     }),
   );
+  kernel.register(
+    createJobStatesPlugin({
+      self: 'host-a',
+      incarnation: 'incarnation-1',
+      roundTripMillis: () => 1,
+      followDelayMillis: () => 0,
+    }),
+  );
   const lines: LogFields[] = [];
   const metrics = createMetrics('test');
   const reporter = createAnswerReporter(kernel, {
@@ -35,7 +44,7 @@
   const {clock, kernel, lines, reporter} = buildReporter();
   const read = {entries: [], isSnapshot: false};
   clock.now = 1000;
-  kernel.dispatch(JOURNAL_READ, {
+  kernel.dispatch(STATES_READ, {
     ...read,
     endOffset: 5,
     logEndOffset: 5,
@@ -43,7 +52,7 @@
   });
   clock.now = 2000;
   // A page from the middle of a backlog: the copy is as old as before.
-  kernel.dispatch(JOURNAL_READ, {
+  kernel.dispatch(STATES_READ, {
     ...read,
     endOffset: 40,
     logEndOffset: 700,
@@ -56,7 +65,7 @@
       event: 'status-absent',
       job: '00000000000000aa',
       copyEnd: 40,
-      journalEnd: 700,
+      statesEnd: 700,
       copyMillis: 1600,
       readMillis: 500,
     },
--- a/packages/site-daemon/src/answerReporter.ts
+++ b/packages/site-daemon/src/answerReporter.ts
@@ -1,5 +1,6 @@
-import {HOLDING, heldTerm} from '@samphireramp/holding';
+import {heldTerm} from '@samphireramp/holding';
 import type {JobStatus, PendingCount} from '@samphireramp/intake';
+import {STATES_COPY} from '@samphireramp/job-states';
 import type {Kernel} from '@samphireramp/kernel';
 import type {Log, LogFields, Metrics} from '@samphireramp/telemetry';
 
@@ -15,14 +16,14 @@
   readonly now: () => number;
 }
 
-/** Reports answers that depend on what this host's copy of the journal holds. */
+/** Reports answers that depend on what this host knows of the states of jobs. */
 export interface AnswerReporter {
   onStatus(jobId: string, status: JobStatus): void;
   onPending(queue: string, count: PendingCount): void;
 }
 
 /**
- * Counts answers from the copy of the journal and logs them, up to a limit, with
+ * Counts answers from the copy of the job states and logs them, up to a limit, with
  * the state of the copy that decided them.
  */
 export function createAnswerReporter(
@@ -61,16 +62,16 @@
   };
 }
 
-/** How far this host's copy of the journal goes, and how old it is. */
+/** How far this host's copy of the job states goes, and how old it is. */
 function describeCopy(kernel: Kernel, now: number): LogFields {
-  const holding = kernel.read(HOLDING).get();
+  const copy = kernel.read(STATES_COPY).get();
   return {
-    copyEnd: holding.endOffset,
-    journalEnd: holding.logEndOffset,
-    jobsMillis: ageOf(holding.jobsCompleteUntil, now),
-    copyMillis: ageOf(holding.completeUntil, now),
-    readMillis: ageOf(holding.journalReadAt, now),
-    holderMillis: ageOf(holding.holderHeardAt, now),
+    copyEnd: copy.endOffset,
+    statesEnd: copy.logEndOffset,
+    jobsMillis: ageOf(copy.jobsCompleteUntil, now),
+    copyMillis: ageOf(copy.completeUntil, now),
+    readMillis: ageOf(copy.readAt, now),
+    holderMillis: ageOf(copy.holderHeardAt, now),
     term: heldTerm(kernel),
   };
 }
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -3,12 +3,8 @@
 import {createFleetPlugin} from '@samphireramp/fleet';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
 import {ANNOUNCE_INTERVAL_MILLIS, createHostsPlugin} from '@samphireramp/hosts';
-import {
-  HOLDING,
-  RESIGN,
-  createHoldingPlugin,
-  heldTerm,
-} from '@samphireramp/holding';
+import {RESIGN, createHoldingPlugin, heldTerm} from '@samphireramp/holding';
+import {STATES_COPY, createJobStatesPlugin} from '@samphireramp/job-states';
 import {createIntakePlugin} from '@samphireramp/intake';
 import {type Kernel, createKernel} from '@samphireramp/kernel';
 import {
@@ -39,8 +35,8 @@
 
 /** Maximum HTTP connections per address; further calls wait for a free one. */
 const CONNECTIONS_PER_ADDRESS = 48;
-/** Maximum age of the last read of the journal for a host to be ready. */
-const MAX_READY_JOURNAL_AGE_MILLIS = 1500;
+/** Maximum age of the last read of the job states for a host to be ready. */
+const MAX_READY_READ_AGE_MILLIS = 1500;
 /** Share of the grace period for which a stopping host still serves callers. */
 const GRACE_SHARE_FOR_CALLERS = 0.75;
 /** Timeout of the append that announces the address of this host. */
@@ -58,6 +54,11 @@
  * several hosts claim the site at once.
  */
 const CLAIM_JITTER_MILLIS = 80;
+/**
+ * Upper bound of the time that a host waits, beyond others, before it follows the
+ * journal since the holder is silent.
+ */
+const MAX_FOLLOW_DELAY_MILLIS = 1000;
 /**
  * Time for which an ended job is kept beyond the setting `keepEndedMillis`, for
  * callers that retry late.
@@ -121,6 +122,7 @@
       ? LOW_CPU_CLAIM_DELAY_MILLIS
       : 0) +
     random() * CLAIM_JITTER_MILLIS;
+  const followDelayMillis = random() * MAX_FOLLOW_DELAY_MILLIS;
   const incarnation = randomUUID();
   const keepEndedMillis = settings().keepEndedMillis + KEEP_MARGIN_MILLIS;
 
@@ -134,6 +136,12 @@
       roundTripMillis: storeLog.roundTripMillis,
       claimDelayMillis,
     }),
+    createJobStatesPlugin({
+      self,
+      incarnation,
+      roundTripMillis: storeLog.roundTripMillis,
+      followDelayMillis: () => followDelayMillis,
+    }),
     createIntakePlugin({partitions}),
     createFleetPlugin(),
     createObserverPlugin({metrics, log}),
@@ -153,8 +161,7 @@
   const isReady = () =>
     !isStopping &&
     kernel.read(SITE_CONFIGURATION).get() !== undefined &&
-    now() - kernel.read(HOLDING).get().journalReadAt <
-      MAX_READY_JOURNAL_AGE_MILLIS;
+    now() - kernel.read(STATES_COPY).get().readAt < MAX_READY_READ_AGE_MILLIS;
   const hostServer = await startHostServer(
     settings().hostAddress,
     request => adviser(request, request.workerIds, request.timeoutMillis),
@@ -209,11 +216,11 @@
 ): () => void {
   let wasFailing = false;
   const appendHostRecord = async () => {
-    const {name, hostAddress: address, zone, region} = settings();
+    const {name, hostAddress: address, zone, region, cores} = settings();
     const outcome = await streams.append({
       stream: 'hosts',
       partition: 0,
-      records: [encodeHost({name, address, zone, region})],
+      records: [encodeHost({name, address, zone, region, cores})],
       timeoutMillis: ANNOUNCE_APPEND_TIMEOUT_MILLIS,
     });
     const isFailing = outcome.kind !== 'appended';
--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -10,9 +10,14 @@
   HOLDING,
   HOLDING_EVENT,
   HOLDING_TICK,
-  DURABLE_PROGRESS,
   heldTerm,
 } from '@samphireramp/holding';
+import {
+  IS_JOURNAL_FOLLOWED,
+  JOB_STATES,
+  STANDBY_EVENT,
+  STATES_COPY,
+} from '@samphireramp/job-states';
 import {INTAKE_EVENT} from '@samphireramp/intake';
 import {type Plugin, mergeUnregister} from '@samphireramp/kernel';
 import type {Log, Metrics} from '@samphireramp/telemetry';
@@ -46,13 +51,20 @@
     return mergeUnregister(
       metrics.gauge('active_jobs', () => listActiveJobs(kernel).length),
       metrics.gauge('known_jobs', () => kernel.read(JOBS).size),
-      metrics.gauge('job_views', () => kernel.read(DURABLE_PROGRESS).size),
+      metrics.gauge('job_views', () => kernel.read(JOB_STATES).size),
       metrics.gauge('runs', () => kernel.read(RUNS).size),
       metrics.gauge('workers', () => kernel.read(WORKERS).size),
       metrics.gauge('journal_lag_records', () => {
         const {endOffset, logEndOffset} = kernel.read(HOLDING).get();
         return logEndOffset - endOffset;
       }),
+      metrics.gauge('states_lag_records', () => {
+        const {endOffset, logEndOffset} = kernel.read(STATES_COPY).get();
+        return logEndOffset - endOffset;
+      }),
+      metrics.gauge('follows_journal', () =>
+        kernel.read(IS_JOURNAL_FOLLOWED).get() ? 1 : 0,
+      ),
       metrics.gauge('is_holder', () =>
         heldTerm(kernel) === undefined ? 0 : 1,
       ),
@@ -92,6 +104,10 @@
           term: heldTerm(kernel),
         });
       }),
+      kernel.registerEffect(STANDBY_EVENT, ({event, detail, silentMillis}) => {
+        metrics.count('standby_events', {event});
+        log(event, {detail, silentMillis});
+      }),
       kernel.registerCommand(HOLDING_TICK, update =>
         observeLoopDelay(update.now),
       ),
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -6,6 +6,14 @@
   heldTerm,
 } from '@samphireramp/holding';
 import {HOSTS_READ} from '@samphireramp/hosts';
+import {
+  APPEND_STATES,
+  FOLLOW_JOURNAL,
+  READ_STATES_NOW,
+  STATES_APPEND_ENDED,
+  STATES_READ,
+  UNFOLLOW_JOURNAL,
+} from '@samphireramp/job-states';
 import {APPEND_REQUESTS, REQUEST_APPEND_ENDED} from '@samphireramp/intake';
 import {type Kernel, type Plugin, mergeUnregister} from '@samphireramp/kernel';
 import {
@@ -21,9 +29,11 @@
   decodeHosts,
   decodeJournal,
   decodeRequests,
+  decodeStates,
   encodeRequestTombstones,
   encodeJournalEntry,
   encodeRequest,
+  encodeStateEntry,
 } from '@samphireramp/record-codec';
 import {
   type AppendOutcome,
@@ -39,10 +49,10 @@
 
 /** The partition of every stream but `requests`, which has several. */
 const ONLY_PARTITION = 0;
-/** Pause after a read of journal records by a follower; bounds its call rate. */
-const FOLLOWER_JOURNAL_READ_PAUSE_MILLIS = 100;
-/** Pause after a read of journal records by the holder; bounds its call rate. */
-const HOLDER_JOURNAL_READ_PAUSE_MILLIS = 1000;
+/** Pause after a read of a stream that the holder writes; bounds the call rate. */
+const FOLLOWER_READ_PAUSE_MILLIS = 100;
+/** Pause after a read by the holder of a stream that it writes itself. */
+const HOLDER_READ_PAUSE_MILLIS = 1000;
 /** Pause after a read of requests; bounds the rate of calls. */
 const REQUESTS_READ_PAUSE_MILLIS = 10;
 /** Pause after a read of records of a low-traffic stream; bounds the call rate. */
@@ -80,8 +90,8 @@
 
 /**
  * Dispatches the records that are read from the log as commands, and appends to
- * the log on effects. Every host reads the journal and the configuration; the
- * other streams are read only by the holder.
+ * the log on effects. Every host reads the states of jobs and the configuration;
+ * the standbys and the holder read the journal, and the holder the other streams.
  */
 export function createStreamLogPlugin(options: StreamLogPluginOptions): Plugin {
   const {streams, log} = options;
@@ -91,21 +101,40 @@
     const listenerFor = (stream: StreamName, partition = ONLY_PARTITION) =>
       createListenerFactory(stream, partition, log);
 
-    const journal = streams.follow(
-      {
-        stream: 'progress',
-        partition: ONLY_PARTITION,
-        waitMillis: HIGH_TRAFFIC_READ_WAIT_MILLIS,
-        pauseMillis: () =>
-          heldTerm(kernel) === undefined
-            ? FOLLOWER_JOURNAL_READ_PAUSE_MILLIS
-            : HOLDER_JOURNAL_READ_PAUSE_MILLIS,
-      },
-      listenerFor('progress')(({records, ...read}) => {
-        const entries = decodeJournal(records, onMalformed('progress'));
-        kernel.dispatch(JOURNAL_READ, {entries, ...read});
+    /** Options for following a stream that the holder writes. */
+    const holderStreamOptions = {
+      partition: ONLY_PARTITION,
+      waitMillis: HIGH_TRAFFIC_READ_WAIT_MILLIS,
+      pauseMillis: () =>
+        heldTerm(kernel) === undefined
+          ? FOLLOWER_READ_PAUSE_MILLIS
+          : HOLDER_READ_PAUSE_MILLIS,
+    };
+    const states = streams.follow(
+      {stream: 'states', ...holderStreamOptions},
+      listenerFor('states')(({records, ...read}) => {
+        const entries = decodeStates(records, onMalformed('states'));
+        kernel.dispatch(STATES_READ, {entries, ...read});
       }),
     );
+    let journal: FollowHandle | undefined;
+
+    function followJournal(): void {
+      unfollowJournal();
+      journal = streams.follow(
+        {stream: 'progress', ...holderStreamOptions},
+        listenerFor('progress')(({records, ...read}) => {
+          const entries = decodeJournal(records, onMalformed('progress'));
+          kernel.dispatch(JOURNAL_READ, {entries, ...read});
+        }),
+      );
+    }
+
+    function unfollowJournal(): void {
+      journal?.stop();
+      journal = undefined;
+    }
+
     const configuration = streams.follow(
       {stream: 'configuration', ...LOW_TRAFFIC_OPTIONS},
       listenerFor('configuration')(({records}) =>
@@ -156,11 +185,15 @@
     }
 
     return mergeUnregister(
-      () => [journal, configuration].forEach(handle => handle.stop()),
+      () => [states, configuration].forEach(handle => handle.stop()),
+      unfollowJournal,
       unfollowHolderStreams,
+      kernel.registerEffect(FOLLOW_JOURNAL, followJournal),
+      kernel.registerEffect(UNFOLLOW_JOURNAL, unfollowJournal),
+      kernel.registerEffect(READ_STATES_NOW, () => states.readNow()),
       kernel.registerEffect(FOLLOW_HOLDER_STREAMS, followHolderStreams),
       kernel.registerEffect(UNFOLLOW_HOLDER_STREAMS, unfollowHolderStreams),
-      kernel.registerEffect(READ_JOURNAL_NOW, () => journal.readNow()),
+      kernel.registerEffect(READ_JOURNAL_NOW, () => journal?.readNow()),
       kernel.registerEffect(APPEND_JOURNAL, request => {
         const {batch, expectedEnd, entries, timeoutMillis} = request;
         const records = entries.map(encodeJournalEntry);
@@ -177,6 +210,22 @@
             kernel.dispatch(JOURNAL_APPEND_ENDED, {batch, outcome}),
           );
       }),
+      kernel.registerEffect(APPEND_STATES, request => {
+        const {append, expectedEnd, entries, timeoutMillis} = request;
+        const records = entries.map(encodeStateEntry);
+        const partition = ONLY_PARTITION;
+        void streams
+          .append({
+            stream: 'states',
+            partition,
+            records,
+            expectedEnd,
+            timeoutMillis,
+          })
+          .then(outcome =>
+            kernel.dispatch(STATES_APPEND_ENDED, {append, outcome}),
+          );
+      }),
       kernel.registerEffect(APPEND_REQUESTS, request => {
         const {batchId, partition, requests, timeoutMillis} = request;
         const records = requests.map(encodeRequest);
--- a/packages/stream-log/src/StreamLog.ts
+++ b/packages/stream-log/src/StreamLog.ts
@@ -1,6 +1,6 @@
 /** Names of the streams that the log consists of. */
 export type StreamName =
-  'configuration' | 'workers' | 'requests' | 'progress' | 'hosts';
+  'configuration' | 'workers' | 'requests' | 'progress' | 'states' | 'hosts';
 
 /** A keyed record; the log keeps at least the newest record of each key. */
 export interface LogRecord {
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -18,6 +18,7 @@
   createHoldingPlugin,
   heldTerm,
 } from '@samphireramp/holding';
+import {createJobStatesPlugin} from '@samphireramp/job-states';
 import {
   ANSWER_CALL,
   INTAKE_EVENT,
@@ -308,6 +309,12 @@
         roundTripMillis: () => 5,
         claimDelayMillis: () => random() * 40,
       }),
+      createJobStatesPlugin({
+        self: name,
+        incarnation: `${name}/${incarnation}`,
+        roundTripMillis: () => 5,
+        followDelayMillis: () => 0,
+      }),
       createIntakePlugin({partitions: PARTITIONS}),
       createFleetPlugin(),
       createDispatchPlugin({
