--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -25,7 +25,8 @@
   PENDING_ENTRIES,
   heldTerm,
 } from './HoldingState';
-import {NO_JOB_KNOWLEDGE, requestsAge} from './jobKnowledge';
+import {createBatch} from './journalBatch';
+import {NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import {
   APPEND_JOURNAL,
   HOLDING_BEGAN,
@@ -37,7 +38,6 @@
   type HoldingEndReason,
   JOURNAL_APPEND_ENDED,
   JOURNAL_READ,
-  type JournalEntry,
   type JournalRead,
   PROGRESS_DURABLE,
   RESIGN,
@@ -151,32 +151,13 @@
     if (isIdle && !isHeartbeatDue && !current.isStopping) {
       return;
     }
-    const record: HolderRecord = {
-      ...current.latestHolderRecord,
-      batch: current.nextBatchNumber,
-      isResigned: current.isStopping,
-      requestsAgeMillis: requestsAge(
-        current.requestsReadUntil,
-        current.holderHeardAt,
-      ),
-    };
-    const entries: JournalEntry[] = [
-      {kind: 'holder', record},
+    const batch = createBatch(current, current.latestHolderRecord, [
       ...pendingEntries.values(),
-    ];
+    ]);
     pendingEntries.clear();
-    const batch: JournalBatch = {
-      number: record.batch,
-      entries,
-      deferredCommands: current.deferredCommands,
-      jobsUntil: current.requestsReadUntil,
-      isResignation: current.isStopping,
-      sentAt: undefined,
-      retryAt: 0,
-    };
     holding.set({
       ...current,
-      nextBatchNumber: record.batch + 1,
+      nextBatchNumber: batch.number + 1,
       deferredCommands: [],
     });
     sendBatch(update, batch, MIN_APPEND_TIMEOUT_MILLIS);
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -1,8 +1,12 @@
-import type {JournalEntry, StoredEntry} from '@samphireramp/holding';
+import {
+  type JournalEntry,
+  type StoredEntry,
+  holderRecordSchema,
+} from '@samphireramp/holding';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
+import {parseJson} from './parseJson';
 import {decodeProgress, encodeProgress} from './progressCodec';
-import {decodeHolderRecord} from './stateCodec';
 
 const HOLDER_KEY = 'holder';
 const JOB_PREFIX = 'job.';
@@ -48,8 +52,8 @@
 
 function decodeEntry({key, value}: LogRecord): JournalEntry | undefined {
   if (key === HOLDER_KEY) {
-    const record = decodeHolderRecord(value);
-    return record && {kind: 'holder', record};
+    const parsed = holderRecordSchema.safeParse(parseJson(value));
+    return parsed.success ? {kind: 'holder', record: parsed.data} : undefined;
   }
   if (!key.startsWith(JOB_PREFIX)) {
     return undefined;
--- a/packages/record-codec/src/stateCodec.ts
+++ b/packages/record-codec/src/stateCodec.ts
@@ -1,4 +1,4 @@
-import {type HolderRecord, holderRecordSchema} from '@samphireramp/holding';
+import type {HolderRecord} from '@samphireramp/holding';
 import type {StateEntry, StoredStateEntry} from '@samphireramp/job-states';
 import type {JobState} from '@samphireramp/jobs';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
@@ -28,12 +28,21 @@
 
 const standbysSchema = z.array(z.string());
 
+// Every host reads this record with each batch: without names of fields it is short.
+const shortHolderRecordSchema = z.tuple([
+  z.string(), // holder
+  z.string(), // incarnation
+  z.number(), // term
+  z.number(), // batch
+  z.nullable(z.number()), // age of the requests in milliseconds
+]);
+
 /** Encodes an entry of the stream of job states as a record. */
 export function encodeStateEntry(entry: StateEntry): LogRecord {
   return match(entry)
     .with({kind: 'holder'}, ({record}) => ({
       key: HOLDER_KEY,
-      value: Buffer.from(JSON.stringify(record)),
+      value: encodeShortHolderRecord(record),
     }))
     .with({kind: 'standbys'}, ({hosts}) => ({
       key: STANDBYS_KEY,
@@ -72,7 +81,7 @@
 
 function decodeEntry({key, value}: LogRecord): StateEntry | undefined {
   if (key === HOLDER_KEY) {
-    const record = decodeHolderRecord(value);
+    const record = decodeShortHolderRecord(value);
     return record && {kind: 'holder', record};
   }
   if (key === STANDBYS_KEY) {
@@ -91,8 +100,29 @@
   return state && {kind: 'state', jobId, queue: text.slice(1), state};
 }
 
-/** Decodes the record that heads a batch; undefined if it is invalid. */
-export function decodeHolderRecord(value: Buffer): HolderRecord | undefined {
-  const parsed = holderRecordSchema.safeParse(parseJson(value));
-  return parsed.success ? parsed.data : undefined;
+function encodeShortHolderRecord(record: HolderRecord): Buffer {
+  const short: z.infer<typeof shortHolderRecordSchema> = [
+    record.holder,
+    record.incarnation,
+    record.term,
+    record.batch,
+    record.requestsAgeMillis ?? null,
+  ];
+  return Buffer.from(JSON.stringify(short));
+}
+
+function decodeShortHolderRecord(value: Buffer): HolderRecord | undefined {
+  const parsed = shortHolderRecordSchema.safeParse(parseJson(value));
+  if (!parsed.success) {
+    return undefined;
+  }
+  const [holder, incarnation, term, batch, requestsAgeMillis] = parsed.data;
+  return {
+    holder,
+    incarnation,
+    term,
+    batch,
+    isResigned: false,
+    requestsAgeMillis: requestsAgeMillis ?? undefined,
+  };
 }
