--- a/testing/src/site/startPlatform.ts
+++ b/testing/src/site/startPlatform.ts
@@ -35,6 +35,7 @@
   'keyed.servers': 'workers',
   'keyed.requests': 'requests',
   'keyed.progress': 'progress',
+  'keyed.states': 'states',
   'keyed.hosts': 'hosts',
 };
 
