Urgent steps have placement passes of their own

Change: a pass over the urgent steps alone (0.6 ms in the same measurement) runs meanwhile; it does what a pass over all steps begins with. Candidates of a step come from its permits instead of the whole list.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -193,7 +193,7 @@
     placeTasks: () => {
       while (isPlacementScheduled) {
         isPlacementScheduled = false;
-        kernel.dispatch(PLACE_TASKS, undefined);
+        kernel.dispatch(PLACE_TASKS, {scope: 'all'});
       }
       kernel.dispatch(DISPATCH_TICK, undefined);
     },
--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -1,6 +1,7 @@
 import type {Update} from '@samphireramp/kernel';
 import {type AdviceTerms, stepKey} from '@samphireramp/jobs';
 import {chooseHost} from './adviserCalls';
+import type {StepAdvice} from './adviceState';
 import {
   type Candidate,
   type ReadyStep,
@@ -23,6 +24,7 @@
 /** The workers that meet some requirements, and the demand for them. */
 interface SuitableWorkers {
   readonly candidates: readonly Candidate[];
+  readonly byWorkerId: ReadonlyMap<string, Candidate>;
   /** CPU that is free on them when the pass begins. */
   readonly freeCpuMillis: number;
   /** CPU that steps ahead await advice for. */
@@ -55,6 +57,28 @@
     );
   }
 
+  /**
+   * Lists the suitable workers of a step that it may run on: those with a permit,
+   * if its queue has an adviser.
+   */
+  permittedFor(
+    readyStep: ReadyStep,
+    {permits}: StepAdvice,
+  ): readonly Candidate[] {
+    const {candidates, byWorkerId} = this.suitableWorkersOf(readyStep);
+    if (readyStep.policy.advice === undefined) {
+      return candidates;
+    }
+    const permitted: Candidate[] = [];
+    for (const workerId of permits.keys()) {
+      const candidate = byWorkerId.get(workerId);
+      if (candidate !== undefined) {
+        permitted.push(candidate);
+      }
+    }
+    return permitted;
+  }
+
   /** Lists the workers that meet the requirements of a step. */
   suitableFor(readyStep: ReadyStep): readonly Candidate[] {
     return this.suitableWorkersOf(readyStep).candidates;
@@ -74,7 +98,11 @@
       (total, each) => total + (this.cpuMillisAtStart.get(each) ?? 0),
       0,
     );
-    const suitable = {candidates, freeCpuMillis, awaitedCpuMillis: 0};
+    const byWorkerId = new Map(
+      candidates.map(candidate => [candidate.worker.id, candidate]),
+    );
+    const awaitedCpuMillis = 0;
+    const suitable = {candidates, byWorkerId, freeCpuMillis, awaitedCpuMillis};
     this.suitableByRequirement.set(key, suitable);
     return suitable;
   }
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -13,7 +13,7 @@
 /** Share of the CPU and memory of a worker that only urgent steps may use. */
 const URGENT_RESERVE_SHARE = 0.1;
 /** Priority of the queues whose steps are urgent. */
-const URGENT_PRIORITY = 0;
+export const URGENT_PRIORITY = 0;
 
 /** A worker that accepts runs, with the resources still free in the pass. */
 export interface Candidate {
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -65,7 +65,11 @@
   onUnexpectedRun,
 } from './runFlow';
 import {RESERVATIONS} from './reservations';
-import {PLACEMENT_SCHEDULED, schedulePlacement} from './schedulePlacement';
+import {
+  SCHEDULED_PASSES,
+  beginPass,
+  schedulePlacement,
+} from './schedulePlacement';
 import {
   WAITING_SINCE,
   WAITS_CHECKED_AT,
@@ -140,7 +144,7 @@
       kernel.registerSlice(OPEN_ADVICE_REQUESTS),
       kernel.registerSlice(ADVICE_REQUEST_COUNT),
       kernel.registerSlice(PERMIT_COUNTS),
-      kernel.registerSlice(PLACEMENT_SCHEDULED),
+      kernel.registerSlice(SCHEDULED_PASSES),
       kernel.registerSlice(RESERVATIONS),
       kernel.registerSlice(FORGET_CHECKED_AT),
       kernel.registerSlice(WAITS_CHECKED_AT),
@@ -167,9 +171,9 @@
       kernel.registerCommand(START_GIVEN_UP, onStartGivenUp),
       kernel.registerCommand(UNEXPECTED_RUN_REPORTED, onUnexpectedRun),
       kernel.registerCommand(ADVICE_RECEIVED, onAdviceReceived),
-      kernel.registerCommand(PLACE_TASKS, update => {
-        update.write(PLACEMENT_SCHEDULED).set(false);
-        placeTasks(update, self);
+      kernel.registerCommand(PLACE_TASKS, (update, {scope}) => {
+        beginPass(update, scope);
+        placeTasks(update, self, scope);
       }),
       kernel.registerCommand(DISPATCH_TICK, onTick),
     );
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -11,7 +11,6 @@
   freeShare,
   hasRequiredTicket,
   isNearData,
-  isPermitted,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
 
@@ -20,12 +19,10 @@
   pass: PlacementPass,
   readyStep: ReadyStep,
   advice: StepAdvice,
-  suitable: readonly Candidate[],
 ): Placement[] {
   const {update} = pass;
-  const permitted = suitable.filter(({worker}) =>
-    isPermitted(worker, readyStep, advice),
-  );
+  const suitable = pass.suitableFor(readyStep);
+  const permitted = pass.permittedFor(readyStep, advice);
   const startable = permitted.filter(({worker}) =>
     hasRequiredTicket(worker, readyStep, advice, update.now),
   );
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,6 +11,7 @@
   FOLLOW_HOLDER_STREAMS,
   FORGET_REQUESTS,
   PLACE_TASKS,
+  type PlacementScope,
   SCHEDULE_PLACEMENT,
   type Permit,
   REQUESTS_FORGOTTEN,
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -35,8 +35,13 @@
   readonly completeUntil: number | undefined;
 }>('requests-read');
 
+/** The steps that a placement pass looks at. */
+export type PlacementScope = 'all' | 'urgent';
+
 /** Places the tasks that can be placed now. */
-export const PLACE_TASKS = createCommand<void>('place-work');
+export const PLACE_TASKS = createCommand<{readonly scope: PlacementScope}>(
+  'place-work',
+);
 
 /** Timer for the periodic work of the dispatch plug-in. */
 export const DISPATCH_TICK = createCommand<void>('dispatch-tick');
@@ -57,7 +62,9 @@
 }>('advise');
 
 /** Schedules one dispatch of `PLACE_TASKS`. */
-export const SCHEDULE_PLACEMENT = createEffect<void>('plan-placing');
+export const SCHEDULE_PLACEMENT = createEffect<{
+  readonly scope: PlacementScope;
+}>('plan-placing');
 
 /** Starts reading the streams of requests, workers and hosts, as holders do. */
 export const FOLLOW_HOLDER_STREAMS = createEffect<void>('follow-site');
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -16,7 +16,7 @@
 import {type Candidate, type Placement, type ReadyStep} from './candidates';
 import {JOBS, expectsProgress, setProgress} from './DispatchState';
 import {chooseGangPlacements} from './gangPlacement';
-import {DISPATCH_EVENT} from './messages';
+import {DISPATCH_EVENT, type PlacementScope} from './messages';
 import {PlacementPass} from './PlacementPass';
 import {listReadySteps, stepIdOf} from './readySteps';
 import {RESERVATIONS} from './reservations';
@@ -26,8 +26,15 @@
 /** Maximum steps placed in one pass, so as not to delay other commands. */
 const MAX_STEPS_PER_PASS = 64;
 
-/** Places the tasks that can be placed, the most urgent steps first. */
-export function placeTasks(update: Update, self: string): void {
+/**
+ * Places the tasks that can be placed, the most urgent steps first. A pass over the
+ * urgent steps does what a pass over all steps begins with.
+ */
+export function placeTasks(
+  update: Update,
+  self: string,
+  scope: PlacementScope,
+): void {
   if (
     heldTerm(update) === undefined ||
     !update.read(MAY_COMMAND_WORKERS).get()
@@ -36,7 +43,7 @@
   }
   const pass = new PlacementPass(update, self);
   let placedSteps = 0;
-  for (const readyStep of listReadySteps(update)) {
+  for (const readyStep of listReadySteps(update, scope)) {
     if (placedSteps >= MAX_STEPS_PER_PASS) {
       schedulePlacement(update);
       break;
@@ -50,16 +57,17 @@
       pass.addAwaited(readyStep, readyStep.openTasks.length);
       continue;
     }
-    const suitable = pass.suitableFor(readyStep);
     const placements = readyStep.step.isGang
-      ? chooseGangPlacements(pass, readyStep, advice, suitable)
-      : chooseTaskPlacements(pass, readyStep, advice, suitable);
+      ? chooseGangPlacements(pass, readyStep, advice)
+      : chooseTaskPlacements(pass, readyStep, advice);
     if (placements.length > 0) {
       placedSteps++;
       placeStep(update, readyStep, placements);
     }
   }
-  update.write(RESERVATIONS).set(pass.reservations);
+  if (scope === 'all') {
+    update.write(RESERVATIONS).set(pass.reservations);
+  }
 }
 
 /** Records the placements and orders the runs once the record is durable. */
--- a/packages/dispatch/src/readySteps.ts
+++ b/packages/dispatch/src/readySteps.ts
@@ -1,16 +1,23 @@
 import type {StateReader} from '@samphireramp/kernel';
 import {type StepId, isStepReady} from '@samphireramp/jobs';
-import {type ReadyStep, makeReadyStep} from './candidates';
+import {type ReadyStep, URGENT_PRIORITY, makeReadyStep} from './candidates';
 import {listActiveJobs, policyOf} from './DispatchState';
+import type {PlacementScope} from './messages';
 
 /**
- * Lists the steps with tasks that can be placed now, by priority of their queue
+ * Lists the steps of a scope with tasks that can be placed now, by priority of their queue
  * and then by the objective of their job.
  */
-export function listReadySteps(state: StateReader): ReadyStep[] {
+export function listReadySteps(
+  state: StateReader,
+  scope: PlacementScope,
+): ReadyStep[] {
   const readySteps: ReadyStep[] = [];
   for (const row of listActiveJobs(state)) {
     const policy = policyOf(state, row.job);
+    if (scope === 'urgent' && policy.priority !== URGENT_PRIORITY) {
+      continue;
+    }
     for (const occurrence of row.progress.occurrences) {
       row.job.steps.forEach((_, stepNumber) => {
         if (isStepReady(row.job, occurrence, stepNumber)) {
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -17,11 +17,12 @@
   pass: PlacementPass,
   readyStep: ReadyStep,
   advice: StepAdvice,
-  suitable: readonly Candidate[],
 ): Placement[] {
-  const startable = suitable.filter(({worker}) =>
-    hasRequiredTicket(worker, readyStep, advice, pass.update.now),
-  );
+  const startable = pass
+    .permittedFor(readyStep, advice)
+    .filter(({worker}) =>
+      hasRequiredTicket(worker, readyStep, advice, pass.update.now),
+    );
   const placements: Placement[] = [];
   const placedOn = new Map<Candidate, number>();
   for (const index of readyStep.openTasks) {
@@ -36,7 +37,7 @@
   const tasksLeft = readyStep.openTasks.length - placements.length;
   if (tasksLeft > 0) {
     requestMoreAdvice(pass, readyStep, advice, tasksLeft, () =>
-      spreadOver(suitable, readyStep),
+      spreadOver(pass.suitableFor(readyStep), readyStep),
     );
   }
   return placements;
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -44,7 +44,7 @@
   checkedAt.set(update.now);
   const sinceByStep = update.write(WAITING_SINCE);
   const readySteps = new Map(
-    listReadySteps(update).map(readyStep => [
+    listReadySteps(update, 'all').map(readyStep => [
       stepKey(stepIdOf(readyStep)),
       readyStep,
     ]),
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -182,7 +182,9 @@
     }),
   );
   const unregisterTimers = kernel.register(
-    createTimersPlugin(now, millis => metrics.time('placement_pass', millis)),
+    createTimersPlugin(now, (scope, millis) =>
+      metrics.time('placement_pass', millis, {scope}),
+    ),
   );
   const stopAnnouncing = announce(storeLog, settings, log);
   log('started', {host: self, zone, region, incarnation});
--- a/packages/site-daemon/src/timersPlugin.ts
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -1,6 +1,7 @@
 import {
   DISPATCH_TICK,
   PLACE_TASKS,
+  type PlacementScope,
   SCHEDULE_PLACEMENT,
 } from '@samphireramp/dispatch';
 import {FLEET_TICK} from '@samphireramp/fleet';
@@ -13,39 +14,34 @@
   SCHEDULE_HEDGE,
 } from '@samphireramp/intake';
 import {type Command, type Plugin, mergeUnregister} from '@samphireramp/kernel';
+import {createPlacementTimer} from './placementTimer';
 
 /** Interval of `HOLDING_TICK`. */
 export const HOLDING_TICK_MILLIS = 40;
 const FLEET_TICK_MILLIS = 100;
 const DISPATCH_TICK_MILLIS = 100;
 const INTAKE_TICK_MILLIS = 5000;
-/** Delay before a placement pass, so that one pass handles several changes. */
-const PLACEMENT_DELAY_MILLIS = 2;
-/**
- * Minimum delay before a placement pass, as a multiple of the duration of the
- * last one; bounds the share of the loop's time that placement takes.
- */
-const PLACEMENT_REST_FACTOR = 4;
 
 /**
  * Dispatches periodic and delayed commands with the timers of the runtime.
- * Calls `onPlacementPass` with the duration of each placement pass.
+ * Calls `onPlacementPass` with the scope and duration of each placement pass.
  */
 export function createTimersPlugin(
   now: () => number,
-  onPlacementPass: (millis: number) => void,
+  onPlacementPass: (scope: PlacementScope, millis: number) => void,
 ): Plugin {
   return kernel => {
     const dispatchEvery = (command: Command<void>, millis: number) =>
       setInterval(() => kernel.dispatch(command, undefined), millis);
-    let restMillis = 0;
-    const runPlacement = () => {
-      const startedAt = now();
-      kernel.dispatch(PLACE_TASKS, undefined);
-      const passMillis = now() - startedAt;
-      onPlacementPass(passMillis);
-      restMillis = passMillis * PLACEMENT_REST_FACTOR;
-    };
+    const schedulePass = createPlacementTimer({
+      now,
+      delay: (callback, millis) => void setTimeout(callback, millis),
+      runPass: scope => {
+        const startedAt = now();
+        kernel.dispatch(PLACE_TASKS, {scope});
+        onPlacementPass(scope, now() - startedAt);
+      },
+    });
     const timers = [
       dispatchEvery(HOLDING_TICK, HOLDING_TICK_MILLIS),
       dispatchEvery(FLEET_TICK, FLEET_TICK_MILLIS),
@@ -54,9 +50,9 @@
     ];
     return mergeUnregister(
       () => timers.forEach(timer => clearInterval(timer)),
-      kernel.registerEffect(SCHEDULE_PLACEMENT, () => {
-        setTimeout(runPlacement, Math.max(PLACEMENT_DELAY_MILLIS, restMillis));
-      }),
+      kernel.registerEffect(SCHEDULE_PLACEMENT, ({scope}) =>
+        schedulePass(scope),
+      ),
       kernel.registerEffect(SCHEDULE_HEDGE, ({batchId, millis}) => {
         setTimeout(() => kernel.dispatch(HEDGE_REQUESTS, {batchId}), millis);
       }),
--- a/testing/src/site/modelTimers.ts
+++ b/testing/src/site/modelTimers.ts
@@ -36,9 +36,9 @@
   }
 
   return mergeUnregister(
-    kernel.registerEffect(SCHEDULE_PLACEMENT, () =>
+    kernel.registerEffect(SCHEDULE_PLACEMENT, ({scope}) =>
       defer(PLACEMENT_DELAY_MILLIS, () =>
-        kernel.dispatch(PLACE_TASKS, undefined),
+        kernel.dispatch(PLACE_TASKS, {scope}),
       ),
     ),
     kernel.registerEffect(SCHEDULE_FLUSH, ({millis}) =>
