Ended jobs are kept by the holder's monotonic clock

Cause: the age of an ended job was the holder's time of day less that of the host that ended it, so that a clock that jumps ahead had jobs forgotten at once, and callers told 410. Change: a holder counts from when it first saw the job over, by its monotonic clock; after a take-over the time begins anew. Test: 'no ended job is forgotten early as a clock jumps' failed before ('absent').

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -34,6 +34,9 @@
 /** Ids of cancelled jobs. A cancellation may be read before its job. */
 export const CANCELLED_JOBS = createTableSlice<true>('cancelled');
 
+/** When this holder first saw that a job is over, by job id; monotonic clock. */
+export const END_SEEN_AT = createTableSlice<number>('end-seen-at');
+
 /** The current configuration of the site; undefined until one is received. */
 export const SITE_CONFIGURATION = createValueSlice<
   SiteConfiguration | undefined
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -36,6 +36,7 @@
 import {ADVICE} from './adviceState';
 import {
   CANCELLED_JOBS,
+  END_SEEN_AT,
   SITE_CONFIGURATION,
   JOBS,
   PARTITIONS_READ,
@@ -126,7 +127,7 @@
     const checkedAt = update.write(FORGET_CHECKED_AT);
     if (update.now - checkedAt.get() > FORGET_CHECK_INTERVAL_MILLIS) {
       checkedAt.set(update.now);
-      forgetEndedJobs(update, wallClock(), keepEndedMillis);
+      forgetEndedJobs(update, keepEndedMillis);
     }
     discardRunsOnUnknownWorkers(update);
     reportWaitingSteps(update);
@@ -137,6 +138,7 @@
     mergeUnregister(
       kernel.registerSlice(JOBS),
       kernel.registerSlice(CANCELLED_JOBS),
+      kernel.registerSlice(END_SEEN_AT),
       kernel.registerSlice(SITE_CONFIGURATION),
       kernel.registerSlice(PARTITIONS_READ),
       kernel.registerSlice(ADVICE),
@@ -207,6 +209,7 @@
 function clearHoldingState(update: Update): void {
   update.write(JOBS).clear();
   update.write(CANCELLED_JOBS).clear();
+  update.write(END_SEEN_AT).clear();
   update.write(PARTITIONS_READ).clear();
   update.write(ADVICE).clear();
   update.write(CALLS_BY_HOST).clear();
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -19,6 +19,7 @@
 import {deleteAdviceOfJob} from './adviceState';
 import {
   CANCELLED_JOBS,
+  END_SEEN_AT,
   JOBS,
   type JobRow,
   listActiveJobs,
@@ -203,20 +204,25 @@
 }
 
 /**
- * Has the log remove the requests about jobs that ended more than `keepMillis`
- * ago; `onRequestsForgotten` then deletes the records of the jobs.
+ * Has the log remove the requests about jobs that this holder has known to be over
+ * for more than `keepMillis`; `onRequestsForgotten` then deletes their records. The
+ * time at which a job ended isn't used: the clock of another host told it.
  */
-export function forgetEndedJobs(
-  update: Update,
-  wallNow: number,
-  keepMillis: number,
-): void {
+export function forgetEndedJobs(update: Update, keepMillis: number): void {
+  const endSeenAt = update.write(END_SEEN_AT);
   const jobIds: string[] = [];
-  for (const progress of update.read(DURABLE_PROGRESS).values()) {
-    const isOld =
-      progress.endedAt > 0 && wallNow - progress.endedAt > keepMillis;
-    if (isOld && jobIds.length < MAX_FORGOTTEN_JOBS) {
-      jobIds.push(progress.jobId);
+  for (const {jobId, state} of update.read(DURABLE_PROGRESS).values()) {
+    if (!isFinalState(state)) {
+      continue;
+    }
+    const seenAt = endSeenAt.get(jobId);
+    if (seenAt === undefined) {
+      endSeenAt.set(jobId, update.now);
+    } else if (
+      update.now - seenAt > keepMillis &&
+      jobIds.length < MAX_FORGOTTEN_JOBS
+    ) {
+      jobIds.push(jobId);
     }
   }
   if (jobIds.length > 0) {
@@ -237,6 +243,7 @@
     recordForgottenJob(update, jobId);
     update.write(JOBS).delete(jobId);
     update.write(CANCELLED_JOBS).delete(jobId);
+    update.write(END_SEEN_AT).delete(jobId);
   }
 }
 
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -319,6 +319,23 @@
   t.equal(site.holder()?.kernel.read(DURABLE_PROGRESS).has(job.id), false);
 });
 
+void t.test('no ended job is forgotten early as a clock jumps', async t => {
+  const site = buildSite(2, {keepEndedMillis: 120_000});
+  await site.run(1000);
+  const job = buildJob('00000000000000bf', [buildStep()], {
+    policy: POLICIES[0],
+    receivedAt: 1000,
+  });
+  void site.submit(site.hosts[0], job);
+  await site.run(3000);
+  const [holder, follower] = [...site.hosts].sort(host =>
+    host === site.holder() ? -1 : 1,
+  );
+  holder.clockOffsetMillis = 3_600_000;
+  await site.run(12_000);
+  t.equal(site.readJobState(follower, job.id), 'completed');
+});
+
 void t.test('a start delayed past a restart runs no task twice', async t => {
   const site = buildSite(2);
   await site.run(1000);
