--- a/packages/job-states/src/jobStatesPlugin.ts
+++ b/packages/job-states/src/jobStatesPlugin.ts
@@ -13,7 +13,12 @@
   type JournalFollowingOptions,
   adjustJournalFollowing,
 } from './journalFollowing';
-import {STATES_APPEND_ENDED, STATES_READ, type StatesRead} from './messages';
+import {
+  READ_STATES_NOW,
+  STATES_APPEND_ENDED,
+  STATES_READ,
+  type StatesRead,
+} from './messages';
 import {
   CHANGED_JOBS,
   PUBLICATION,
@@ -74,7 +79,11 @@
         markAllChanged(update);
         publish(update);
       }),
-      kernel.registerCommand(HOLDING_ENDED, resetPublication),
+      kernel.registerCommand(HOLDING_ENDED, update => {
+        resetPublication(update);
+        // A holder seldom reads what it writes itself.
+        update.emit(READ_STATES_NOW, undefined);
+      }),
       kernel.registerCommand(PROGRESS_DURABLE, (update, {entries}) => {
         for (const entry of entries) {
           if (entry.kind === 'progress') {
--- a/packages/job-states/src/publishing.ts
+++ b/packages/job-states/src/publishing.ts
@@ -1,5 +1,6 @@
 import {
   type PayloadOf,
+  type StateReader,
   type Update,
   createTableSlice,
   createValueSlice,
@@ -28,7 +29,7 @@
 const MIN_APPEND_INTERVAL_MILLIS = 30;
 /** Maximum number of jobs in one append, which bounds its size. */
 const MAX_JOBS_PER_APPEND = 2000;
-/** Timeout of an append, after which the stream is read to learn its outcome. */
+/** Timeout of an append; a later one fails if this one has taken effect. */
 const APPEND_TIMEOUT_MILLIS = 1000;
 /** Delay before the next append after one that failed. */
 const FAILED_APPEND_DELAY_MILLIS = 40;
@@ -109,18 +110,13 @@
   ) {
     return;
   }
-  const entries = [...takeChangedEntries(update), ...newStandbys(update)];
+  const changes = [...takeChangedEntries(update), ...newStandbys(update)];
   const lastAppendAt = nextAppendAt - MIN_APPEND_INTERVAL_MILLIS;
-  if (
-    entries.length === 0 &&
-    update.now - lastAppendAt < HEARTBEAT_INTERVAL_MILLIS
-  ) {
+  const isHeartbeatDue = update.now - lastAppendAt >= HEARTBEAT_INTERVAL_MILLIS;
+  if (changes.length === 0 && !isHeartbeatDue) {
     return;
   }
-  const isPublishedInFull = update.read(CHANGED_JOBS).size === 0;
-  const jobsUntil = isPublishedInFull
-    ? update.read(HOLDING).get().jobsCompleteUntil
-    : -Infinity;
+  const jobsUntil = publishedJobsUntil(update);
   const record: HolderRecord = {
     holder: self,
     incarnation,
@@ -129,25 +125,31 @@
     isResigned: false,
     requestsAgeMillis: requestsAge(jobsUntil, copy.holderHeardAt),
   };
-  const append: OpenAppend = {
-    number: appends + 1,
-    entries: [{kind: 'holder', record}, ...entries],
-    sentAt: update.now,
-    jobsUntil,
-  };
+  const entries: StateEntry[] = [{kind: 'holder', record}, ...changes];
+  const number = appends + 1;
   publication.set({
-    openAppend: append,
-    appends: append.number,
+    openAppend: {number, entries, sentAt: update.now, jobsUntil},
+    appends: number,
     nextAppendAt: update.now + MIN_APPEND_INTERVAL_MILLIS,
   });
   update.emit(APPEND_STATES, {
-    append: append.number,
+    append: number,
     expectedEnd: copy.endOffset,
-    entries: append.entries,
+    entries,
     timeoutMillis: APPEND_TIMEOUT_MILLIS,
   });
 }
 
+/**
+ * Time before which all requested jobs are published with the next append;
+ * -Infinity if it leaves some of them to the one after it.
+ */
+function publishedJobsUntil(state: StateReader): number {
+  return state.read(CHANGED_JOBS).size === 0
+    ? state.read(HOLDING).get().jobsCompleteUntil
+    : -Infinity;
+}
+
 /** Applies an append that is durable; otherwise its jobs are published again. */
 export function onStatesAppendEnded(
   update: Update,
@@ -158,9 +160,8 @@
   if (openAppend?.number !== append) {
     return;
   }
-  publication.set({...publication.get(), openAppend: undefined});
-  const copy = update.write(STATES_COPY);
   if (outcome.kind === 'appended') {
+    publication.set({...publication.get(), openAppend: undefined});
     applyOwnAppend(update, openAppend, outcome.endOffset);
     return;
   }
@@ -177,6 +178,7 @@
   if (outcome.kind === 'conflict') {
     // The stream has records that this host has not read: its own, from an
     // append without an answer, or those of another holder.
+    const copy = update.write(STATES_COPY);
     const current = copy.get();
     copy.set({
       ...current,
