--- a/packages/operator-command/src/main.ts
+++ b/packages/operator-command/src/main.ts
@@ -15,6 +15,8 @@
   'active_jobs',
   'known_jobs',
   'job_views',
+  'states_lag_records',
+  'follows_journal',
 ];
 
 /** Prints `value` as JSON if that is the output format, or else `text`. */
