--- a/packages/record-codec/src/__tests__/unit/codecs.test.ts
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -152,6 +152,23 @@
   t.same(decoded, {offset: 4, entry: {kind: 'holder', record}});
 });
 
+void t.test('requests about jobs that are over are not decoded', async t => {
+  const jobs = ['00000000000000aa', '00000000000000bb'].map(id =>
+    buildJob(id, [buildStep()]),
+  );
+  const [over, active] = jobs.map((job, offset) => ({
+    ...encodeRequest({kind: 'submit', job}),
+    offset,
+  }));
+  const unreadable = {...over, value: Buffer.from('[')};
+  const decoded = decodeRequests(
+    [unreadable, active],
+    jobId => jobId === jobs[0].id,
+    key => t.fail(key),
+  );
+  t.same(decoded, [{kind: 'submit', job: jobs[1]}]);
+});
+
 void t.test('requests are decoded, tombstones are skipped', async t => {
   const job = buildJob('00000000000000aa', [buildStep({count: 3})]);
   const cancel = {kind: 'cancel', jobId: job.id, receivedAt: 9} as const;
@@ -160,6 +177,10 @@
     encodeRequest(cancel),
     ...encodeRequestTombstones('00000000000000ab'),
   ].map((record, offset) => ({...record, offset}));
-  const decoded = decodeRequests(encoded, key => t.fail(key));
+  const decoded = decodeRequests(
+    encoded,
+    () => false,
+    key => t.fail(key),
+  );
   t.same(decoded, [{kind: 'submit', job}, cancel]);
 });
--- a/packages/record-codec/src/requestCodec.ts
+++ b/packages/record-codec/src/requestCodec.ts
@@ -31,16 +31,19 @@
 }
 
 /**
- * Decodes requests. Skips tombstones, and calls `onMalformed` with the key of each
- * invalid record.
+ * Decodes requests. Skips tombstones and jobs that are over, and calls `onMalformed`
+ * with the key of each invalid record. Most requests that a new holder reads are
+ * about jobs that are over, and to decode them would delay its first orders.
  */
 export function decodeRequests(
   records: readonly StoredRecord[],
+  isOver: (jobId: string) => boolean,
   onMalformed: (key: string) => void,
 ): Request[] {
   const requests: Request[] = [];
   for (const {key, value} of records) {
-    if (value.length === 0) {
+    const jobId = key.slice(key.indexOf('.') + 1);
+    if (value.length === 0 || isOver(jobId)) {
       continue;
     }
     const request = decodeRequest(key, value);
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -1,5 +1,6 @@
 import {
   APPEND_JOURNAL,
+  DURABLE_PROGRESS,
   READ_JOURNAL_NOW,
   JOURNAL_APPEND_ENDED,
   JOURNAL_READ,
@@ -44,7 +45,7 @@
   type StreamName,
   reachedLogEnd,
 } from '@samphireramp/stream-log';
-import type {SiteConfiguration} from '@samphireramp/jobs';
+import {type SiteConfiguration, isFinalState} from '@samphireramp/jobs';
 import type {Log} from '@samphireramp/telemetry';
 
 /** The partition of every stream but `requests`, which has several. */
@@ -144,6 +145,11 @@
     /** Handles of the streams that only the holder reads. */
     let holderStreams: FollowHandle[] = [];
 
+    function isOver(jobId: string): boolean {
+      const progress = kernel.read(DURABLE_PROGRESS).get(jobId);
+      return progress !== undefined && isFinalState(progress.state);
+    }
+
     function followHolderStreams(): void {
       unfollowHolderStreams();
       const hosts = streams.follow(
@@ -171,7 +177,11 @@
               kernel.dispatch(REQUESTS_READ, {
                 partition,
                 completeUntil: reachedLogEnd(read) ? read.sentAt : undefined,
-                requests: decodeRequests(records, onMalformed('requests')),
+                requests: decodeRequests(
+                  records,
+                  isOver,
+                  onMalformed('requests'),
+                ),
               }),
             ),
           ),
