--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -5,6 +5,7 @@
 } from '@samphireramp/holding';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
+import {decodeEntries} from './decodeEntries';
 import {parseJson} from './parseJson';
 import {decodeProgress, encodeProgress} from './progressCodec';
 
@@ -38,16 +39,7 @@
   records: readonly StoredRecord[],
   onMalformed: (key: string) => void,
 ): StoredEntry[] {
-  const entries: StoredEntry[] = [];
-  for (const record of records) {
-    const entry = decodeEntry(record);
-    if (entry === undefined) {
-      onMalformed(record.key);
-    } else {
-      entries.push({offset: record.offset, entry});
-    }
-  }
-  return entries;
+  return decodeEntries(records, decodeEntry, onMalformed);
 }
 
 function decodeEntry({key, value}: LogRecord): JournalEntry | undefined {
--- a/packages/record-codec/src/stateCodec.ts
+++ b/packages/record-codec/src/stateCodec.ts
@@ -4,6 +4,7 @@
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
 import * as z from 'zod/mini';
+import {decodeEntries} from './decodeEntries';
 import {parseJson} from './parseJson';
 
 const HOLDER_KEY = 'holder';
@@ -67,16 +68,7 @@
   records: readonly StoredRecord[],
   onMalformed: (key: string) => void,
 ): StoredStateEntry[] {
-  const entries: StoredStateEntry[] = [];
-  for (const record of records) {
-    const entry = decodeEntry(record);
-    if (entry === undefined) {
-      onMalformed(record.key);
-    } else {
-      entries.push({offset: record.offset, entry});
-    }
-  }
-  return entries;
+  return decodeEntries(records, decodeEntry, onMalformed);
 }
 
 function decodeEntry({key, value}: LogRecord): StateEntry | undefined {
