Placement goes on after a pass that failed

Found by reading: an error in a placement pass undid its whole update, with the mark that the pass was no longer scheduled, so that no pass was ever scheduled again and the holder placed nothing more. Change: the pass begins in an update of its own.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -3,6 +3,7 @@
   ADVICE_RECEIVED,
   CONFIGURATION_IN_FORCE,
   DISPATCH_TICK,
+  BEGIN_PASS,
   PLACE_TASKS,
   SCHEDULE_PLACEMENT,
   REQUESTS_READ,
@@ -193,6 +194,7 @@
     placeTasks: () => {
       while (isPlacementScheduled) {
         isPlacementScheduled = false;
+        kernel.dispatch(BEGIN_PASS, {scope: 'all'});
         kernel.dispatch(PLACE_TASKS, {scope: 'all'});
       }
       kernel.dispatch(DISPATCH_TICK, undefined);
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -49,6 +49,7 @@
 } from './jobFlow';
 import {
   ADVICE_RECEIVED,
+  BEGIN_PASS,
   CONFIGURATION_IN_FORCE,
   DISPATCH_TICK,
   FOLLOW_HOLDER_STREAMS,
@@ -173,10 +174,12 @@
       kernel.registerCommand(START_GIVEN_UP, onStartGivenUp),
       kernel.registerCommand(UNEXPECTED_RUN_REPORTED, onUnexpectedRun),
       kernel.registerCommand(ADVICE_RECEIVED, onAdviceReceived),
-      kernel.registerCommand(PLACE_TASKS, (update, {scope}) => {
-        beginPass(update, scope);
-        placeTasks(update, self, scope);
-      }),
+      kernel.registerCommand(BEGIN_PASS, (update, {scope}) =>
+        beginPass(update, scope),
+      ),
+      kernel.registerCommand(PLACE_TASKS, (update, {scope}) =>
+        placeTasks(update, self, scope),
+      ),
       kernel.registerCommand(DISPATCH_TICK, onTick),
     );
 }
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -38,6 +38,14 @@
 /** The steps that a placement pass looks at. */
 export type PlacementScope = 'all' | 'urgent';
 
+/**
+ * A scheduled placement pass begins; `PLACE_TASKS` follows as an update of its own,
+ * so that an error in it doesn't leave the pass scheduled for good.
+ */
+export const BEGIN_PASS = createCommand<{readonly scope: PlacementScope}>(
+  'begin-pass',
+);
+
 /** Places the tasks that can be placed now. */
 export const PLACE_TASKS = createCommand<{readonly scope: PlacementScope}>(
   'place-work',
--- a/packages/site-daemon/src/timersPlugin.ts
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -1,4 +1,5 @@
 import {
+  BEGIN_PASS,
   DISPATCH_TICK,
   PLACE_TASKS,
   type PlacementScope,
@@ -38,6 +39,7 @@
       delay: (callback, millis) => void setTimeout(callback, millis),
       runPass: scope => {
         const startedAt = now();
+        kernel.dispatch(BEGIN_PASS, {scope});
         kernel.dispatch(PLACE_TASKS, {scope});
         onPlacementPass(scope, now() - startedAt);
       },
--- a/testing/src/site/modelTimers.ts
+++ b/testing/src/site/modelTimers.ts
@@ -1,4 +1,8 @@
-import {PLACE_TASKS, SCHEDULE_PLACEMENT} from '@samphireramp/dispatch';
+import {
+  BEGIN_PASS,
+  PLACE_TASKS,
+  SCHEDULE_PLACEMENT,
+} from '@samphireramp/dispatch';
 import {
   FLUSH_REQUESTS,
   HEDGE_REQUESTS,
@@ -37,9 +41,10 @@
 
   return mergeUnregister(
     kernel.registerEffect(SCHEDULE_PLACEMENT, ({scope}) =>
-      defer(PLACEMENT_DELAY_MILLIS, () =>
-        kernel.dispatch(PLACE_TASKS, {scope}),
-      ),
+      defer(PLACEMENT_DELAY_MILLIS, () => {
+        kernel.dispatch(BEGIN_PASS, {scope});
+        kernel.dispatch(PLACE_TASKS, {scope});
+      }),
     ),
     kernel.registerEffect(SCHEDULE_FLUSH, ({millis}) =>
       defer(millis, () => kernel.dispatch(FLUSH_REQUESTS, undefined)),
