--- a/testing/src/__tests__/unit/standbys.test.ts
+++ b/testing/src/__tests__/unit/standbys.test.ts
@@ -3,7 +3,6 @@
 import {
   type ModelHost,
   type ModelSite,
-  PROMPT_READS,
   buildJob,
   buildModelSite,
   buildPolicy,
@@ -95,7 +94,6 @@
   const earlier = site.holder();
   const job = buildWideJob('c1', site.clock.now);
   // The states of jobs can't be appended, but the journal can.
-  site.log.readBehaviour = () => PROMPT_READS;
   const {log} = site;
   const applyAppend = log.applyAppend.bind(log);
   log.applyAppend = request =>
