Intake's batches, the registry's decoding and tombstones in modules of their own

State, batches and answers of the intake now stand apart from its plug-in, and so do the listener of a stream, the decoding of the worker registry and the tombstones of requests.

--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,9 +1,6 @@
 /** Accepts submits and cancels on any host, and reports job status. */
-export {
-  ACCEPTED_JOBS,
-  type IntakeOptions,
-  createIntakePlugin,
-} from './intakePlugin';
+export {type IntakeOptions, createIntakePlugin} from './intakePlugin';
+export {ACCEPTED_JOBS} from './IntakeState';
 export {
   type JobStatus,
   type PendingCount,
--- a/packages/intake/src/jobStatus.ts
+++ b/packages/intake/src/jobStatus.ts
@@ -1,7 +1,7 @@
 import {JOB_STATES, knowsJobsUntil} from '@samphireramp/job-states';
 import type {JobState} from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
-import {ACCEPTED_JOBS} from './intakePlugin';
+import {ACCEPTED_JOBS} from './IntakeState';
 
 /** Time that an answer may take to reach its caller, while it goes out of date. */
 const ANSWER_MARGIN_MILLIS = 1000;
--- /dev/null
+++ b/packages/site-daemon/src/streamListener.ts
@@ -0,0 +1,34 @@
+import type {StreamListener, StreamName} from '@samphireramp/stream-log';
+import type {Log} from '@samphireramp/telemetry';
+
+/**
+ * Creates a function that turns a record handler into a listener. The listener
+ * logs when reads of the partition start to fail and when they succeed again.
+ */
+export function createListenerFactory(
+  stream: StreamName,
+  partition: number,
+  log: Log,
+) {
+  let isLost = false;
+  return (onRead: StreamListener['onRead']): StreamListener => ({
+    onRead: read => {
+      if (isLost) {
+        isLost = false;
+        log('stream-regained', {
+          stream,
+          partition,
+          end: read.endOffset,
+          logEnd: read.logEndOffset,
+        });
+      }
+      onRead(read);
+    },
+    onFailure: detail => {
+      if (!isLost) {
+        isLost = true;
+        log('stream-lost', {stream, partition, detail});
+      }
+    },
+  });
+}
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -25,13 +25,12 @@
   REQUESTS_READ,
   UNFOLLOW_HOLDER_STREAMS,
 } from '@samphireramp/dispatch';
-import {WORKER_REGISTRY_READ, type WorkerRecord} from '@samphireramp/fleet';
+import {WORKER_REGISTRY_READ} from '@samphireramp/fleet';
 import {
   decodeHosts,
   decodeJournal,
   decodeRequests,
   decodeStates,
-  encodeRequestTombstones,
   encodeJournalEntry,
   encodeRequest,
   encodeStateEntry,
@@ -40,13 +39,15 @@
   type AppendOutcome,
   type FollowHandle,
   type StoredRecord,
-  type StreamListener,
   type StreamLog,
   type StreamName,
   reachedLogEnd,
 } from '@samphireramp/stream-log';
 import {type SiteConfiguration, isFinalState} from '@samphireramp/jobs';
 import type {Log} from '@samphireramp/telemetry';
+import {forgetRequests} from './requestTombstones';
+import {createListenerFactory} from './streamListener';
+import {type DecodeWorker, decodeWorkerRegistry} from './workerRegistryStream';
 
 /** The partition of every stream but `requests`, which has several. */
 const ONLY_PARTITION = 0;
@@ -58,8 +59,6 @@
 const REQUESTS_READ_PAUSE_MILLIS = 10;
 /** Pause after a read of records of a low-traffic stream; bounds the call rate. */
 const LOW_TRAFFIC_READ_PAUSE_MILLIS = 300;
-/** Timeout of the append that deletes requests from one partition. */
-const FORGET_APPEND_TIMEOUT_MILLIS = 2000;
 /**
  * How long the log may keep a read of a high-traffic stream open until a record
  * comes. Short, so that a log that does not respond is detected soon.
@@ -82,10 +81,7 @@
     value: Buffer,
   ) => SiteConfiguration | undefined;
   readonly configurationKey: string;
-  readonly decodeWorker: (
-    id: string,
-    value: Buffer,
-  ) => WorkerRecord | undefined;
+  readonly decodeWorker: DecodeWorker;
   readonly log: Log;
 }
 
@@ -256,38 +252,6 @@
   };
 }
 
-/**
- * Creates a function that turns a record handler into a listener. The listener
- * logs when reads of the partition start to fail and when they succeed again.
- */
-function createListenerFactory(
-  stream: StreamName,
-  partition: number,
-  log: Log,
-) {
-  let isLost = false;
-  return (onRead: StreamListener['onRead']): StreamListener => ({
-    onRead: read => {
-      if (isLost) {
-        isLost = false;
-        log('stream-regained', {
-          stream,
-          partition,
-          end: read.endOffset,
-          logEnd: read.logEndOffset,
-        });
-      }
-      onRead(read);
-    },
-    onFailure: detail => {
-      if (!isLost) {
-        isLost = true;
-        log('stream-lost', {stream, partition, detail});
-      }
-    },
-  });
-}
-
 function applyConfiguration(
   kernel: Kernel,
   {decodeConfiguration, configurationKey, log}: StreamLogPluginOptions,
@@ -314,58 +278,10 @@
   return streams.follow(
     {stream: 'workers', ...LOW_TRAFFIC_OPTIONS},
     listener(({records, isSnapshot}) => {
-      const newestValues = new Map<string, Buffer>();
-      for (const {key, value} of records) {
-        newestValues.set(key, value);
-      }
-      const registered: WorkerRecord[] = [];
-      const removed: string[] = [];
-      for (const [id, value] of newestValues) {
-        const worker = value.length === 0 ? undefined : decodeWorker(id, value);
-        if (worker !== undefined) {
-          registered.push(worker);
-        } else if (value.length === 0) {
-          removed.push(id);
-        } else {
-          log('record-malformed', {stream: 'workers', key: id});
-        }
-      }
-      if (registered.length + removed.length > 0 || isSnapshot) {
-        kernel.dispatch(WORKER_REGISTRY_READ, {
-          records: registered,
-          removed,
-          isSnapshot,
-        });
+      const read = decodeWorkerRegistry(records, isSnapshot, decodeWorker, log);
+      if (read.records.length + read.removed.length > 0 || isSnapshot) {
+        kernel.dispatch(WORKER_REGISTRY_READ, read);
       }
     }),
   );
 }
-
-/**
- * Appends tombstones for the requests about jobs to every partition: a request
- * may be in any partition, and in several, since a batch may be sent again to
- * another one. Resolves to true if all tombstones are durable.
- */
-async function forgetRequests(
-  streams: StreamLog,
-  jobIds: readonly string[],
-  log: Log,
-): Promise<boolean> {
-  const records = jobIds.flatMap(encodeRequestTombstones);
-  let areDeleted = true;
-  for (let partition = 0; partition < streams.partitions; partition++) {
-    const outcome = await streams.append({
-      stream: 'requests',
-      partition,
-      records,
-      timeoutMillis: FORGET_APPEND_TIMEOUT_MILLIS,
-    });
-    areDeleted &&= outcome.kind === 'appended';
-    log('requests-forgotten', {
-      partition,
-      count: jobIds.length,
-      outcome: outcome.kind,
-    });
-  }
-  return areDeleted;
-}
