Logs tell how each doubtful start order was settled

For two runs of one task the log did not say how many start orders a run had, whether a repeated order was confirmed, nor what became of the stop order of a run that was never confirmed. start-not-confirmed names the life addressed and the number of orders; start-confirmed (for a repeated order only) and stop-answered (for a run that isn't known to have started) are new. Runs whose first order is confirmed log no line more.

--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -181,4 +181,6 @@
   readonly subject?: string;
   readonly detail?: string;
   readonly millis?: number;
+  /** Number of start orders sent for the run so far. */
+  readonly orders?: number;
 }>('fleet-event');
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -75,15 +75,7 @@
   if (run === undefined) {
     return;
   }
-  if (outcome !== 'started') {
-    update.emit(FLEET_EVENT, {
-      event: 'start-not-confirmed',
-      worker: run.incarnation,
-      subject: key,
-      detail: outcome,
-      millis: Math.round(update.now - run.lastOrderAt),
-    });
-  }
+  emitStartAnswered(update, run, order, outcome);
   match(outcome)
     .with('started', () => confirmRun(update, run))
     .with('silent', () => onStartUnanswered(update, run, order))
@@ -106,6 +98,27 @@
     });
 }
 
+/** Logs the answer to a start order, unless the first order was confirmed. */
+function emitStartAnswered(
+  update: Update,
+  {startOrders, lastOrderAt}: Run,
+  {runId, incarnation}: StartOrder,
+  outcome: PayloadOf<typeof START_ANSWERED>['outcome'],
+): void {
+  const isConfirmed = outcome === 'started';
+  if (isConfirmed && startOrders <= 1) {
+    return;
+  }
+  update.emit(FLEET_EVENT, {
+    event: isConfirmed ? 'start-confirmed' : 'start-not-confirmed',
+    worker: incarnation,
+    subject: runKey(runId),
+    detail: outcome,
+    millis: Math.round(update.now - lastOrderAt),
+    orders: startOrders,
+  });
+}
+
 function confirmRun(update: Update, run: Run): void {
   if (run.confirmedAt !== undefined) {
     return;
@@ -193,6 +206,7 @@
   if (run === undefined || term !== heldTerm(update)) {
     return;
   }
+  emitStopAnswered(update, run, outcome);
   if (outcome === 'fenced') {
     update.dispatch(HOLDING_FENCED, {worker: run.incarnation});
   } else if (outcome === 'stopped') {
@@ -200,3 +214,22 @@
     changeRun(update, key, {confirmedAt: run.confirmedAt ?? update.now});
   }
 }
+
+/** Logs the answer to a stop order of a run that isn't known to have started. */
+function emitStopAnswered(
+  update: Update,
+  {runId, incarnation, startOrders, confirmedAt, lastOrderAt}: Run,
+  outcome: PayloadOf<typeof STOP_ANSWERED>['outcome'],
+): void {
+  if (confirmedAt !== undefined) {
+    return;
+  }
+  update.emit(FLEET_EVENT, {
+    event: 'stop-answered',
+    worker: incarnation,
+    subject: runKey(runId),
+    detail: outcome,
+    millis: Math.round(update.now - lastOrderAt),
+    orders: startOrders,
+  });
+}
--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -101,6 +101,7 @@
           subject: event.subject,
           detail: event.detail,
           millis: event.millis,
+          orders: event.orders,
           term: heldTerm(kernel),
         });
       }),
