A task waits until the orders to a worker that is gone are settled

Callers could see two runs of one task: a worker crashes or leaves, its task is placed elsewhere, and the next incarnation carries out a start order that never got an answer.

Cause: a worker that was removed (left, unlisted and silent, lease expired, another worker at its address) took all its runs with it, and their tasks were open at once. None of these events settles an order without an answer: its lease end is a time of the earlier incarnation's clock, so that the next one accepts it. An order still waiting for its answer didn't count as unanswered at all.

Change: each start order counts as unanswered from when it is sent until it is answered, until the run is reported after its only order, or for 15 s. A gone worker is kept, without polls, while runs with such orders are left there; these are stopped, the stop is repeated as for other runs, and a registered next incarnation takes them over as before. Their reserved resources stay reserved. An order with a ticket binds to one incarnation, so that its task is open at once as before, as is that of a run without an unanswered order.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -104,12 +104,12 @@
       answerPoll(incarnation, term, 0);
     }
   });
-  kernel.registerEffect(ORDER_START, ({id: workerId, order, term}) => {
+  kernel.registerEffect(ORDER_START, ({order, term}) => {
     startCount++;
     const runs = runsByIncarnation.get(order.incarnation) ?? [];
     runsByIncarnation.set(order.incarnation, [...runs, order.runId]);
     const outcome = 'started';
-    kernel.dispatch(START_ANSWERED, {order, workerId, term, outcome});
+    kernel.dispatch(START_ANSWERED, {order, term, outcome});
   });
   kernel.registerEffect(REQUEST_ADVICE, ({requestId, workerIds}) =>
     kernel.dispatch(ADVICE_RECEIVED, {
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -64,6 +64,8 @@
   readonly slowdownSamples: number;
   /** Whether it was drained and removed from the registry while it answered. */
   readonly hasLeft: boolean;
+  /** Whether it is gone, and kept only for runs that may still start. */
+  readonly isGone: boolean;
   /** No new run is placed on it before this time. */
   readonly avoidedUntil: number;
 }
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -3,7 +3,6 @@
 import {MAY_COMMAND_WORKERS, RUNS, WORKERS} from './FleetState';
 import {
   pollIfDue,
-  discardRunsIfLeaseExpired,
   onEndsDurable,
   onEndsApplied,
   onWorkerReported,
@@ -30,6 +29,7 @@
 import {UNANSWERED_ORDERS, forgetUnansweredOrders} from './unansweredOrders';
 import {FLEET_LOG_SLOWDOWN} from './workerHealth';
 import {onWorkerRegistryRead} from './workerRegistry';
+import {discardLostRuns} from './workerRemoval';
 
 /**
  * Keeps the state of the workers and their runs, and polls and commands the
@@ -62,7 +62,7 @@
   }
   for (const worker of [...update.read(WORKERS).values()]) {
     pollIfDue(update, worker);
-    discardRunsIfLeaseExpired(update, worker);
+    discardLostRuns(update, worker.incarnation);
   }
   forgetUnansweredOrders(update);
   resendStopOrders(update);
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -72,8 +72,6 @@
 /** A start order was answered, or its answer did not come in time. */
 export const START_ANSWERED = createCommand<{
   readonly order: StartOrder;
-  /** Id of the worker that the order was sent to. */
-  readonly workerId: string;
   readonly term: number;
   readonly outcome: 'started' | 'silent' | StartRefusal;
 }>('start-answered');
@@ -124,7 +122,7 @@
 export const START_GIVEN_UP = createCommand<{
   readonly runId: RunId;
   readonly incarnation: string;
-  readonly reason: RejectedStartReason | 'no-answer';
+  readonly reason: RejectedStartReason | 'no-answer' | 'worker-gone';
 }>('start-given-up');
 
 /** A worker reported a run that is not expected on it. */
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -14,7 +14,7 @@
   STOP_ANSWERED,
 } from './messages';
 import type {RejectedStartReason, Run, StartOrder} from './Run';
-import {recordUnansweredOrder} from './unansweredOrders';
+import {recordStartAnswer, recordStartOrder} from './unansweredOrders';
 import {removeWorker, discardRun} from './workerRemoval';
 
 /** Timeout of a start order, which is then repeated on another connection. */
@@ -48,6 +48,7 @@
     lastOrderAt: update.now,
     startOrders: run.startOrders + 1,
   });
+  recordStartOrder(update, order, worker.id);
   update.emit(ORDER_START, {
     order,
     id: worker.id,
@@ -61,16 +62,15 @@
 /** Handles the answer to a start order. */
 export function onStartAnswered(
   update: Update,
-  {order, workerId, term, outcome}: PayloadOf<typeof START_ANSWERED>,
+  {order, term, outcome}: PayloadOf<typeof START_ANSWERED>,
 ): void {
   const key = runKey(order.runId);
   const run = update.read(RUNS).get(key);
   if (term !== heldTerm(update)) {
     return;
   }
-  if (outcome === 'silent') {
-    const sentAt = run?.lastOrderAt ?? update.now;
-    recordUnansweredOrder(update, order.runId, workerId, sentAt);
+  if (outcome !== 'silent') {
+    recordStartAnswer(update, order.runId);
   }
   if (run === undefined) {
     return;
--- a/packages/fleet/src/unansweredOrders.ts
+++ b/packages/fleet/src/unansweredOrders.ts
@@ -6,6 +6,7 @@
 import {heldTerm} from '@samphireramp/holding';
 import {type RunId, runKey} from '@samphireramp/jobs';
 import {FLEET_EVENT, ORDER_STOP} from './messages';
+import type {StartOrder} from './Run';
 import type {Worker} from './Worker';
 
 /** How long after it was sent a worker may still carry out a start order. */
@@ -13,26 +14,62 @@
 /** Timeout of an order that forbids a run. */
 const FORBID_TIMEOUT_MILLIS = 500;
 
-/** A start order that got no answer, so that it may be carried out later. */
-interface UnansweredOrder {
+/** The start orders of a run that have no answer; each may be carried out later. */
+interface UnansweredOrders {
   readonly runId: RunId;
   readonly workerId: string;
+  /** When the latest of them was sent. */
   readonly sentAt: number;
+  readonly count: number;
+  /** Whether their ticket is valid only for the incarnation it was issued for. */
+  readonly hasTicket: boolean;
 }
 
 /** Start orders without an answer, by run key, in the order they were sent. */
 export const UNANSWERED_ORDERS =
-  createTableSlice<UnansweredOrder>('unanswered-orders');
+  createTableSlice<UnansweredOrders>('unanswered-orders');
 
-/** Records that a start order got no answer. */
-export function recordUnansweredOrder(
+/** Records that a start order was sent and has no answer yet. */
+export function recordStartOrder(
   update: Update,
-  runId: RunId,
+  {runId, ticket}: StartOrder,
   workerId: string,
-  sentAt: number,
 ): void {
   const orders = update.write(UNANSWERED_ORDERS);
-  orders.set(runKey(runId), {runId, workerId, sentAt});
+  const count = 1 + (orders.get(runKey(runId))?.count ?? 0);
+  orders.set(runKey(runId), {
+    runId,
+    workerId,
+    sentAt: update.now,
+    count,
+    hasTicket: ticket !== undefined,
+  });
+}
+
+/** Records that one of the start orders of a run was answered. */
+export function recordStartAnswer(update: Update, runId: RunId): void {
+  const orders = update.write(UNANSWERED_ORDERS);
+  const unanswered = orders.get(runKey(runId));
+  if (unanswered === undefined) {
+    return;
+  }
+  if (unanswered.count === 1) {
+    orders.delete(runKey(runId));
+  } else {
+    const count = unanswered.count - 1;
+    orders.set(runKey(runId), {...unanswered, count});
+  }
+}
+
+/**
+ * Whether the next incarnation of a worker may start a run because of an order
+ * without an answer. It would reject a ticket of the earlier incarnation.
+ */
+export function mayNextIncarnationStart(
+  state: StateReader,
+  runId: RunId,
+): boolean {
+  return state.read(UNANSWERED_ORDERS).get(runKey(runId))?.hasTicket === false;
 }
 
 /** Deletes the orders that no worker can carry out any more. */
@@ -76,7 +113,7 @@
   }
 }
 
-function ordersTo(state: StateReader, workerId: string): UnansweredOrder[] {
+function ordersTo(state: StateReader, workerId: string): UnansweredOrders[] {
   return [...state.read(UNANSWERED_ORDERS).values()].filter(
     order => order.workerId === workerId,
   );
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -1,6 +1,5 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
 import {
-  HOLDING,
   HOLDING_FENCED,
   dispatchWhenDurable,
   heldTerm,
@@ -13,7 +12,7 @@
   changeRun,
   changeWorker,
 } from './FleetState';
-import {leaseEnd, leasesExpiredAt} from './leaseTiming';
+import {leaseEnd} from './leaseTiming';
 import {
   ENDS_DURABLE,
   ENDS_APPLIED,
@@ -30,7 +29,8 @@
 } from './messages';
 import type {Run} from './Run';
 import type {Worker} from './Worker';
-import {awaitNextIncarnation, removeWorker, discardRun} from './workerRemoval';
+import {recordStartAnswer} from './unansweredOrders';
+import {awaitNextIncarnation, discardRun, removeWorker} from './workerRemoval';
 
 /** How long a worker with runs may hold back the answer until a run ends. */
 const POLL_WAIT_MILLIS = 1000;
@@ -53,6 +53,9 @@
   if (term === undefined || !isDue || !update.read(MAY_COMMAND_WORKERS).get()) {
     return;
   }
+  if (worker.isGone) {
+    return;
+  }
   // The lease of a silent worker is not renewed, so that it is sure to expire.
   const leaseUntil =
     worker.clock === undefined || worker.isSilent
@@ -114,6 +117,7 @@
   changeWorker(update, incarnation, {
     hasReported: true,
     isSilent: false,
+    isGone: false,
     isPollOpen: false,
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
     answeredAt: update.now,
@@ -179,6 +183,9 @@
       });
       continue;
     }
+    if (run.startOrders === 1) {
+      recordStartAnswer(update, run.runId);
+    }
     const isNew = run.confirmedAt === undefined;
     const isAdopted = run.startOrders === 0 && !run.isReported;
     const hasProgressed = reported.percentDone !== run.percentDone || isNew;
@@ -268,26 +275,6 @@
   }
 }
 
-/**
- * Discards the runs of a silent worker once its leases are sure to have
- * expired, and removes the worker if it is no longer registered.
- */
-export function discardRunsIfLeaseExpired(
-  update: Update,
-  worker: Worker,
-): void {
-  const {holdingBeganAt: beganAt} = update.read(HOLDING).get();
-  if (!worker.isSilent || update.now < leasesExpiredAt(worker, beganAt)) {
-    return;
-  }
-  for (const run of update.read(RUNS).withKey(worker.incarnation)) {
-    discardRun(update, run, 'lapsed-silent');
-  }
-  if (!worker.isRegistered) {
-    removeWorker(update, worker, 'silent-and-unlisted');
-  }
-}
-
 /** Schedules the acknowledgement of ends for when their effects are durable. */
 export function onEndsApplied(
   update: Update,
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -57,6 +57,7 @@
       ...record,
       isRegistered: true,
       hasLeft: false,
+      isGone: false,
     });
   }
   removeEarlierIncarnations(update, record);
@@ -111,6 +112,7 @@
     logSlowdown: 0,
     slowdownSamples: 0,
     hasLeft: false,
+    isGone: false,
     avoidedUntil: 0,
   };
 }
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -1,9 +1,19 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
+import {HOLDING} from '@samphireramp/holding';
 import {runKey} from '@samphireramp/jobs';
-import {RUNS, WORKERS, changeWorker} from './FleetState';
-import {FLEET_EVENT, RESOURCES_CHANGED, RUN_DISCARDED} from './messages';
+import {RUNS, WORKERS, changeRun, changeWorker} from './FleetState';
+import {leasesExpiredAt} from './leaseTiming';
+import {
+  FLEET_EVENT,
+  RESOURCES_CHANGED,
+  RUN_DISCARDED,
+  START_GIVEN_UP,
+} from './messages';
 import type {Run} from './Run';
-import {forbidUnansweredOrders} from './unansweredOrders';
+import {
+  forbidUnansweredOrders,
+  mayNextIncarnationStart,
+} from './unansweredOrders';
 import type {Worker} from './Worker';
 
 /** Drops a run that can't be running, without a reported end. */
@@ -23,23 +33,91 @@
   update.dispatchOnce(RESOURCES_CHANGED, '', undefined);
 }
 
-/** Removes an incarnation of a worker, and discards the runs that it had. */
+/**
+ * Removes an incarnation of a worker, and discards the runs that it had. It is
+ * kept, without being polled, while its next incarnation may still start some of
+ * them: their tasks would run twice if they were placed elsewhere.
+ */
 export function removeWorker(
   update: Update,
   worker: Worker,
   detail: string,
 ): void {
+  const {incarnation, isGone, answeredAt} = worker;
+  if (!isGone) {
+    update.emit(FLEET_EVENT, {
+      event: 'worker-gone',
+      worker: incarnation,
+      detail,
+      millis: Math.round(update.now - answeredAt),
+    });
+  }
+  for (const run of update.read(RUNS).withKey(incarnation)) {
+    if (mayNextIncarnationStart(update, run.runId)) {
+      awaitSettledOrders(update, run);
+    } else {
+      discardRun(update, run, 'worker-gone');
+    }
+  }
+  if (update.read(RUNS).withKey(incarnation).length > 0) {
+    const change = {isGone: true, isRegistered: false, isSilent: true};
+    changeWorker(update, incarnation, change);
+  } else {
+    update.write(WORKERS).delete(incarnation);
+  }
+  update.dispatchOnce(RESOURCES_CHANGED, '', undefined);
+}
+
+/**
+ * Marks a run of a gone worker as being stopped, so that stop orders are sent to
+ * whatever incarnation answers, until its start orders are settled.
+ */
+function awaitSettledOrders(
+  update: Update,
+  {runId, incarnation, phase, lastOrderAt, startOrders}: Run,
+): void {
+  if (phase === 'stopping') {
+    return;
+  }
+  const reason = 'worker-gone';
   update.emit(FLEET_EVENT, {
-    event: 'worker-gone',
-    worker: worker.incarnation,
-    detail,
-    millis: Math.round(update.now - worker.answeredAt),
+    event: 'run-stopping',
+    worker: incarnation,
+    subject: runKey(runId),
+    detail: reason,
+    millis: Math.round(update.now - lastOrderAt),
+    orders: startOrders,
   });
-  for (const run of update.read(RUNS).withKey(worker.incarnation)) {
-    discardRun(update, run, 'worker-gone');
+  changeRun(update, runKey(runId), {phase: 'stopping', lastOrderAt: -Infinity});
+  update.dispatch(START_GIVEN_UP, {runId, incarnation, reason});
+}
+
+/**
+ * Discards the runs of a silent worker once its leases are sure to have expired,
+ * and those of a gone one once no order can start them any more. Removes the
+ * worker if it is no longer registered.
+ */
+export function discardLostRuns(update: Update, incarnation: string): void {
+  const worker = update.read(WORKERS).get(incarnation);
+  if (worker === undefined || !worker.isSilent) {
+    return;
+  }
+  if (worker.isGone) {
+    removeWorker(update, worker, 'settled');
+    return;
+  }
+  const {holdingBeganAt: beganAt} = update.read(HOLDING).get();
+  if (update.now < leasesExpiredAt(worker, beganAt)) {
+    return;
+  }
+  for (const run of update.read(RUNS).withKey(incarnation)) {
+    if (!mayNextIncarnationStart(update, run.runId)) {
+      discardRun(update, run, 'lapsed-silent');
+    }
+  }
+  if (!worker.isRegistered) {
+    removeWorker(update, worker, 'silent-and-unlisted');
   }
-  update.write(WORKERS).delete(worker.incarnation);
-  update.dispatchOnce(RESOURCES_CHANGED, '', undefined);
 }
 
 /**
@@ -56,8 +134,9 @@
 
 /**
  * Handles an answer from a later incarnation that is not in the worker registry
- * yet. It is told to refuse the orders that may still arrive. Runs that may still start are kept until it is registered, or until
- * their lease is sure to have expired; the others are discarded.
+ * yet. It is told to refuse the orders that may still arrive. Runs that may still
+ * start are kept until it is registered, or until no order can start them any
+ * more; the others are discarded.
  */
 export function awaitNextIncarnation(
   update: Update,
--- a/packages/site-daemon/src/workersPlugin.ts
+++ b/packages/site-daemon/src/workersPlugin.ts
@@ -41,9 +41,9 @@
         }
       }),
       kernel.registerEffect(ORDER_START, async call => {
-        const {id: workerId, order, term} = call;
+        const {order, term} = call;
         const outcome = await client.start(call, order);
-        kernel.dispatch(START_ANSWERED, {order, workerId, term, outcome});
+        kernel.dispatch(START_ANSWERED, {order, term, outcome});
       }),
       kernel.registerEffect(ORDER_STOP, async call => {
         const {runId, term} = call;
