--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -14,7 +14,11 @@
   STOP_ANSWERED,
 } from './messages';
 import type {RejectedStartReason, Run, StartOrder} from './Run';
-import {recordStartAnswer, recordStartOrder} from './unansweredOrders';
+import {
+  onForbidAnswered,
+  recordStartAnswer,
+  recordStartOrder,
+} from './unansweredOrders';
 import {removeWorker, discardRun} from './workerRemoval';
 
 /** Timeout of a start order, which is then repeated on another connection. */
@@ -219,8 +223,12 @@
   update: Update,
   {runKey: key, term, outcome}: PayloadOf<typeof STOP_ANSWERED>,
 ): void {
+  if (term !== heldTerm(update)) {
+    return;
+  }
+  onForbidAnswered(update, key, outcome);
   const run = update.read(RUNS).get(key);
-  if (run === undefined || term !== heldTerm(update)) {
+  if (run === undefined) {
     return;
   }
   emitStopAnswered(update, run, outcome);
--- a/packages/fleet/src/unansweredOrders.ts
+++ b/packages/fleet/src/unansweredOrders.ts
@@ -1,11 +1,13 @@
 import {
+  type PayloadOf,
   type StateReader,
   type Update,
   createTableSlice,
 } from '@samphireramp/kernel';
 import {heldTerm} from '@samphireramp/holding';
 import {type RunId, runKey} from '@samphireramp/jobs';
-import {FLEET_EVENT, ORDER_STOP} from './messages';
+import {RUNS} from './FleetState';
+import {FLEET_EVENT, ORDER_STOP, type STOP_ANSWERED} from './messages';
 import type {StartOrder} from './Run';
 import type {Worker} from './Worker';
 
@@ -13,6 +15,16 @@
 const MAX_ORDER_DELAY_MILLIS = 15_000;
 /** Timeout of an order that forbids a run. */
 const FORBID_TIMEOUT_MILLIS = 500;
+/** Delay before such an order is repeated if it is not confirmed by then. */
+const FORBID_RETRY_MILLIS = 700;
+
+/** An order to a later incarnation of a worker to refuse a run. */
+interface ForbidOrder {
+  readonly incarnation: string;
+  readonly address: string;
+  readonly sentAt: number;
+  readonly isConfirmed: boolean;
+}
 
 /** The start orders of a run that have no answer; each may be carried out later. */
 interface UnansweredOrders {
@@ -23,6 +35,8 @@
   readonly count: number;
   /** Whether their ticket is valid only for the incarnation it was issued for. */
   readonly hasTicket: boolean;
+  /** Latest order to refuse the run; undefined without a later incarnation. */
+  readonly forbidden?: ForbidOrder;
 }
 
 /** Start orders without an answer, by run key, in the order they were sent. */
@@ -38,6 +52,7 @@
   const orders = update.write(UNANSWERED_ORDERS);
   const count = 1 + (orders.get(runKey(runId))?.count ?? 0);
   orders.set(runKey(runId), {
+    ...orders.get(runKey(runId)),
     runId,
     workerId,
     sentAt: update.now,
@@ -91,30 +106,90 @@
   update: Update,
   {id, incarnation, address}: Pick<Worker, 'id' | 'incarnation' | 'address'>,
 ): void {
+  for (const orders of [...update.read(UNANSWERED_ORDERS).values()]) {
+    const isConfirmed =
+      orders.forbidden?.incarnation === incarnation &&
+      orders.forbidden.isConfirmed;
+    if (orders.workerId === id && !isConfirmed) {
+      update.emit(FLEET_EVENT, {
+        event: 'run-forbidden',
+        worker: incarnation,
+        subject: runKey(orders.runId),
+        detail: 'reborn',
+        millis: Math.round(update.now - orders.sentAt),
+        orders: orders.count,
+      });
+      sendForbidOrder(update, orders, incarnation, address);
+    }
+  }
+}
+
+function sendForbidOrder(
+  update: Update,
+  orders: UnansweredOrders,
+  incarnation: string,
+  address: string,
+): void {
+  const {runId, workerId: id} = orders;
   const term = heldTerm(update);
   if (term === undefined) {
     return;
   }
-  for (const {runId, sentAt} of ordersTo(update, id)) {
-    update.emit(FLEET_EVENT, {
-      event: 'run-forbidden',
-      worker: incarnation,
-      subject: runKey(runId),
-      detail: 'reborn',
-      millis: Math.round(update.now - sentAt),
-    });
-    update.emit(ORDER_STOP, {
-      runId,
-      id,
-      address,
-      term,
-      timeoutMillis: FORBID_TIMEOUT_MILLIS,
-    });
+  const sentAt = update.now;
+  update.write(UNANSWERED_ORDERS).set(runKey(runId), {
+    ...orders,
+    forbidden: {incarnation, address, sentAt, isConfirmed: false},
+  });
+  update.emit(ORDER_STOP, {
+    runId,
+    id,
+    address,
+    term,
+    timeoutMillis: FORBID_TIMEOUT_MILLIS,
+  });
+}
+
+/**
+ * Repeats the orders to refuse a run that are not confirmed. A run that is being
+ * stopped gets its stop orders instead, which have the same effect.
+ */
+export function resendForbidOrders(update: Update): void {
+  for (const orders of [...update.read(UNANSWERED_ORDERS).values()]) {
+    const {runId, forbidden} = orders;
+    const isDue =
+      forbidden !== undefined &&
+      !forbidden.isConfirmed &&
+      update.now - forbidden.sentAt > FORBID_RETRY_MILLIS;
+    const run = update.read(RUNS).get(runKey(runId));
+    if (isDue && run?.phase !== 'stopping') {
+      const {incarnation, address} = forbidden;
+      sendForbidOrder(update, orders, incarnation, address);
+    }
   }
 }
 
-function ordersTo(state: StateReader, workerId: string): UnansweredOrders[] {
-  return [...state.read(UNANSWERED_ORDERS).values()].filter(
-    order => order.workerId === workerId,
-  );
+/** Handles the answer to an order to refuse a run. */
+export function onForbidAnswered(
+  update: Update,
+  key: string,
+  outcome: PayloadOf<typeof STOP_ANSWERED>['outcome'],
+): void {
+  const orders = update.read(UNANSWERED_ORDERS).get(key);
+  const forbidden = orders?.forbidden;
+  if (forbidden === undefined || forbidden.isConfirmed) {
+    return;
+  }
+  update.emit(FLEET_EVENT, {
+    event: 'forbid-answered',
+    worker: forbidden.incarnation,
+    subject: key,
+    detail: outcome,
+    millis: Math.round(update.now - forbidden.sentAt),
+  });
+  if (orders !== undefined && outcome === 'stopped') {
+    update.write(UNANSWERED_ORDERS).set(key, {
+      ...orders,
+      forbidden: {...forbidden, isConfirmed: true},
+    });
+  }
 }
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -183,7 +183,7 @@
       });
       continue;
     }
-    if (run.startOrders === 1) {
+    if (run.startOrders === 1 && !run.isReported) {
       recordStartAnswer(update, run.runId);
     }
     const isNew = run.confirmedAt === undefined;
--- a/testing/src/__tests__/unit/lateOrders.test.ts
+++ b/testing/src/__tests__/unit/lateOrders.test.ts
@@ -123,6 +123,31 @@
   },
 );
 
+void t.test(
+  'a restarted worker is told to refuse a run until it answers',
+  async t => {
+    const site = buildModelSite({workers: 1, policies: [POLICY]});
+    await site.run(1000);
+    // The first start order is late; the first order to refuse the run is lost.
+    delayOrders(
+      site,
+      new Map([
+        [1, 5000],
+        [3, NEVER_MILLIS],
+      ]),
+    );
+    const job = buildTask('00000000000000c3', 500);
+    const worker = await submitAndFindWorker(site, job);
+    await site.run(1500);
+    t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+    worker.restart();
+    site.writeRegistryEntry(worker);
+    await site.run(6000);
+    t.same(site.checker.violations, []);
+    t.equal(site.checker.countStarts(job.id), 1);
+  },
+);
+
 void t.test(
   'a late order of an earlier holder is refused once its successor polls',
   async t => {
