--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -3,7 +3,6 @@
 import {MAY_COMMAND_WORKERS, RUNS, WORKERS} from './FleetState';
 import {
   pollIfDue,
-  discardRunsIfLeaseExpired,
   onEndsDurable,
   onEndsApplied,
   onWorkerReported,
@@ -27,9 +26,14 @@
   resendStopOrders,
 } from './runOrders';
 import {stopStalledRuns} from './stalledRuns';
-import {UNANSWERED_ORDERS, forgetUnansweredOrders} from './unansweredOrders';
+import {
+  UNANSWERED_ORDERS,
+  forgetUnansweredOrders,
+  resendForbidOrders,
+} from './unansweredOrders';
 import {FLEET_LOG_SLOWDOWN} from './workerHealth';
 import {onWorkerRegistryRead} from './workerRegistry';
+import {discardLostRuns} from './workerRemoval';
 
 /**
  * Keeps the state of the workers and their runs, and polls and commands the
@@ -62,9 +66,10 @@
   }
   for (const worker of [...update.read(WORKERS).values()]) {
     pollIfDue(update, worker);
-    discardRunsIfLeaseExpired(update, worker);
+    discardLostRuns(update, worker.incarnation);
   }
   forgetUnansweredOrders(update);
+  resendForbidOrders(update);
   resendStopOrders(update);
   stopStalledRuns(update);
 }
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,6 +1,6 @@
 import {createCommand, createEffect} from '@samphireramp/kernel';
 import type {RunId} from '@samphireramp/jobs';
-import type {StartOrder, StartRefusal} from './Run';
+import type {RejectedStartReason, StartOrder, StartRefusal} from './Run';
 import type {RunOutcome, WorkerRecord} from './Worker';
 
 /** A run that a worker reports as running. */
@@ -72,8 +72,6 @@
 /** A start order was answered, or its answer did not come in time. */
 export const START_ANSWERED = createCommand<{
   readonly order: StartOrder;
-  /** Id of the worker that the order was sent to. */
-  readonly workerId: string;
   readonly term: number;
   readonly outcome: 'started' | 'silent' | StartRefusal;
 }>('start-answered');
@@ -121,9 +119,11 @@
 );
 
 /** The start orders of a run were not confirmed, and the run is stopped. */
-export const START_GIVEN_UP = createCommand<{readonly runId: RunId}>(
-  'start-given-up',
-);
+export const START_GIVEN_UP = createCommand<{
+  readonly runId: RunId;
+  readonly incarnation: string;
+  readonly reason: RejectedStartReason | 'no-answer' | 'worker-gone';
+}>('start-given-up');
 
 /** A worker reported a run that is not expected on it. */
 export const UNEXPECTED_RUN_REPORTED = createCommand<{
@@ -181,4 +181,6 @@
   readonly subject?: string;
   readonly detail?: string;
   readonly millis?: number;
+  /** Number of start orders sent for the run so far. */
+  readonly orders?: number;
 }>('fleet-event');
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -13,8 +13,12 @@
   START_GIVEN_UP,
   STOP_ANSWERED,
 } from './messages';
-import type {Run, StartOrder} from './Run';
-import {recordUnansweredOrder} from './unansweredOrders';
+import type {RejectedStartReason, Run, StartOrder} from './Run';
+import {
+  onForbidAnswered,
+  recordStartAnswer,
+  recordStartOrder,
+} from './unansweredOrders';
 import {removeWorker, discardRun} from './workerRemoval';
 
 /** Timeout of a start order, which is then repeated on another connection. */
@@ -48,6 +52,7 @@
     lastOrderAt: update.now,
     startOrders: run.startOrders + 1,
   });
+  recordStartOrder(update, order, worker.id);
   update.emit(ORDER_START, {
     order,
     id: worker.id,
@@ -61,29 +66,20 @@
 /** Handles the answer to a start order. */
 export function onStartAnswered(
   update: Update,
-  {order, workerId, term, outcome}: PayloadOf<typeof START_ANSWERED>,
+  {order, term, outcome}: PayloadOf<typeof START_ANSWERED>,
 ): void {
   const key = runKey(order.runId);
   const run = update.read(RUNS).get(key);
   if (term !== heldTerm(update)) {
     return;
   }
-  if (outcome === 'silent') {
-    const sentAt = run?.lastOrderAt ?? update.now;
-    recordUnansweredOrder(update, order.runId, workerId, sentAt);
+  if (outcome !== 'silent') {
+    recordStartAnswer(update, order.runId);
   }
   if (run === undefined) {
     return;
   }
-  if (outcome !== 'started') {
-    update.emit(FLEET_EVENT, {
-      event: 'start-not-confirmed',
-      worker: run.incarnation,
-      subject: key,
-      detail: outcome,
-      millis: Math.round(update.now - run.lastOrderAt),
-    });
-  }
+  emitStartAnswered(update, run, order, outcome);
   match(outcome)
     .with('started', () => confirmRun(update, run))
     .with('silent', () => onStartUnanswered(update, run, order))
@@ -96,14 +92,47 @@
         removeWorker(update, worker, 'other-life');
       }
     })
-    .otherwise(reason => {
-      // An earlier order may have started the same run.
-      if (run.startOrders > 1 && reason === 'superseded') {
-        giveUpStart(update, run, 'superseded');
-      } else if (run.confirmedAt === undefined) {
-        discardRun(update, run, reason);
-      }
-    });
+    .otherwise(reason => onStartRefused(update, run, reason));
+}
+
+/**
+ * Discards a run whose only start order was refused. An earlier order without an
+ * answer may still start the run: it is stopped, and kept until the worker has
+ * confirmed that and reports without it.
+ */
+function onStartRefused(
+  update: Update,
+  run: Run,
+  reason: RejectedStartReason,
+): void {
+  const hasUnansweredOrder = run.startOrders > 1;
+  const isConfirmed = run.confirmedAt !== undefined;
+  if (hasUnansweredOrder && (!isConfirmed || reason === 'superseded')) {
+    giveUpStart(update, run, reason);
+  } else if (!isConfirmed) {
+    discardRun(update, run, reason);
+  }
+}
+
+/** Logs the answer to a start order, unless the first order was confirmed. */
+function emitStartAnswered(
+  update: Update,
+  {startOrders, lastOrderAt}: Run,
+  {runId, incarnation}: StartOrder,
+  outcome: PayloadOf<typeof START_ANSWERED>['outcome'],
+): void {
+  const isConfirmed = outcome === 'started';
+  if (isConfirmed && startOrders <= 1) {
+    return;
+  }
+  update.emit(FLEET_EVENT, {
+    event: isConfirmed ? 'start-confirmed' : 'start-not-confirmed',
+    worker: incarnation,
+    subject: runKey(runId),
+    detail: outcome,
+    millis: Math.round(update.now - lastOrderAt),
+    orders: startOrders,
+  });
 }
 
 function confirmRun(update: Update, run: Run): void {
@@ -129,9 +158,14 @@
   }
 }
 
-function giveUpStart(update: Update, run: Run, reason: string): void {
+function giveUpStart(
+  update: Update,
+  run: Run,
+  reason: PayloadOf<typeof START_GIVEN_UP>['reason'],
+): void {
+  const {runId, incarnation} = run;
   stopRun(update, run, reason);
-  update.dispatch(START_GIVEN_UP, {runId: run.runId});
+  update.dispatch(START_GIVEN_UP, {runId, incarnation, reason});
 }
 
 /**
@@ -189,10 +223,15 @@
   update: Update,
   {runKey: key, term, outcome}: PayloadOf<typeof STOP_ANSWERED>,
 ): void {
+  if (term !== heldTerm(update)) {
+    return;
+  }
+  onForbidAnswered(update, key, outcome);
   const run = update.read(RUNS).get(key);
-  if (run === undefined || term !== heldTerm(update)) {
+  if (run === undefined) {
     return;
   }
+  emitStopAnswered(update, run, outcome);
   if (outcome === 'fenced') {
     update.dispatch(HOLDING_FENCED, {worker: run.incarnation});
   } else if (outcome === 'stopped') {
@@ -200,3 +239,22 @@
     changeRun(update, key, {confirmedAt: run.confirmedAt ?? update.now});
   }
 }
+
+/** Logs the answer to a stop order of a run that isn't known to have started. */
+function emitStopAnswered(
+  update: Update,
+  {runId, incarnation, startOrders, confirmedAt, lastOrderAt}: Run,
+  outcome: PayloadOf<typeof STOP_ANSWERED>['outcome'],
+): void {
+  if (confirmedAt !== undefined) {
+    return;
+  }
+  update.emit(FLEET_EVENT, {
+    event: 'stop-answered',
+    worker: incarnation,
+    subject: runKey(runId),
+    detail: outcome,
+    millis: Math.round(update.now - lastOrderAt),
+    orders: startOrders,
+  });
+}
