Model of the site: a worker's capacity may shrink and grow while it runs

A worker's registry entry shows a new capacity up to a heartbeat later, and a capacity that has shrunk counts for LIMIT 4 seconds after that, from when an order was sent: one that is carried out late is not the holder's fault. A run counts with all that runs or is being stopped, in each resource.

--- /dev/null
+++ b/testing/src/__tests__/unit/capacityChanges.test.ts
@@ -0,0 +1,106 @@
+import type {Step} from '@samphireramp/jobs';
+import t from 'tap';
+import {
+  type ModelSite,
+  type ModelSiteOptions,
+  buildJob,
+  buildModelSite,
+  buildPolicy,
+  buildStep,
+  changeCapacity,
+} from '../../index';
+
+const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
+const SMALL = {cpuMillis: 1000, memoryMegabytes: 2000, accelerators: 0};
+const LARGE_NEED = {cpuMillis: 6000, memoryMegabytes: 4000, accelerators: 0};
+/** By when a shrunken capacity counts. */
+const GRACE_MILLIS = 6000;
+const QUEUE = buildPolicy();
+
+/** Builds a site on which time has passed until its workers are known. */
+async function buildSite(
+  overrides: Partial<ModelSiteOptions> = {},
+): Promise<ModelSite> {
+  const site = buildModelSite({
+    capacity: CAPACITY,
+    policies: [QUEUE],
+    ...overrides,
+  });
+  site.checker.areFaultsOver = () => true;
+  await site.run(1000);
+  return site;
+}
+
+/** Submits a job of one step, which runs for a minute unless it says else. */
+function submitStep(site: ModelSite, id: string, step: Partial<Step>): void {
+  const steps = [buildStep({estimateMillis: 60_000, ...step})];
+  const receivedAt = site.clock.now;
+  const host = site.hosts.find(({isUp}) => isUp) ?? site.hosts[0];
+  void site.submit(host, buildJob(id, steps, {policy: QUEUE, receivedAt}));
+}
+
+void t.test('no task starts on a worker that has shrunk too far', async t => {
+  const site = await buildSite({workers: 1});
+  changeCapacity(site, site.workers[0], SMALL, 1500);
+  await site.run(GRACE_MILLIS);
+  submitStep(site, 'e0', {need: LARGE_NEED});
+  await site.run(2000);
+  t.equal(site.checker.countStarts('e0'), 0);
+  changeCapacity(site, site.workers[0], CAPACITY, 1500);
+  await site.run(1700);
+  t.equal(site.checker.countStarts('e0'), 1, 'it starts once there is room');
+  t.same(site.checker.violations, []);
+});
+
+void t.test('a gang waits for workers that grow again', async t => {
+  const site = await buildSite({workers: 3});
+  changeCapacity(site, site.workers[0], SMALL);
+  await site.run(GRACE_MILLIS);
+  submitStep(site, 'e1', {count: 3, need: LARGE_NEED, isGang: true});
+  await site.run(500);
+  submitStep(site, 'e2', {count: 2, need: LARGE_NEED, estimateMillis: 500});
+  await site.run(1500);
+  t.equal(site.checker.countStarts('e1'), 0);
+  t.equal(site.checker.countStarts('e2'), 2, 'other steps use the room');
+  changeCapacity(site, site.workers[0], CAPACITY);
+  await site.run(500);
+  t.equal(site.checker.countStarts('e1'), 3);
+  t.same(site.checker.violations, []);
+});
+
+void t.test('a new holder goes by the newest capacity', async t => {
+  const site = await buildSite({workers: 2});
+  submitStep(site, 'e7', {count: 2, need: {...LARGE_NEED, cpuMillis: 3000}});
+  await site.run(500);
+  changeCapacity(site, site.workers[0], {...CAPACITY, cpuMillis: 5000});
+  const holder = site.holder();
+  t.ok(holder);
+  site.hosts.filter(host => host === holder).forEach(host => site.kill(host));
+  await site.run(GRACE_MILLIS);
+  submitStep(site, 'e8', {count: 2, need: {...LARGE_NEED, cpuMillis: 3000}});
+  await site.run(2000);
+  t.equal(site.checker.countStarts('e7'), 2, 'no run is started again');
+  t.equal(site.checker.countStarts('e8'), 2, 'the other worker has room');
+  t.same(site.checker.violations, []);
+});
+
+void t.test('a run that is being stopped still takes capacity', async t => {
+  const site = await buildSite({workers: 1});
+  submitStep(site, 'e9', {need: LARGE_NEED});
+  await site.run(500);
+  changeCapacity(site, site.workers[0], {...CAPACITY, cpuMillis: 6500});
+  await site.run(GRACE_MILLIS);
+  // The stop order takes effect late.
+  site.faultState = {
+    ...site.faultState,
+    losesOrderAnswer: () => true,
+    orderDelayMillis: () => 3000,
+  };
+  void site.cancel(site.hosts[0], 'e9');
+  await site.run(500);
+  site.faultState = {...site.faultState, losesOrderAnswer: () => false};
+  submitStep(site, 'ea', {need: {...LARGE_NEED, cpuMillis: 2000}});
+  await site.run(8000);
+  t.equal(site.checker.countStarts('ea'), 1);
+  t.same(site.checker.violations, []);
+});
--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -21,7 +21,8 @@
 /**
  * Invariants of the site, by the names that violations are reported under.
  *
- * - `LIMIT`: the runs on a worker never reserve more than its capacity.
+ * - `LIMIT`: the runs on a worker never reserve more than its capacity once a
+ *   run is started, and a capacity that has shrunk counts after a grace period.
  * - `TWICE`: a task has at most one run at a time, and none after its
  *   acknowledged completion.
  * - `ORDER`: a task starts after its due time and the steps it depends on.
@@ -63,6 +64,13 @@
   cancelledAt: number | undefined;
 }
 
+/** What a worker reserves with a new run, and what it may reserve. */
+interface WorkerLoad {
+  readonly reserved: Resources;
+  /** The load must fit one of these: some may count for a while after a change. */
+  readonly capacities: readonly Resources[];
+}
+
 /**
  * Records each violation of an invariant. The models report their events to it
  * and use it to coordinate the members of a gang on different workers.
@@ -124,11 +132,11 @@
     {runId, checkpoint}: StartOrder,
     worker: string,
     step: Step,
-    load: {reserved: Resources; capacity: Resources; need: Resources},
+    load: WorkerLoad,
   ): void {
     const key = taskKey(runId);
     this.startsByJob.set(runId.jobId, this.countStarts(runId.jobId) + 1);
-    if (!fits(load)) {
+    if (!load.capacities.some(capacity => fits(load.reserved, capacity))) {
       this.reportViolation('LIMIT', `${key} exceeds the capacity of ${worker}`);
     }
     if (this.workerByTask.has(key)) {
@@ -344,18 +352,12 @@
   }
 }
 
-/** Whether a run's need fits beside what a worker has reserved already. */
-function fits(load: {
-  reserved: Resources;
-  capacity: Resources;
-  need: Resources;
-}): boolean {
-  const {reserved, capacity, need} = load;
+/** Whether what a worker's runs reserve fits a capacity. */
+function fits(reserved: Resources, capacity: Resources): boolean {
   return (
-    reserved.cpuMillis + need.cpuMillis <= capacity.cpuMillis &&
-    reserved.memoryMegabytes + need.memoryMegabytes <=
-      capacity.memoryMegabytes &&
-    reserved.accelerators + need.accelerators <= capacity.accelerators
+    reserved.cpuMillis <= capacity.cpuMillis &&
+    reserved.memoryMegabytes <= capacity.memoryMegabytes &&
+    reserved.accelerators <= capacity.accelerators
   );
 }
 
--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -79,10 +79,11 @@
     order: StartOrder,
   ) {
     const {term, leaseUntil} = call;
+    const sentAt = this.timeline.now;
     // An order is addressed to a worker id, so that a later incarnation of the
     // worker can receive it too.
     return this.sendOrder(host, call, worker =>
-      worker.start(order, term, leaseUntil),
+      worker.start(order, term, leaseUntil, sentAt),
     );
   }
 
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -10,12 +10,12 @@
   type Resources,
   type RunId,
   type Step,
-  reservedResources,
   runKey,
   taskKey,
 } from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
 import type {InvariantChecker} from './InvariantChecker';
+import {ModelCapacity, sumReserved} from './ModelCapacity';
 
 /** Time between an order to stop a run and its end. */
 const STOP_DURATION_MILLIS = 60;
@@ -53,6 +53,7 @@
 /** Simulates a worker, which obeys the holder and reports to the checker. */
 export class ModelWorker {
   incarnation: string;
+  readonly capacity: ModelCapacity;
   isUp = true;
   /** Whether it has left for good. */
   isGone = false;
@@ -79,7 +80,7 @@
   constructor(
     readonly id: string,
     readonly rack: string,
-    readonly capacity: Resources,
+    capacity: Resources,
     /** Speed of its clock relative to the timeline: 0.98 to 1.02. */
     private readonly clockRate: number,
     private readonly timeline: Timeline,
@@ -89,6 +90,7 @@
     private readonly acceptsTicket: (order: StartOrder) => boolean = () => true,
   ) {
     this.incarnation = `${id}@1`;
+    this.capacity = new ModelCapacity(timeline, capacity);
     this.clockStartedAt = timeline.now;
     this.tick();
   }
@@ -104,7 +106,7 @@
       rack: this.rack,
       labels: ['kind-a', this.rack],
       pool: 'pool',
-      capacity: this.capacity,
+      capacity: this.capacity.current(),
       isDraining,
     };
   }
@@ -147,6 +149,7 @@
     order: StartOrder,
     term: number,
     leaseUntil: number,
+    sentAt = this.timeline.now,
   ): 'started' | StartRefusal {
     const {runId, checkpoint} = order;
     if (term < this.highestTerm) {
@@ -174,12 +177,11 @@
     if (!this.acceptsTicket(order)) {
       return 'bad-ticket';
     }
-    this.checker.onStart(
-      order,
-      this.id,
-      script.step,
-      this.resourcesFor(script.step),
-    );
+    const steps = [...this.runs.map(run => run.script.step), script.step];
+    this.checker.onStart(order, this.id, script.step, {
+      reserved: sumReserved(steps),
+      capacities: this.capacity.listValid(sentAt),
+    });
     const resumedMillis = checkpoint === '' ? 0 : Number(checkpoint);
     this.runs.push({
       runId,
@@ -324,22 +326,6 @@
     this.leaseUntil = Math.max(this.leaseUntil, Math.min(leaseUntil, latest));
   }
 
-  /** Returns what the checker needs to judge whether a task of a step fits. */
-  private resourcesFor(step: Step): {
-    reserved: Resources;
-    capacity: Resources;
-    need: Resources;
-  } {
-    const reserved = {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0};
-    for (const run of this.runs) {
-      const need = reservedResources(run.script.step);
-      reserved.cpuMillis += need.cpuMillis;
-      reserved.memoryMegabytes += need.memoryMegabytes;
-      reserved.accelerators += need.accelerators;
-    }
-    return {reserved, capacity: this.capacity, need: reservedResources(step)};
-  }
-
   /** Returns the share of the work that is done, from 0 to 1. */
   private completedShare(run: ModelRun): number {
     if (run.workStartedAt === undefined || this.isStalled) {
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -1,5 +1,6 @@
 /** Simulated sites, in virtual time or as processes, with invariant checks. */
 export {readAnswers} from './answerChecks';
+export {changeCapacity} from './capacityFaults';
 export {InvariantChecker, type Invariant} from './InvariantChecker';
 export {
   buildConfiguration,
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -1,6 +1,7 @@
 import {type Job, type Step, isFinalState} from '@samphireramp/jobs';
 import {createRandom} from '../seededRandom';
 import {readAnswers} from './answerChecks';
+import {scheduleCapacityChanges} from './capacityFaults';
 import {buildJob, buildPolicy, buildStep} from './jobFixture';
 import type {ModelHost} from './ModelHost';
 import {ModelSite} from './ModelSite';
@@ -39,11 +40,13 @@
   readonly workerStalls: number;
   /** Number of times that all runs on a worker fail for a while. */
   readonly workerFailures: number;
+  /** Number of times that the capacity of a worker shrinks for a while. */
+  readonly workerShrinks: number;
   readonly lostOrderAnswers: boolean;
   readonly cancels: number;
 }
 
-/** A few faults of each kind. */
+/** A few faults of each kind but changes of capacity, which have schedules of their own. */
 export const ALL_FAULTS: ScheduleFaults = {
   hostKills: 3,
   rollingRestarts: 1,
@@ -58,6 +61,7 @@
   workerDrains: 1,
   workerStalls: 1,
   workerFailures: 1,
+  workerShrinks: 0,
   lostOrderAnswers: true,
   cancels: 4,
 };
@@ -278,6 +282,12 @@
       void site.cancel(randomHost(), pick(accepted).id);
     }
   });
+  // These are drawn last: schedules without them stay as they were.
+  scheduleCapacityChanges(site, faults.workerShrinks, CAPACITY, {
+    random,
+    between,
+    repeatAtRandomTimes,
+  });
   const readRandomAnswers = () => {
     readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
     after(READ_INTERVAL_MILLIS, readRandomAnswers);
