A run is not started on a worker that shrank after its reservation

The worker was then over its capacity (LIMIT).

The first order of a run is sent only if what is reserved on the worker fits the newest entry; else the run is discarded as one for which there is no room, and a gang with it.

Two tests failed before (LIMIT: e3.0.0.0 exceeds the capacity of worker-0, and e4.0.0.1 that of worker-1, both 6.5 s after the entry) and pass now.

--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -41,6 +41,15 @@
   return {cpuMillis, memoryMegabytes, accelerators};
 }
 
+/** Whether free resources are negative: runs reserve more than there is. */
+export function isOverCapacity({
+  cpuMillis,
+  memoryMegabytes,
+  accelerators,
+}: Resources): boolean {
+  return cpuMillis < 0 || memoryMegabytes < 0 || accelerators < 0;
+}
+
 /**
  * Reserves resources for a run whose start is ordered once the journal has
  * recorded its placement.
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -2,7 +2,14 @@
 import {HOLDING_FENCED, heldTerm} from '@samphireramp/holding';
 import {runKey} from '@samphireramp/jobs';
 import {match} from 'ts-pattern';
-import {RUNS, WORKERS, changeRun, changeWorker} from './FleetState';
+import {
+  RUNS,
+  WORKERS,
+  changeRun,
+  changeWorker,
+  freeResources,
+  isOverCapacity,
+} from './FleetState';
 import {leaseEnd} from './leaseTiming';
 import {
   FLEET_EVENT,
@@ -39,6 +46,12 @@
     discardRun(update, run, 'missing');
     return;
   }
+  // The worker may have shrunk while the placement was recorded.
+  const isFirstOrder = run.phase === 'reserved';
+  if (isFirstOrder && isOverCapacity(freeResources(update, worker))) {
+    discardRun(update, run, 'no-room');
+    return;
+  }
   const leaseUntil = leaseEnd(worker.clock, update.now);
   changeWorker(update, worker.incarnation, {
     leaseGrantedUntil: Math.max(worker.leaseGrantedUntil, leaseUntil),
--- a/testing/src/__tests__/unit/capacityChanges.test.ts
+++ b/testing/src/__tests__/unit/capacityChanges.test.ts
@@ -68,6 +68,41 @@
   t.same(site.checker.violations, []);
 });
 
+void t.test(
+  'a run that was reserved before its worker shrank is not started',
+  async t => {
+    const site = await buildSite({hosts: 1, workers: 1});
+    site.log.otherAppendMillis = () => GRACE_MILLIS + 500;
+    submitStep(site, 'e3', {need: LARGE_NEED, estimateMillis: 500});
+    await site.run(200);
+    changeCapacity(site, site.workers[0], SMALL);
+    await site.run(15_000);
+    t.same(site.checker.violations, []);
+    site.log.otherAppendMillis = () => 4;
+    changeCapacity(site, site.workers[0], CAPACITY);
+    await site.run(9000);
+    t.equal(site.readJobState(site.hosts[0], 'e3'), 'completed');
+  },
+);
+
+void t.test(
+  'no gang starts in part when a worker shrinks after its reservation',
+  async t => {
+    const site = await buildSite({hosts: 1, workers: 3});
+    site.log.otherAppendMillis = () => GRACE_MILLIS + 500;
+    const gang = {count: 3, need: LARGE_NEED, estimateMillis: 500};
+    submitStep(site, 'e4', {...gang, isGang: true});
+    await site.run(200);
+    changeCapacity(site, site.workers[1], SMALL);
+    await site.run(15_000);
+    site.log.otherAppendMillis = () => 4;
+    changeCapacity(site, site.workers[1], CAPACITY);
+    await site.run(9000);
+    t.equal(site.readJobState(site.hosts[0], 'e4'), 'completed');
+    t.same(site.checker.violations, []);
+  },
+);
+
 void t.test('a new holder goes by the newest capacity', async t => {
   const site = await buildSite({workers: 2});
   submitStep(site, 'e7', {count: 2, need: {...LARGE_NEED, cpuMillis: 3000}});
