No task is placed on a worker that is over its capacity

A task that needs none of a resource fitted any worker, also one on which runs reserve more of it than the worker still has: a step that fills unused CPU was started on a worker that had shrunk below what runs on it (LIMIT). A start adds to a worker that is over its capacity, whatever the task needs.

The test failed before: LIMIT: e5.0.0.0 exceeds the capacity of worker-0; with the check of the first order alone, the step was placed and discarded again until the worker grew. Now it is placed once the worker grows.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -1,4 +1,9 @@
-import {type Worker, WORKERS, freeResources} from '@samphireramp/fleet';
+import {
+  type Worker,
+  WORKERS,
+  freeResources,
+  isOverCapacity,
+} from '@samphireramp/fleet';
 import {
   type Resources,
   type Occurrence,
@@ -71,12 +76,17 @@
 
 /**
  * Counts the open tasks of a step that fit on a worker, by the resources left
- * in the pass, the reserve for urgent steps and the limit on one worker.
+ * in the pass, the reserve for urgent steps and the limit on one worker. None
+ * fits on a worker that is over its capacity, even if it needs none of what is
+ * lacking.
  */
 export function countFittingTasks(
   candidate: Candidate,
   readyStep: ReadyStep,
 ): number {
+  if (isOverCapacity(candidate)) {
+    return 0;
+  }
   const {taskResources, step, policy} = readyStep;
   const {capacity} = candidate.worker;
   let cpu = candidate.cpuMillis;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,6 +7,7 @@
   changeRun,
   reserveRun,
   freeResources,
+  isOverCapacity,
   totalResources,
 } from './FleetState';
 export {createFleetPlugin} from './fleetPlugin';
--- a/testing/src/__tests__/unit/capacityChanges.test.ts
+++ b/testing/src/__tests__/unit/capacityChanges.test.ts
@@ -3,6 +3,7 @@
 import {
   type ModelSite,
   type ModelSiteOptions,
+  type ModelWorker,
   buildJob,
   buildModelSite,
   buildPolicy,
@@ -39,6 +40,17 @@
   void site.submit(host, buildJob(id, steps, {policy: QUEUE, receivedAt}));
 }
 
+/** Fills workers with a task each, then lets their capacity shrink below it. */
+async function overfill(
+  site: ModelSite,
+  workers: readonly ModelWorker[],
+): Promise<void> {
+  submitStep(site, 'full', {count: site.workers.length, need: LARGE_NEED});
+  await site.run(500);
+  workers.forEach(worker => changeCapacity(site, worker, SMALL));
+  await site.run(GRACE_MILLIS);
+}
+
 void t.test('no task starts on a worker that has shrunk too far', async t => {
   const site = await buildSite({workers: 1});
   changeCapacity(site, site.workers[0], SMALL, 1500);
@@ -103,6 +115,25 @@
   },
 );
 
+void t.test(
+  'no task that fills unused capacity starts on a worker that is over its own',
+  async t => {
+    const site = await buildSite({workers: 1});
+    await overfill(site, site.workers);
+    const need = {cpuMillis: 500, memoryMegabytes: 0, accelerators: 0};
+    submitStep(site, 'e5', {need, usesLeftovers: true});
+    await site.run(1000);
+    t.same(site.checker.violations, []);
+    const placed = site.events.filter(
+      line => line.includes('step-placed') && line.includes('e5.0.0'),
+    );
+    t.equal(placed.length, 0, 'and none is placed there');
+    changeCapacity(site, site.workers[0], CAPACITY);
+    await site.run(500);
+    t.equal(site.checker.countStarts('e5'), 1);
+  },
+);
+
 void t.test('a new holder goes by the newest capacity', async t => {
   const site = await buildSite({workers: 2});
   submitStep(site, 'e7', {count: 2, need: {...LARGE_NEED, cpuMillis: 3000}});
