Log each crash of a worker with the runs that may have caused it

Nothing told which runs had begun shortly before a worker crashed. The new line worker-crashed names those that began within 250 ms before its last sign of life, with their ages, the runs lost with it and the time since its last answer. No decision depends on it yet.

--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -60,6 +60,7 @@
     lastOrderAt: update.now,
     startOrders: 0,
     confirmedAt: undefined,
+    startedAt: undefined,
     isReported: false,
     percentDone: 0,
     progressedAt: update.now,
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -17,6 +17,11 @@
    * adopted run, when it was adopted. Undefined before that.
    */
   readonly confirmedAt: number | undefined;
+  /**
+   * When this holder learned that its order had started the run; undefined before
+   * that, and for an adopted run.
+   */
+  readonly startedAt: number | undefined;
   /** Whether this incarnation of the worker has reported it as running. */
   readonly isReported: boolean;
   /** Work done, 0 to 100 percent, as last reported. */
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -64,6 +64,8 @@
   readonly slowdownSamples: number;
   /** Whether it was drained and removed from the registry while it answered. */
   readonly hasLeft: boolean;
+  /** Whether its crash has been reported. */
+  readonly isCrashReported: boolean;
   /** No new run is placed on it before this time. */
   readonly avoidedUntil: number;
 }
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -110,9 +110,13 @@
   if (run.confirmedAt !== undefined) {
     return;
   }
+  // The next incarnation of a silent worker may have answered a repeated order.
+  const isSilent = update.read(WORKERS).get(run.incarnation)?.isSilent ?? true;
+  const isByThisIncarnation = !isSilent || run.startOrders === 1;
   changeRun(update, runKey(run.runId), {
     phase: run.phase === 'stopping' ? 'stopping' : 'running',
     confirmedAt: update.now,
+    startedAt: isByThisIncarnation ? update.now : undefined,
     progressedAt: update.now,
   });
   update.dispatch(RUN_CONFIRMED, {runId: run.runId});
--- /dev/null
+++ b/packages/fleet/src/workerCrashes.ts
@@ -0,0 +1,76 @@
+import type {Update} from '@samphireramp/kernel';
+import {runKey} from '@samphireramp/jobs';
+import {RUNS, changeWorker} from './FleetState';
+import {FLEET_EVENT} from './messages';
+import type {Run} from './Run';
+import type {Worker} from './Worker';
+
+/**
+ * A run that began this long before the last sign of life of its worker did not
+ * crash it.
+ */
+export const CRASH_SUSPICION_MILLIS = 250;
+/** Maximum runs that the log line of a crash names. */
+const MAX_NAMED_RUNS = 8;
+
+/** The runs of a worker that may have crashed it. */
+export interface CrashSuspects {
+  /** Runs that are known to have begun shortly before. */
+  readonly started: readonly Run[];
+  /** Runs that were ordered shortly before, and may have begun. */
+  readonly unanswered: readonly Run[];
+}
+
+/** Finds the runs that may have crashed their worker: those that began last. */
+export function findCrashSuspects(
+  worker: Worker,
+  runs: readonly Run[],
+): CrashSuspects {
+  const since = lastSignOfLife(worker, runs) - CRASH_SUSPICION_MILLIS;
+  return {
+    started: runs.filter(({startedAt}) => (startedAt ?? -Infinity) > since),
+    unanswered: runs.filter(
+      ({startedAt, startOrders, lastOrderAt}) =>
+        startedAt === undefined && startOrders > 0 && lastOrderAt > since,
+    ),
+  };
+}
+
+/** When a worker last answered a poll or confirmed the start of a run. */
+function lastSignOfLife(worker: Worker, runs: readonly Run[]): number {
+  return Math.max(
+    worker.answeredAt,
+    ...runs.map(({startedAt}) => startedAt ?? -Infinity),
+  );
+}
+
+/**
+ * Reports that the process of a worker has crashed, and which runs may have caused
+ * it. Must be called before its runs are discarded.
+ */
+export function reportCrash(
+  update: Update,
+  worker: Worker,
+  reason: string,
+): void {
+  if (worker.isCrashReported || worker.isDraining || worker.hasLeft) {
+    return;
+  }
+  changeWorker(update, worker.incarnation, {isCrashReported: true});
+  const runs = update.read(RUNS).withKey(worker.incarnation);
+  const {started, unanswered} = findCrashSuspects(worker, runs);
+  update.emit(FLEET_EVENT, {
+    event: 'worker-crashed',
+    worker: worker.incarnation,
+    subject: started.slice(0, MAX_NAMED_RUNS).map(describeAge).join(','),
+    detail:
+      `${reason}, ${runs.length} runs, ${started.length} began last` +
+      `, ${unanswered.length} may have begun`,
+    millis: Math.round(update.now - worker.answeredAt),
+  });
+
+  function describeAge({runId, startedAt = 0}: Run): string {
+    const ageMillis = lastSignOfLife(worker, runs) - startedAt;
+    return `${runKey(runId)}/${Math.round(ageMillis)}`;
+  }
+}
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -177,6 +177,7 @@
     changeRun(update, key, {
       phase: run.phase === 'stopping' ? 'stopping' : 'running',
       confirmedAt: run.confirmedAt ?? update.now,
+      startedAt: isNew ? update.now : run.startedAt,
       isReported: true,
       percentDone: reported.percentDone,
       progressedAt: hasProgressed ? update.now : run.progressedAt,
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -6,6 +6,7 @@
 import {stopRun} from './runOrders';
 import {forbidUnansweredOrders} from './unansweredOrders';
 import type {Worker, WorkerRecord} from './Worker';
+import {reportCrash} from './workerCrashes';
 import {removeWorker, mayStillStart} from './workerRemoval';
 
 /**
@@ -76,12 +77,14 @@
 function removeEarlierIncarnations(update: Update, record: WorkerRecord): void {
   for (const worker of [...update.read(WORKERS).values()]) {
     if (worker.id === record.id && worker.bootedAt < record.bootedAt) {
+      reportCrash(update, worker, 'reborn');
       for (const run of update.read(RUNS).withKey(worker.incarnation)) {
         if (mayStillStart(run)) {
           const moved = {
             ...run,
             incarnation: record.incarnation,
             confirmedAt: undefined,
+            startedAt: undefined,
             isReported: false,
           };
           update.write(RUNS).set(runKey(run.runId), moved);
@@ -111,6 +114,7 @@
     logSlowdown: 0,
     slowdownSamples: 0,
     hasLeft: false,
+    isCrashReported: false,
     avoidedUntil: 0,
   };
 }
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -5,6 +5,14 @@
 import type {Run} from './Run';
 import {forbidUnansweredOrders} from './unansweredOrders';
 import type {Worker} from './Worker';
+import {reportCrash} from './workerCrashes';
+
+/** Reasons of a removal that show that the process of the worker has ended. */
+const CRASH_DETAILS: ReadonlySet<string> = new Set([
+  'reborn',
+  'other-life',
+  'closed',
+]);
 
 /** Drops a run that can't be running, without a reported end. */
 export function discardRun(
@@ -29,6 +37,9 @@
   worker: Worker,
   detail: string,
 ): void {
+  if (CRASH_DETAILS.has(detail)) {
+    reportCrash(update, worker, detail);
+  }
   update.emit(FLEET_EVENT, {
     event: 'worker-gone',
     worker: worker.incarnation,
@@ -64,6 +75,7 @@
   worker: Worker,
   incarnation: string,
 ): void {
+  reportCrash(update, worker, 'reborn');
   forbidUnansweredOrders(update, {...worker, incarnation});
   const runs = update.read(RUNS).withKey(worker.incarnation);
   if (!runs.some(mayStillStart)) {
