Give up a task that crashes its workers

Callers' other jobs saw worker after worker crash: a run that was lost with its worker was discarded and its task opened again, without end (BUDGET). A task is given up after two crashes if it alone began last, else after three. Records without crashes keep their form, and read as none.

--- /dev/null
+++ b/packages/dispatch/src/crashSuspects.ts
@@ -0,0 +1,53 @@
+import type {Task} from '@samphireramp/jobs';
+
+/** Crashes after which a task is given up if it alone can have caused the last. */
+const MAX_CRASHES_ALONE = 2;
+/** Crashes after which a task is given up in any case. */
+const MAX_CRASHES = 3;
+
+/** What is known of a task that may have crashed a worker. */
+export interface CrashSuspect {
+  readonly task: Task;
+  /** Identifies the task; the tasks of a gang share it. */
+  readonly key: string;
+}
+
+/**
+ * Chooses the suspects that a crash is charged to: those that were suspected most
+ * often before. Without an earlier suspicion that is each of them.
+ */
+export function chooseCharged<Suspect extends CrashSuspect>(
+  suspects: readonly Suspect[],
+): Suspect[] {
+  const counts = suspects.map(({task}) => task.crashedRuns.length);
+  const highest = Math.max(0, ...counts);
+  return suspects.filter(({task}) => task.crashedRuns.length === highest);
+}
+
+/**
+ * Whether no other task can have caused a crash: the suspects are one task, or the
+ * tasks of one gang, and no other run may have begun.
+ */
+export function isOnlySuspect(
+  suspects: readonly CrashSuspect[],
+  hasOthers: boolean,
+): boolean {
+  const keys = new Set(suspects.map(({key}) => key));
+  return keys.size === 1 && !hasOthers;
+}
+
+/**
+ * Whether a task is given up after a crash that was charged to it. It has crashed
+ * a worker that it alone had begun on, or more workers than chance explains.
+ */
+export function isGivenUp(task: Task, isAlone: boolean): boolean {
+  const limit = isAlone ? MAX_CRASHES_ALONE : MAX_CRASHES;
+  return task.crashedRuns.length >= limit;
+}
+
+/** Returns a task with a crash under one of its runs; a run counts once. */
+export function withCrash(task: Task, run: number): Task {
+  return task.phase === 'done' || task.crashedRuns.includes(run)
+    ? task
+    : {...task, crashedRuns: [...task.crashedRuns, run]};
+}
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -21,6 +21,7 @@
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
   START_GIVEN_UP,
+  WORKER_CRASHED,
   WORKERS,
   leasesExpiredAt,
   discardRun,
@@ -41,6 +42,7 @@
   JOBS,
   PARTITIONS_READ,
 } from './DispatchState';
+import {onWorkerCrashed} from './crashFlow';
 import {
   applyRequests,
   forgetEndedJobs,
@@ -172,6 +174,9 @@
       kernel.registerCommand(RUN_DISCARDED, onRunDiscarded),
       kernel.registerCommand(RUN_CONFIRMED, onRunConfirmed),
       kernel.registerCommand(START_GIVEN_UP, onStartGivenUp),
+      kernel.registerCommand(WORKER_CRASHED, (update, payload) =>
+        onWorkerCrashed(update, payload, wallClock),
+      ),
       kernel.registerCommand(UNEXPECTED_RUN_REPORTED, onUnexpectedRun),
       kernel.registerCommand(ADVICE_RECEIVED, onAdviceReceived),
       kernel.registerCommand(BEGIN_PASS, (update, {scope}) =>
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -17,15 +17,14 @@
 import {
   type Progress,
   type RunId,
-  type Step,
   type Task,
   findTask,
   markStarted,
   reservedResources,
   runKey,
   taskKey,
-  updateStepTasks,
   updateTask,
+  updateTasksOfRun,
 } from '@samphireramp/jobs';
 import {match} from 'ts-pattern';
 import {type ActiveTask, findActiveTask} from './activeTask';
@@ -92,18 +91,6 @@
   setProgress(update, active.row, reopenTask(active, runId, checkpoint));
 }
 
-/** Applies `change` to all tasks of a gang, or else to the task of the run. */
-function updateTasksOfRun(
-  progress: Progress,
-  step: Step,
-  runId: RunId,
-  change: (task: Task) => Task,
-): Progress {
-  return step.isGang
-    ? updateStepTasks(progress, runId, change)
-    : updateTask(progress, runId, change);
-}
-
 function onRunDone(
   update: Update,
   {row, step, task}: ActiveTask,
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -115,6 +115,15 @@
   readonly reason: StartRefusal | 'missing' | 'worker-gone' | 'lapsed-silent';
 }>('run-void');
 
+/** The process of a worker crashed. Its runs are discarded afterwards. */
+export const WORKER_CRASHED = createCommand<{
+  readonly incarnation: string;
+  /** The runs that began shortly before, one of which may have caused it. */
+  readonly suspects: readonly RunId[];
+  /** Number of runs that may have begun shortly before. */
+  readonly unanswered: number;
+}>('worker-crashed');
+
 /** A worker confirmed to this holder for the first time that a run started. */
 export const RUN_CONFIRMED = createCommand<{readonly runId: RunId}>(
   'run-confirmed',
--- a/packages/fleet/src/workerCrashes.ts
+++ b/packages/fleet/src/workerCrashes.ts
@@ -1,7 +1,7 @@
 import type {Update} from '@samphireramp/kernel';
 import {runKey} from '@samphireramp/jobs';
 import {RUNS, changeWorker} from './FleetState';
-import {FLEET_EVENT} from './messages';
+import {FLEET_EVENT, WORKER_CRASHED} from './messages';
 import type {Run} from './Run';
 import type {Worker} from './Worker';
 
@@ -68,6 +68,11 @@
       `, ${unanswered.length} may have begun`,
     millis: Math.round(update.now - worker.answeredAt),
   });
+  update.dispatch(WORKER_CRASHED, {
+    incarnation: worker.incarnation,
+    suspects: started.map(({runId}) => runId),
+    unanswered: unanswered.length,
+  });
 
   function describeAge({runId, startedAt = 0}: Run): string {
     const ageMillis = lastSignOfLife(worker, runs) - startedAt;
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod/mini';
-import {type Job, jobStateSchema} from './Job';
+import {type Job, type Step, jobStateSchema} from './Job';
 
 /** State of one task. */
 export const taskSchema = z.object({
@@ -8,6 +8,8 @@
   run: z.number(),
   /** Numbers of the runs that failed; in a gang, those of any of its tasks. */
   failedRuns: z.array(z.number()),
+  /** Numbers of the runs that are suspected to have crashed their workers. */
+  crashedRuns: z.array(z.number()),
   /** Checkpoint from which the next run resumes; empty to start over. */
   checkpoint: z.string(),
   /** Incarnation of the worker of the latest run; empty unless placed. */
@@ -51,6 +53,7 @@
   phase: 'open',
   run: 0,
   failedRuns: [],
+  crashedRuns: [],
   checkpoint: '',
   worker: '',
 };
@@ -135,6 +138,18 @@
   );
 }
 
+/** Applies `change` to all tasks of a gang, or else to the task of the run. */
+export function updateTasksOfRun(
+  progress: Progress,
+  step: Step,
+  runId: RunId,
+  change: (task: Task) => Task,
+): Progress {
+  return step.isGang
+    ? updateStepTasks(progress, runId, change)
+    : updateTask(progress, runId, change);
+}
+
 /** Returns the progress of a job that has started a task. */
 export function markStarted(progress: Progress): Progress {
   return progress.state === 'queued'
--- a/packages/record-codec/src/objectProgressCodec.ts
+++ b/packages/record-codec/src/objectProgressCodec.ts
@@ -74,5 +74,5 @@
   }
   const [run, failedRuns, checkpoint, worker] = record;
   const phase = worker === '' ? 'open' : 'placed';
-  return {phase, run, failedRuns, checkpoint, worker};
+  return {...NEW_TASK, phase, run, failedRuns, checkpoint, worker};
 }
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -31,6 +31,13 @@
     z.array(z.number()), // failed runs
     z.string(), // checkpoint
   ]),
+  z.tuple([
+    z.number(), // run
+    z.number(), // index of the worker, or NO_WORKER
+    z.array(z.number()), // failed runs
+    z.string(), // checkpoint
+    z.array(z.number()), // runs that may have crashed their workers
+  ]),
 ]);
 
 // A host reads the records of all jobs: without names of fields they are short.
@@ -108,11 +115,14 @@
   task: Task,
   workerIndices: Map<string, number>,
 ): TaskRecord {
-  const {phase, run, failedRuns, checkpoint, worker} = task;
+  const {phase, run, failedRuns, crashedRuns, checkpoint, worker} = task;
   if (phase === 'done') {
     return DONE;
   }
   const index = worker === '' ? NO_WORKER : indexOf(worker, workerIndices);
+  if (crashedRuns.length > 0) {
+    return [run, index, failedRuns, checkpoint, crashedRuns];
+  }
   if (failedRuns.length > 0 || checkpoint !== '') {
     return [run, index, failedRuns, checkpoint];
   }
@@ -155,10 +165,10 @@
     const worker = workers[record - FIRST_RUN];
     return {...NEW_TASK, phase: 'placed', run: 1, worker};
   }
-  const [run, index, failedRuns = [], checkpoint = ''] = record;
-  if (index === NO_WORKER) {
-    return {...NEW_TASK, run, failedRuns, checkpoint};
-  }
-  const worker = workers[index];
-  return {phase: 'placed', run, failedRuns, checkpoint, worker};
+  const [run, index, failedRuns = [], checkpoint = '', crashedRuns = []] =
+    record;
+  const task = {...NEW_TASK, run, failedRuns, crashedRuns, checkpoint};
+  return index === NO_WORKER
+    ? task
+    : {...task, phase: 'placed', worker: workers[index]};
 }
--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -9,6 +9,7 @@
   taskKey,
 } from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
+import {CrashLedger} from './CrashLedger';
 import type {ModelWorker} from './ModelWorker';
 
 /** Once faults are over, no run may start later than this after a cancel. */
@@ -27,7 +28,8 @@
  * - `ORDER`: a task starts after its due time and the steps it depends on.
  * - `UNASKED`: runs belong to a submitted job that wasn't cancelled before, and
  *   get a checkpoint only if their step saves checkpoints.
- * - `BUDGET`: a task isn't retried beyond its maximum number of attempts.
+ * - `BUDGET`: a task isn't retried beyond its maximum number of attempts, nor
+ *   three times more after three workers have crashed under it.
  * - `ROUTE`: no worker runs more tasks of a step than the step allows.
  * - `GANG`: once faults are over, no gang member ends because the others didn't
  *   start in time.
@@ -35,7 +37,7 @@
  *   started, and completed only if all its tasks are done.
  * - `REFUSED`: nothing runs for a job whose submits were all refused.
  * - `LOST`: a job is shown as cancelled only if a caller cancelled it, and as
- *   failed only if a task used up its attempts.
+ *   failed only if a task used up its attempts or two workers crashed under it.
  */
 export type Invariant =
   | 'LIMIT'
@@ -70,6 +72,7 @@
 export class InvariantChecker {
   readonly violations: string[] = [];
   readonly jobs = new Map<string, SubmittedJob>();
+  readonly crashes = new CrashLedger();
   /** All workers of the site; set once they are created. */
   workers: readonly ModelWorker[] = [];
   /** Whether faults have been absent for long enough that time limits apply. */
@@ -215,6 +218,12 @@
         `${key} started after ${maxAttempts} failed runs`,
       );
     }
+    if (this.crashes.isStartExcessive(runId)) {
+      this.reportViolation(
+        'BUDGET',
+        `${key} started again and again after it crashed three workers`,
+      );
+    }
   }
 
   /** A run ended on a worker; the holder may not know it yet. */
@@ -245,6 +254,7 @@
 
   /** A run vanished because its worker restarted; it reports no end. */
   onRunLost(runId: RunId, worker: string): void {
+    this.crashes.onRunLost(runId);
     if (this.workerByTask.get(taskKey(runId)) === worker) {
       this.workerByTask.delete(taskKey(runId));
     }
@@ -282,17 +292,23 @@
         }
       }
     }
-    if (state === 'failed' && !this.hasExhaustedAttempts(submitted)) {
+    if (state === 'failed' && !this.hasCauseToFail(submitted)) {
       this.reportViolation(
         'LOST',
-        `${jobId} is shown as failed, but no task used up its attempts`,
+        `${jobId} is shown as failed, but no task had cause to fail it`,
       );
     }
   }
 
-  /** Whether a task or gang of the job failed in all its attempts. */
-  private hasExhaustedAttempts({job, maxAttempts}: SubmittedJob): boolean {
+  /**
+   * Whether a task or gang of the job failed in all its attempts, or two workers
+   * crashed under a task.
+   */
+  private hasCauseToFail({job, maxAttempts}: SubmittedJob): boolean {
     return this.taskKeysOf(job).some(key => {
+      if (this.crashes.mayBeGivenUp(key)) {
+        return true;
+      }
       const [, occurrence, step] = key.split('.');
       const failed = job.steps[Number(step)].isGang
         ? this.countGangFailures(job, occurrence, step)
--- a/testing/src/site/ModelHost.ts
+++ b/testing/src/site/ModelHost.ts
@@ -1,6 +1,6 @@
 import type {Resources, Job, QueuePolicy, RunId} from '@samphireramp/jobs';
 import type {Kernel} from '@samphireramp/kernel';
-import type {TaskScript} from './ModelWorker';
+import type {TaskScript} from './ModelRun';
 import type {SiteFaultState} from './SiteFaultState';
 
 /** Configures a model site. */
--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -51,6 +51,9 @@
       detail: 'no answer',
     } as const;
     await this.delay(NETWORK_DELAY_MILLIS);
+    if (worker?.refusesConnections) {
+      return {...noAnswer, failure: 'closed'} as const;
+    }
     if (!worker?.isUp || !this.faultState().canCall(host, call.id)) {
       await this.delay(call.timeoutMillis);
       return noAnswer;
@@ -63,6 +66,9 @@
       waitMillis,
     );
     await this.delay(NETWORK_DELAY_MILLIS);
+    if (worker.refusesConnections) {
+      return noAnswer;
+    }
     if (!worker.isUp || !this.faultState().canCall(host, call.id)) {
       await this.delay(call.timeoutMillis);
       return noAnswer;
@@ -104,6 +110,9 @@
     const worker = this.findWorker(call.id);
     await this.delay(NETWORK_DELAY_MILLIS);
     const isAnswerLost = this.faultState().losesOrderAnswer();
+    if (worker?.refusesConnections) {
+      return 'silent';
+    }
     if (!worker?.isUp || !this.faultState().canCall(host, call.id)) {
       await this.delay(call.timeoutMillis);
       return 'silent';
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -257,6 +257,7 @@
       },
       order => this.adviser.acceptsTicket(order.ticket, order.runId, worker),
     );
+    worker.onReturn = () => this.writeRegistryEntry(worker);
     this.workers.push(worker);
     this.writeRegistryEntry(worker);
   }
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -16,6 +16,7 @@
 } from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
 import type {InvariantChecker} from './InvariantChecker';
+import {type ModelRun, type TaskScript, isSameGangRun} from './ModelRun';
 
 /** Time between an order to stop a run and its end. */
 const STOP_DURATION_MILLIS = 60;
@@ -23,37 +24,19 @@
 const MAX_LEASE_MILLIS = 10_000;
 /** A gang member ends as `alone` if the others don't start within this time. */
 const GANG_TIMEOUT_MILLIS = 3000;
+/** How long a worker that a task crashed is away. */
+const CRASH_RECOVERY_MILLIS = 3000;
 /** Work between two checkpoints of a run. */
 const CHECKPOINT_INTERVAL_MILLIS = 500;
 
-/** Behaviour of a task when it runs. */
-export interface TaskScript {
-  readonly step: Step;
-  /** Time that the work takes without a checkpoint to start from. */
-  readonly workMillis: number;
-  /** Whether the run with this number fails. */
-  fails(run: number): boolean;
-}
-
-/** A run on a model worker. */
-interface ModelRun {
-  readonly runId: RunId;
-  readonly script: TaskScript;
-  readonly startedAt: number;
-  /** Work that was done up to the checkpoint that the run started from. */
-  readonly resumedMillis: number;
-  /** Checkpoint that the run started from; empty for none. */
-  readonly checkpoint: string;
-  /** Undefined while a gang member waits for the others. */
-  workStartedAt: number | undefined;
-  isStopping: boolean;
-  hasEnded: boolean;
-}
-
 /** Simulates a worker, which obeys the holder and reports to the checker. */
 export class ModelWorker {
   incarnation: string;
   isUp = true;
+  /** Whether its process has ended, so that connections to it are refused. */
+  refusesConnections = false;
+  /** Called when it is back after a crash. */
+  onReturn: () => void = () => undefined;
   /** Whether it has left for good. */
   isGone = false;
   /** Whether its runs are stalled: they report no progress and don't end. */
@@ -142,6 +125,19 @@
     this.clockStartedAt = this.timeline.now;
   }
 
+  /** Ends its process, which begins again after a while under the same id. */
+  private crash(): void {
+    this.restart();
+    this.isUp = false;
+    this.refusesConnections = true;
+    this.waitingPolls.splice(0).forEach(resolve => resolve());
+    this.timeline.after(CRASH_RECOVERY_MILLIS, () => {
+      this.refusesConnections = false;
+      this.isUp = !this.isGone;
+      this.onReturn();
+    });
+  }
+
   /** Executes an order to start a run; succeeds again if it already runs. */
   start(
     order: StartOrder,
@@ -181,7 +177,7 @@
       this.resourcesFor(script.step),
     );
     const resumedMillis = checkpoint === '' ? 0 : Number(checkpoint);
-    this.runs.push({
+    const run: ModelRun = {
       runId,
       script,
       startedAt: this.timeline.now,
@@ -190,7 +186,16 @@
       workStartedAt: script.step.isGang ? undefined : this.timeline.now,
       isStopping: false,
       hasEnded: false,
-    });
+    };
+    this.runs.push(run);
+    if (script.crashMillis !== undefined) {
+      this.timeline.after(script.crashMillis, () => {
+        if (!run.hasEnded) {
+          this.checker.crashes.onCrashCaused(runId);
+          this.crash();
+        }
+      });
+    }
     return 'started';
   }
 
@@ -388,13 +393,3 @@
     }
   }
 }
-
-/** Whether two runs are members of the same run of a gang. */
-function isSameGangRun(a: RunId, b: RunId): boolean {
-  return (
-    a.jobId === b.jobId &&
-    a.occurrence === b.occurrence &&
-    a.step === b.step &&
-    a.run === b.run
-  );
-}
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -17,7 +17,8 @@
 export {ModelSite} from './ModelSite';
 export {buildModelSite} from './siteFixture';
 export {NO_SITE_FAULTS, type SiteFaultState} from './SiteFaultState';
-export {ModelWorker, type TaskScript} from './ModelWorker';
+export type {TaskScript} from './ModelRun';
+export {ModelWorker} from './ModelWorker';
 export {
   ALL_FAULTS,
   type ScheduleFaults,
--- a/testing/src/site/startPlatform.ts
+++ b/testing/src/site/startPlatform.ts
@@ -9,7 +9,8 @@
 import {InvariantChecker} from './InvariantChecker';
 import {ModelAdviser} from './ModelAdviser';
 import {ModelLog, snapshotOf} from './ModelLog';
-import {ModelWorker, type TaskScript} from './ModelWorker';
+import type {TaskScript} from './ModelRun';
+import {ModelWorker} from './ModelWorker';
 import {NO_SITE_FAULTS} from './SiteFaultState';
 import {
   NO_PLATFORM_FAULTS,
