Start a suspected task apart from others, on a worker with few runs

A task that crashed a worker was started again beside others that had just begun, so that its second crash named them as well, and took their runs with it. Tasks that live on are cleared once their worker has answered after that time.

'tasks beside one that crashes workers are not given up' failed before (three jobs shown as failed).

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -10,6 +10,7 @@
   listCandidates,
   meetsRequirements,
 } from './candidates';
+import {maxWorkersOnTrial, workersOnTrial} from './crashTrials';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
 
@@ -38,6 +39,8 @@
   private readonly suitableByRequirement = new Map<string, SuitableWorkers>();
   private readonly cpuMillisAtStart: ReadonlyMap<Candidate, number>;
   private readonly totalCpuMillis: number;
+  /** Number of workers on which suspected tasks may still be placed. */
+  private trialsLeft: number;
   private gatheredCpuMillis = 0;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
@@ -47,7 +50,12 @@
     /** The name of this host. */
     readonly self: string,
   ) {
-    this.candidates = listCandidates(update, update.now);
+    const candidates = listCandidates(update, update.now);
+    const onTrial = workersOnTrial(update, update.now);
+    this.trialsLeft = maxWorkersOnTrial(candidates.length) - onTrial.size;
+    this.candidates = candidates.filter(
+      ({worker}) => !onTrial.has(worker.incarnation),
+    );
     this.cpuMillisAtStart = new Map(
       this.candidates.map(candidate => [candidate, candidate.cpuMillis]),
     );
@@ -57,6 +65,18 @@
     );
   }
 
+  /** Whether a suspected task may be placed. */
+  mayBeginTrial(): boolean {
+    return this.trialsLeft > 0;
+  }
+
+  /** Takes a worker for one suspected task, so that no other starts beside it. */
+  beginTrial(candidate: Candidate, readyStep: ReadyStep): void {
+    deductTasks(candidate, readyStep, 1);
+    candidate.isClosed = true;
+    this.trialsLeft--;
+  }
+
   /**
    * Lists the suitable workers of a step that it may run on: those with a permit,
    * if its queue has an adviser.
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -21,6 +21,8 @@
   cpuMillis: number;
   memoryMegabytes: number;
   accelerators: number;
+  /** Whether it gets no more tasks in the pass, as a suspected task starts on it. */
+  isClosed: boolean;
 }
 
 /** A step with tasks that can be placed now. */
@@ -41,7 +43,11 @@
   const candidates: Candidate[] = [];
   for (const worker of state.read(WORKERS).values()) {
     if (acceptsRuns(worker, now)) {
-      candidates.push({worker, ...freeResources(state, worker)});
+      candidates.push({
+        worker,
+        ...freeResources(state, worker),
+        isClosed: false,
+      });
     }
   }
   return candidates;
@@ -77,6 +83,9 @@
   candidate: Candidate,
   readyStep: ReadyStep,
 ): number {
+  if (candidate.isClosed) {
+    return 0;
+  }
   const {taskResources, step, policy} = readyStep;
   const {capacity} = candidate.worker;
   let cpu = candidate.cpuMillis;
@@ -118,7 +127,8 @@
   worker: Worker,
   readyStep: ReadyStep,
 ): number {
-  return countFittingTasks({worker, ...worker.capacity}, readyStep);
+  const candidate = {worker, ...worker.capacity, isClosed: false};
+  return countFittingTasks(candidate, readyStep);
 }
 
 /** Counts how often a required amount fits into the available one. */
@@ -169,6 +179,12 @@
   return (advice.permits.get(worker.id)?.validUntil ?? 0) > now;
 }
 
+/** Whether a task of a step is suspected to crash its workers. */
+export function isSuspected(readyStep: ReadyStep, index: number): boolean {
+  const tasks = readyStep.occurrence.steps[readyStep.stepNumber];
+  return tasks[index].crashedRuns.length > 0;
+}
+
 /** Returns a step with its open tasks; undefined if none can be placed now. */
 export function makeReadyStep(
   row: JobRow,
--- /dev/null
+++ b/packages/dispatch/src/crashTrials.ts
@@ -0,0 +1,112 @@
+import {
+  type StateReader,
+  type Update,
+  createTableSlice,
+} from '@samphireramp/kernel';
+import {
+  CRASH_SUSPICION_MILLIS,
+  RUNS,
+  type Run,
+  WORKERS,
+  type Worker,
+} from '@samphireramp/fleet';
+import {
+  type RunId,
+  runKey,
+  stepKey,
+  taskKey,
+  updateTasksOfRun,
+} from '@samphireramp/jobs';
+import {findActiveTask} from './activeTask';
+import {setProgress} from './DispatchState';
+import {DISPATCH_EVENT} from './messages';
+
+/** Share of the workers on which suspected tasks may start at the same time. */
+const MAX_TRIAL_SHARE = 0.25;
+
+/** Runs of tasks that are suspected to crash workers, by run key. */
+export const CRASH_TRIALS = createTableSlice<RunId>('crash-trials');
+
+/** Records that a run of a suspected task is placed. */
+export function beginTrial(update: Update, runId: RunId): void {
+  update.write(CRASH_TRIALS).set(runKey(runId), runId);
+}
+
+/** Lists the workers on which a suspected task has just begun or will begin. */
+export function workersOnTrial(state: StateReader, now: number): Set<string> {
+  const incarnations = new Set<string>();
+  for (const key of state.read(CRASH_TRIALS).keys()) {
+    const run = state.read(RUNS).get(key);
+    if (run !== undefined && isYoung(run, now)) {
+      incarnations.add(run.incarnation);
+    }
+  }
+  return incarnations;
+}
+
+/** Whether a run would be suspected if its worker crashed now. */
+export function isYoung({phase, startedAt}: Run, now: number): boolean {
+  return startedAt === undefined
+    ? phase === 'reserved' || phase === 'ordered'
+    : now - startedAt <= CRASH_SUSPICION_MILLIS;
+}
+
+/** Returns how many of the workers may be on trial at the same time. */
+export function maxWorkersOnTrial(workers: number): number {
+  return Math.max(1, Math.floor(workers * MAX_TRIAL_SHARE));
+}
+
+/** Forgets runs that have ended, and clears tasks whose workers have survived. */
+export function endTrials(update: Update): void {
+  const trials = update.write(CRASH_TRIALS);
+  const survivors: RunId[] = [];
+  const undecidedSteps = new Set<string>();
+  for (const [key, runId] of [...trials.entries()]) {
+    const run = update.read(RUNS).get(key);
+    const worker = run && update.read(WORKERS).get(run.incarnation);
+    if (run === undefined || worker === undefined) {
+      trials.delete(key);
+    } else if (hasSurvived(run, worker)) {
+      survivors.push(runId);
+    } else {
+      undecidedSteps.add(stepKey(runId));
+    }
+  }
+  for (const runId of survivors) {
+    const isGang = findActiveTask(update, runId)?.step.isGang ?? false;
+    if (!isGang || !undecidedSteps.has(stepKey(runId))) {
+      trials.delete(runKey(runId));
+      clearSuspicion(update, runId);
+    }
+  }
+}
+
+/** Whether a worker has answered at a time by which the run would have crashed it. */
+function hasSurvived(run: Run, worker: Worker): boolean {
+  const {startedAt, confirmedAt, isReported} = run;
+  const runningSince = startedAt ?? (isReported ? confirmedAt : undefined);
+  return (
+    runningSince !== undefined &&
+    worker.answeredAt - runningSince > CRASH_SUSPICION_MILLIS
+  );
+}
+
+function clearSuspicion(update: Update, runId: RunId): void {
+  const active = findActiveTask(update, runId);
+  if (active === undefined || active.task.crashedRuns.length === 0) {
+    return;
+  }
+  const {row, step, task} = active;
+  update.emit(DISPATCH_EVENT, {
+    event: 'task-cleared',
+    subject: taskKey(runId),
+    queue: row.job.policy.name,
+    worker: task.worker,
+    detail: `crashed-runs-${task.crashedRuns.join('-')}`,
+  });
+  const progress = updateTasksOfRun(row.progress, step, runId, before => ({
+    ...before,
+    crashedRuns: [],
+  }));
+  setProgress(update, row, progress);
+}
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -43,6 +43,7 @@
   PARTITIONS_READ,
 } from './DispatchState';
 import {onWorkerCrashed} from './crashFlow';
+import {CRASH_TRIALS, endTrials} from './crashTrials';
 import {
   applyRequests,
   forgetEndedJobs,
@@ -133,6 +134,7 @@
       forgetEndedJobs(update, keepEndedMillis);
     }
     discardRunsOnUnknownWorkers(update);
+    endTrials(update);
     reportWaitingSteps(update);
     schedulePlacement(update);
   }
@@ -144,6 +146,7 @@
       kernel.registerSlice(END_SEEN_AT),
       kernel.registerSlice(SITE_CONFIGURATION),
       kernel.registerSlice(PARTITIONS_READ),
+      kernel.registerSlice(CRASH_TRIALS),
       kernel.registerSlice(ADVICE),
       kernel.registerSlice(CALLS_BY_HOST),
       kernel.registerSlice(OPEN_ADVICE_REQUESTS),
@@ -219,6 +222,7 @@
   update.write(CANCELLED_JOBS).clear();
   update.write(END_SEEN_AT).clear();
   update.write(PARTITIONS_READ).clear();
+  update.write(CRASH_TRIALS).clear();
   update.write(ADVICE).clear();
   update.write(CALLS_BY_HOST).clear();
   update.write(OPEN_ADVICE_REQUESTS).clear();
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -11,6 +11,7 @@
   freeShare,
   hasRequiredTicket,
   isNearData,
+  isSuspected,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
 
@@ -28,8 +29,9 @@
   );
   const placements = packGang(startable, readyStep);
   if (placements !== undefined) {
-    for (const {candidate} of placements) {
+    for (const {index, candidate} of placements) {
       deductTasks(candidate, readyStep, 1);
+      candidate.isClosed ||= isSuspected(readyStep, index);
     }
     return placements;
   }
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -17,6 +17,7 @@
   reservedResources,
 } from '@samphireramp/jobs';
 import {deleteAdviceOfJob} from './adviceState';
+import {beginTrial} from './crashTrials';
 import {
   CANCELLED_JOBS,
   END_SEEN_AT,
@@ -103,6 +104,9 @@
             reserved,
             expectsProgress(definition),
           );
+          if (task.crashedRuns.length > 0) {
+            beginTrial(update, runId);
+          }
         }
       });
     });
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -14,6 +14,7 @@
 } from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE} from './adviceState';
 import {type Candidate, type Placement, type ReadyStep} from './candidates';
+import {beginTrial} from './crashTrials';
 import {JOBS, expectsProgress, setProgress} from './DispatchState';
 import {chooseGangPlacements} from './gangPlacement';
 import {DISPATCH_EVENT, type PlacementScope} from './messages';
@@ -133,6 +134,9 @@
     readyStep.taskResources,
     expectsProgress(readyStep.step),
   );
+  if (task.crashedRuns.length > 0) {
+    beginTrial(update, runId);
+  }
   const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
   const order: StartOrder = {
     runId,
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -9,8 +9,10 @@
   freeShare,
   hasRequiredTicket,
   isNearData,
+  isSuspected,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
+import {chooseTrialPlacements} from './trialPlacement';
 
 /** Chooses workers for the tasks of a step, one by one until none fits. */
 export function chooseTaskPlacements(
@@ -23,9 +25,16 @@
     .filter(({worker}) =>
       hasRequiredTicket(worker, readyStep, advice, pass.update.now),
     );
-  const placements: Placement[] = [];
+  const placements = chooseTrialPlacements(pass, readyStep, startable);
   const placedOn = new Map<Candidate, number>();
+  const suspected = readyStep.openTasks.filter(index =>
+    isSuspected(readyStep, index),
+  );
+  const untriedSuspects = suspected.length - placements.length;
   for (const index of readyStep.openTasks) {
+    if (suspected.includes(index)) {
+      continue;
+    }
     const candidate = chooseBestFit(startable, readyStep, placedOn);
     if (candidate === undefined) {
       break;
@@ -34,7 +43,10 @@
     placements.push({index, candidate});
     placedOn.set(candidate, (placedOn.get(candidate) ?? 0) + 1);
   }
-  const tasksLeft = readyStep.openTasks.length - placements.length;
+  // Suspected tasks that wait for the trials of others need no advice.
+  const waitingSuspects = pass.mayBeginTrial() ? 0 : untriedSuspects;
+  const tasksLeft =
+    readyStep.openTasks.length - placements.length - waitingSuspects;
   if (tasksLeft > 0) {
     requestMoreAdvice(pass, readyStep, advice, tasksLeft, () =>
       spreadOver(pass.suitableFor(readyStep), readyStep),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -15,6 +15,7 @@
 export type {Run, RunPhase, StartOrder, StartRefusal} from './Run';
 export {discardRun} from './workerRemoval';
 export {stopRun} from './runOrders';
+export {CRASH_SUSPICION_MILLIS} from './workerCrashes';
 export type {ClockReading, RunOutcome, Worker, WorkerRecord} from './Worker';
 export {
   avoidWorker,
--- a/testing/src/__tests__/unit/crashingTasks.test.ts
+++ b/testing/src/__tests__/unit/crashingTasks.test.ts
@@ -52,7 +52,7 @@
   submitAll(site, [job]);
   await site.run(30_000);
   t.equal(site.readJobState(site.hosts[0], job.id), 'failed');
-  t.ok(site.checker.crashes.countCaused(job.id) <= 3);
+  t.equal(site.checker.crashes.countCaused(job.id), 2);
   t.same(site.checker.violations, []);
 });
 
@@ -70,6 +70,25 @@
   t.same(site.checker.violations, []);
 });
 
+void t.test(
+  'tasks beside one that crashes workers are not given up',
+  async t => {
+    const crashing = buildJobs('c', 3, 1);
+    const others = buildJobs('d', 8, 5);
+    const site = buildSite(crashing.map(({id}) => id));
+    await site.run(1000);
+    submitAll(site, [...others.slice(4), ...crashing, ...others.slice(0, 4)]);
+    await site.run(60_000);
+    for (const {id} of crashing) {
+      t.equal(site.readJobState(site.hosts[0], id), 'failed', id);
+    }
+    for (const {id} of others) {
+      t.equal(site.readJobState(site.hosts[0], id), 'completed', id);
+    }
+    t.same(site.checker.violations, []);
+  },
+);
+
 void t.test('a new holder knows the crashes under a task', async t => {
   const [job] = buildJobs('e', 1, 1);
   const site = buildSite([job.id]);
