--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -21,6 +21,7 @@
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
   START_GIVEN_UP,
+  WORKER_CRASHED,
   WORKERS,
   leasesExpiredAt,
   discardRun,
@@ -41,6 +42,8 @@
   JOBS,
   PARTITIONS_READ,
 } from './DispatchState';
+import {onWorkerCrashed} from './crashFlow';
+import {CRASH_TRIALS, endTrials} from './crashTrials';
 import {
   applyRequests,
   forgetEndedJobs,
@@ -131,6 +134,7 @@
       forgetEndedJobs(update, keepEndedMillis);
     }
     discardRunsOnUnknownWorkers(update);
+    endTrials(update);
     reportWaitingSteps(update);
     schedulePlacement(update);
   }
@@ -142,6 +146,7 @@
       kernel.registerSlice(END_SEEN_AT),
       kernel.registerSlice(SITE_CONFIGURATION),
       kernel.registerSlice(PARTITIONS_READ),
+      kernel.registerSlice(CRASH_TRIALS),
       kernel.registerSlice(ADVICE),
       kernel.registerSlice(CALLS_BY_HOST),
       kernel.registerSlice(OPEN_ADVICE_REQUESTS),
@@ -172,6 +177,9 @@
       kernel.registerCommand(RUN_DISCARDED, onRunDiscarded),
       kernel.registerCommand(RUN_CONFIRMED, onRunConfirmed),
       kernel.registerCommand(START_GIVEN_UP, onStartGivenUp),
+      kernel.registerCommand(WORKER_CRASHED, (update, payload) =>
+        onWorkerCrashed(update, payload, wallClock),
+      ),
       kernel.registerCommand(UNEXPECTED_RUN_REPORTED, onUnexpectedRun),
       kernel.registerCommand(ADVICE_RECEIVED, onAdviceReceived),
       kernel.registerCommand(BEGIN_PASS, (update, {scope}) =>
@@ -214,6 +222,7 @@
   update.write(CANCELLED_JOBS).clear();
   update.write(END_SEEN_AT).clear();
   update.write(PARTITIONS_READ).clear();
+  update.write(CRASH_TRIALS).clear();
   update.write(ADVICE).clear();
   update.write(CALLS_BY_HOST).clear();
   update.write(OPEN_ADVICE_REQUESTS).clear();
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -66,6 +66,8 @@
   readonly hasLeft: boolean;
   /** Whether it is gone, and kept only for runs that may still start. */
   readonly isGone: boolean;
+  /** Whether its crash has been reported. */
+  readonly isCrashReported: boolean;
   /** No new run is placed on it before this time. */
   readonly avoidedUntil: number;
 }
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -15,6 +15,14 @@
   mayNextIncarnationStart,
 } from './unansweredOrders';
 import type {Worker} from './Worker';
+import {reportCrash} from './workerCrashes';
+
+/** Reasons of a removal that show that the process of the worker has ended. */
+const CRASH_DETAILS: ReadonlySet<string> = new Set([
+  'reborn',
+  'other-life',
+  'closed',
+]);
 
 /** Drops a run that can't be running, without a reported end. */
 export function discardRun(
@@ -43,6 +51,9 @@
   worker: Worker,
   detail: string,
 ): void {
+  if (CRASH_DETAILS.has(detail)) {
+    reportCrash(update, worker, detail);
+  }
   const {incarnation, isGone, answeredAt} = worker;
   if (!isGone) {
     update.emit(FLEET_EVENT, {
@@ -143,6 +154,7 @@
   worker: Worker,
   incarnation: string,
 ): void {
+  reportCrash(update, worker, 'reborn');
   forbidUnansweredOrders(update, {...worker, incarnation});
   const runs = update.read(RUNS).withKey(worker.incarnation);
   if (!runs.some(mayStillStart)) {
