--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -6,12 +6,7 @@
   StartRefusal,
   WorkerRecord,
 } from '@samphireramp/fleet';
-import {
-  type Resources,
-  type RunId,
-  runKey,
-  taskKey,
-} from '@samphireramp/jobs';
+import {type Resources, type RunId, runKey, taskKey} from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
 import type {InvariantChecker} from './InvariantChecker';
 import {ModelCapacity, sumReserved} from './ModelCapacity';
