--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -61,7 +61,7 @@
   | 'bad-ticket'
   /** The worker takes no requests at present. */
   | 'unhealthy'
-  /** The order was invalid, or the answer could not be understood. */
+  /** The order was invalid, or the reason could not be understood. */
   | 'malformed'
   /** Another worker or incarnation answers at its address. */
   | 'other-life';
