--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -81,7 +81,7 @@
     const {term, leaseUntil} = call;
     // An order is addressed to a worker id, so that a later incarnation of the
     // worker can receive it too.
-    return this.sendOrder(host, call, worker =>
+    return this.sendOrder(host, call, 'unhealthy', worker =>
       worker.start(order, term, leaseUntil),
     );
   }
@@ -92,13 +92,19 @@
     call: {id: string; term: number; timeoutMillis: number},
     runId: RunId,
   ) {
-    return this.sendOrder(host, call, worker => worker.stop(runId, call.term));
+    return this.sendOrder(host, call, 'silent', worker =>
+      worker.stop(runId, call.term),
+    );
   }
 
-  /** Delivers an order; faults can delay it and lose its answer. */
+  /**
+   * Delivers an order; faults can delay it and lose its answer. A worker that
+   * refuses it answers with `refusal`.
+   */
   private async sendOrder<Answer>(
     host: string,
     call: {id: string; timeoutMillis: number},
+    refusal: Answer | 'silent',
     execute: (worker: ModelWorker) => Answer,
   ): Promise<Answer | 'silent'> {
     const worker = this.findWorker(call.id);
@@ -117,7 +123,9 @@
       await this.delay(call.timeoutMillis);
       return 'silent';
     }
-    const answer = execute(worker);
+    const answer = this.faultState().refusesOrder(call.id)
+      ? refusal
+      : execute(worker);
     await this.delay(NETWORK_DELAY_MILLIS);
     return answer;
   }
--- a/testing/src/site/SiteFaultState.ts
+++ b/testing/src/site/SiteFaultState.ts
@@ -6,6 +6,8 @@
   canCall(host: string, worker: string): boolean;
   /** Whether the answer to an order to start or stop a run is lost. */
   losesOrderAnswer(): boolean;
+  /** Whether a worker refuses an order as unhealthy, without executing it. */
+  refusesOrder(worker: string): boolean;
   /** Delay before an order with a lost answer is executed. */
   orderDelayMillis(): number;
 }
@@ -17,5 +19,6 @@
   appendDelayMillis: () => 0,
   canCall: () => true,
   losesOrderAnswer: () => false,
+  refusesOrder: () => false,
   orderDelayMillis: () => 0,
 };
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -20,6 +20,7 @@
 export {ModelWorker, type TaskScript} from './ModelWorker';
 export {
   ALL_FAULTS,
+  REFUSAL_FAULTS,
   type ScheduleFaults,
   type ScheduleReport,
   drawSteps,
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -40,10 +40,15 @@
   /** Number of times that all runs on a worker fail for a while. */
   readonly workerFailures: number;
   readonly lostOrderAnswers: boolean;
+  /**
+   * Number of times that a worker refuses half of its orders for a while. If not
+   * 0, answers to orders are lost more often.
+   */
+  readonly workerRefusals: number;
   readonly cancels: number;
 }
 
-/** A few faults of each kind. */
+/** A few faults of each kind, but workers that refuse orders. */
 export const ALL_FAULTS: ScheduleFaults = {
   hostKills: 3,
   rollingRestarts: 1,
@@ -59,9 +64,16 @@
   workerStalls: 1,
   workerFailures: 1,
   lostOrderAnswers: true,
+  workerRefusals: 0,
   cancels: 4,
 };
 
+/** Workers that refuse orders, beside a few faults of each other kind. */
+export const REFUSAL_FAULTS: ScheduleFaults = {
+  ...ALL_FAULTS,
+  workerRefusals: 20,
+};
+
 /** What a schedule led to. */
 export interface ScheduleReport {
   readonly violations: readonly string[];
@@ -104,6 +116,7 @@
   const logAvailabilityByHost = new Map<string, 'refuses' | 'silent'>();
   const brokenLinks = new Set<string>();
   const failingJobs = new Set<string>();
+  const refusingWorkers = new Set<string>();
   let areFaultsActive = true;
   const site = new ModelSite({
     hosts: 3,
@@ -122,7 +135,10 @@
         !brokenLinks.has(`${host}/${worker}`) &&
         !brokenLinks.has(`*/${worker}`),
       losesOrderAnswer: () =>
-        areFaultsActive && faults.lostOrderAnswers && random() < 0.08,
+        areFaultsActive &&
+        faults.lostOrderAnswers &&
+        random() < (faults.workerRefusals > 0 ? 0.3 : 0.08),
+      refusesOrder: worker => refusingWorkers.has(worker) && random() < 0.5,
       orderDelayMillis: () => (random() < 0.3 ? 0 : between(500, 6000)),
     },
     script: (job, runId) => ({
@@ -278,6 +294,11 @@
       void site.cancel(randomHost(), pick(accepted).id);
     }
   });
+  // Drawn last: schedules without these faults don't depend on them.
+  disturbWorkers(faults.workerRefusals, ({id}) => {
+    refusingWorkers.add(id);
+    return () => refusingWorkers.delete(id);
+  });
   const readRandomAnswers = () => {
     readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
     after(READ_INTERVAL_MILLIS, readRandomAnswers);
