Workers over their capacity don't hold up advice on the others

Steps ask for advice as long as those ahead await it for no more than twice the free CPU of the suitable workers. That sum took in a worker on which runs reserve more than it has with a negative number, so that one worker that had shrunk hid the free CPU of others: no step asked for advice, and none was started, until enough runs had ended there.

The test failed before: with three of four workers over their capacity, a task that fits the fourth was not started within a second (0 starts); now it is.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -94,8 +94,10 @@
     const candidates = this.candidates.filter(({worker}) =>
       meetsRequirements(worker, readyStep),
     );
+    // A worker that is over its capacity takes nothing from the others.
     const freeCpuMillis = candidates.reduce(
-      (total, each) => total + (this.cpuMillisAtStart.get(each) ?? 0),
+      (total, each) =>
+        total + Math.max(0, this.cpuMillisAtStart.get(each) ?? 0),
       0,
     );
     const byWorkerId = new Map(
--- a/testing/src/__tests__/unit/capacityChanges.test.ts
+++ b/testing/src/__tests__/unit/capacityChanges.test.ts
@@ -1,4 +1,4 @@
-import type {Step} from '@samphireramp/jobs';
+import type {QueuePolicy, Step} from '@samphireramp/jobs';
 import t from 'tap';
 import {
   type ModelSite,
@@ -16,7 +16,9 @@
 const LARGE_NEED = {cpuMillis: 6000, memoryMegabytes: 4000, accelerators: 0};
 /** By when a shrunken capacity counts. */
 const GRACE_MILLIS = 6000;
+const ADVICE = {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 2500};
 const QUEUE = buildPolicy();
+const ADVISED = buildPolicy({name: 'advised', advice: ADVICE});
 
 /** Builds a site on which time has passed until its workers are known. */
 async function buildSite(
@@ -24,7 +26,7 @@
 ): Promise<ModelSite> {
   const site = buildModelSite({
     capacity: CAPACITY,
-    policies: [QUEUE],
+    policies: [QUEUE, ADVISED],
     ...overrides,
   });
   site.checker.areFaultsOver = () => true;
@@ -33,11 +35,16 @@
 }
 
 /** Submits a job of one step, which runs for a minute unless it says else. */
-function submitStep(site: ModelSite, id: string, step: Partial<Step>): void {
+function submitStep(
+  site: ModelSite,
+  id: string,
+  step: Partial<Step>,
+  policy: QueuePolicy = QUEUE,
+): void {
   const steps = [buildStep({estimateMillis: 60_000, ...step})];
   const receivedAt = site.clock.now;
   const host = site.hosts.find(({isUp}) => isUp) ?? site.hosts[0];
-  void site.submit(host, buildJob(id, steps, {policy: QUEUE, receivedAt}));
+  void site.submit(host, buildJob(id, steps, {policy, receivedAt}));
 }
 
 /** Fills workers with a task each, then lets their capacity shrink below it. */
@@ -134,6 +141,18 @@
   },
 );
 
+void t.test(
+  'workers over their capacity do not hold up advice on the others',
+  async t => {
+    const site = await buildSite({workers: 4});
+    await overfill(site, site.workers.slice(0, 3));
+    const need = {cpuMillis: 1000, memoryMegabytes: 1000, accelerators: 0};
+    submitStep(site, 'e6', {need}, ADVISED);
+    await site.run(1000);
+    t.equal(site.checker.countStarts('e6'), 1);
+  },
+);
+
 void t.test('a new holder goes by the newest capacity', async t => {
   const site = await buildSite({workers: 2});
   submitStep(site, 'e7', {count: 2, need: {...LARGE_NEED, cpuMillis: 3000}});
