--- a/testing/src/__tests__/unit/siteSensitivity.test.ts
+++ b/testing/src/__tests__/unit/siteSensitivity.test.ts
@@ -76,6 +76,34 @@
   t.ok(count > 0, `${count} violations were detected`);
 });
 
+/**
+ * Counts violations over the schedules in which workers often shrink, on sites
+ * that `prepare` may change.
+ */
+async function countWithShrinkingWorkers(
+  prepare: (site: ModelSite) => void,
+): Promise<number> {
+  const faults = {...ALL_FAULTS, workerShrinks: 12};
+  let violations = 0;
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULE_COUNT; seed++) {
+    const report = await runSiteSchedule(seed, faults, prepare);
+    violations += report.violations.length;
+  }
+  return violations;
+}
+
+void t.test('a site that ignores shrunken capacities is detected', async t => {
+  t.equal(await countWithShrinkingWorkers(() => undefined), 0);
+  const count = await countWithShrinkingWorkers(site => {
+    for (const worker of site.workers) {
+      const capacity = worker.capacity.current();
+      const record = worker.record.bind(worker);
+      worker.record = isDraining => ({...record(isDraining), capacity});
+    }
+  });
+  t.ok(count > 0, `${count} violations were detected`);
+});
+
 /**
  * Cuts a worker that runs a long task off from all hosts, so that its lease
  * expires and the task runs again on another worker. Returns the violations.
