Report the crash of a worker once

A worker whose next incarnation was registered while it still had runs was reported twice, as the second call saw the worker as it was before the first. The second report named the runs that were left, so that one of several suspects could seem to be alone.

--- a/packages/fleet/src/workerCrashes.ts
+++ b/packages/fleet/src/workerCrashes.ts
@@ -1,6 +1,6 @@
 import type {Update} from '@samphireramp/kernel';
 import {runKey} from '@samphireramp/jobs';
-import {RUNS, changeWorker} from './FleetState';
+import {RUNS, WORKERS, changeWorker} from './FleetState';
 import {FLEET_EVENT, WORKER_CRASHED} from './messages';
 import type {Run} from './Run';
 import type {Worker} from './Worker';
@@ -50,18 +50,24 @@
  */
 export function reportCrash(
   update: Update,
-  worker: Worker,
+  incarnation: string,
   reason: string,
 ): void {
-  if (worker.isCrashReported || worker.isDraining || worker.hasLeft) {
+  const worker = update.read(WORKERS).get(incarnation);
+  if (worker === undefined || worker.isCrashReported) {
+    return;
+  }
+  const isPlanned = worker.isDraining || worker.hasLeft;
+  if (isPlanned) {
     return;
   }
-  changeWorker(update, worker.incarnation, {isCrashReported: true});
-  const runs = update.read(RUNS).withKey(worker.incarnation);
+  changeWorker(update, incarnation, {isCrashReported: true});
+  const runs = update.read(RUNS).withKey(incarnation);
   const {started, unanswered} = findCrashSuspects(worker, runs);
+  const aliveAt = lastSignOfLife(worker, runs);
   update.emit(FLEET_EVENT, {
     event: 'worker-crashed',
-    worker: worker.incarnation,
+    worker: incarnation,
     subject: started.slice(0, MAX_NAMED_RUNS).map(describeAge).join(','),
     detail:
       `${reason}, ${runs.length} runs, ${started.length} began last` +
@@ -69,13 +75,13 @@
     millis: Math.round(update.now - worker.answeredAt),
   });
   update.dispatch(WORKER_CRASHED, {
-    incarnation: worker.incarnation,
+    incarnation,
     suspects: started.map(({runId}) => runId),
     unanswered: unanswered.length,
   });
 
   function describeAge({runId, startedAt = 0}: Run): string {
-    const ageMillis = lastSignOfLife(worker, runs) - startedAt;
+    const ageMillis = aliveAt - startedAt;
     return `${runKey(runId)}/${Math.round(ageMillis)}`;
   }
 }
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -77,7 +77,7 @@
 function removeEarlierIncarnations(update: Update, record: WorkerRecord): void {
   for (const worker of [...update.read(WORKERS).values()]) {
     if (worker.id === record.id && worker.bootedAt < record.bootedAt) {
-      reportCrash(update, worker, 'reborn');
+      reportCrash(update, worker.incarnation, 'reborn');
       for (const run of update.read(RUNS).withKey(worker.incarnation)) {
         if (mayStillStart(run)) {
           const moved = {
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -38,7 +38,7 @@
   detail: string,
 ): void {
   if (CRASH_DETAILS.has(detail)) {
-    reportCrash(update, worker, detail);
+    reportCrash(update, worker.incarnation, detail);
   }
   update.emit(FLEET_EVENT, {
     event: 'worker-gone',
@@ -75,7 +75,7 @@
   worker: Worker,
   incarnation: string,
 ): void {
-  reportCrash(update, worker, 'reborn');
+  reportCrash(update, worker.incarnation, 'reborn');
   forbidUnansweredOrders(update, {...worker, incarnation});
   const runs = update.read(RUNS).withKey(worker.incarnation);
   if (!runs.some(mayStillStart)) {
