--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -10,7 +10,7 @@
   listCandidates,
   meetsRequirements,
 } from './candidates';
-import {maxWorkersOnTrial, workersOnTrial} from './crashTrials';
+import {countFreeTrials, workersOnTrial} from './crashTrials';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
 
@@ -52,7 +52,7 @@
   ) {
     const candidates = listCandidates(update, update.now);
     const onTrial = workersOnTrial(update, update.now);
-    this.trialsLeft = maxWorkersOnTrial(candidates.length) - onTrial.size;
+    this.trialsLeft = countFreeTrials(update);
     this.candidates = candidates.filter(
       ({worker}) => !onTrial.has(worker.incarnation),
     );
--- a/packages/dispatch/src/crashTrials.ts
+++ b/packages/dispatch/src/crashTrials.ts
@@ -21,7 +21,7 @@
 import {setProgress} from './DispatchState';
 import {DISPATCH_EVENT} from './messages';
 
-/** Share of the workers on which suspected tasks may start at the same time. */
+/** Share of the workers that suspected tasks may occupy until they are cleared. */
 const MAX_TRIAL_SHARE = 0.25;
 
 /** Runs of tasks that are suspected to crash workers, by run key. */
@@ -51,9 +51,20 @@
     : now - startedAt <= CRASH_SUSPICION_MILLIS;
 }
 
-/** Returns how many of the workers may be on trial at the same time. */
-export function maxWorkersOnTrial(workers: number): number {
-  return Math.max(1, Math.floor(workers * MAX_TRIAL_SHARE));
+/**
+ * Returns on how many further workers suspected tasks may start. A worker that one
+ * of them may have crashed counts until its runs are discarded.
+ */
+export function countFreeTrials(state: StateReader): number {
+  const occupied = new Set<string>();
+  for (const key of state.read(CRASH_TRIALS).keys()) {
+    const run = state.read(RUNS).get(key);
+    if (run !== undefined) {
+      occupied.add(run.incarnation);
+    }
+  }
+  const limit = Math.floor(state.read(WORKERS).size * MAX_TRIAL_SHARE);
+  return Math.max(1, limit) - occupied.size;
 }
 
 /** Forgets runs that have ended, and clears tasks whose workers have survived. */
