--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -41,8 +41,13 @@
   readonly workerFailures: number;
   readonly lostOrderAnswers: boolean;
   readonly cancels: number;
+  /** Number of jobs whose tasks may crash their workers; none by default. */
+  readonly crashingJobs?: number;
 }
 
+/** Time from the start of a task until it crashes its worker, if it does. */
+const CRASH_MILLIS = 10;
+
 /** A few faults of each kind. */
 export const ALL_FAULTS: ScheduleFaults = {
   hostKills: 3,
@@ -104,6 +109,7 @@
   const logAvailabilityByHost = new Map<string, 'refuses' | 'silent'>();
   const brokenLinks = new Set<string>();
   const failingJobs = new Set<string>();
+  const crashingJobs = new Set<string>();
   let areFaultsActive = true;
   const site = new ModelSite({
     hosts: 3,
@@ -128,6 +134,10 @@
     script: (job, runId) => ({
       step: job.steps[runId.step],
       workMillis: job.steps[runId.step].estimateMillis,
+      crashMillis:
+        runId.index === 0 && crashingJobs.has(job.id)
+          ? CRASH_MILLIS
+          : undefined,
       fails: run => failingJobs.has(job.id) && run % 3 !== 0,
     }),
   });
@@ -258,6 +268,9 @@
         : {}),
     });
     jobs.push(job);
+    if (index < (faults.crashingJobs ?? 0)) {
+      crashingJobs.add(id);
+    }
     if (random() < 0.1) {
       failingJobs.add(id);
     }
