--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -10,7 +10,7 @@
   listCandidates,
   meetsRequirements,
 } from './candidates';
-import {maxWorkersOnTrial, workersOnTrial} from './crashTrials';
+import {countFreeTrials, workersOnTrial} from './crashTrials';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
 
@@ -52,7 +52,7 @@
   ) {
     const candidates = listCandidates(update, update.now);
     const onTrial = workersOnTrial(update, update.now);
-    this.trialsLeft = maxWorkersOnTrial(candidates.length) - onTrial.size;
+    this.trialsLeft = countFreeTrials(update);
     this.candidates = candidates.filter(
       ({worker}) => !onTrial.has(worker.incarnation),
     );
@@ -114,8 +114,10 @@
     const candidates = this.candidates.filter(({worker}) =>
       meetsRequirements(worker, readyStep),
     );
+    // A worker that is over its capacity takes nothing from the others.
     const freeCpuMillis = candidates.reduce(
-      (total, each) => total + (this.cpuMillisAtStart.get(each) ?? 0),
+      (total, each) =>
+        total + Math.max(0, this.cpuMillisAtStart.get(each) ?? 0),
       0,
     );
     const byWorkerId = new Map(
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -52,7 +52,7 @@
   detail: string,
 ): void {
   if (CRASH_DETAILS.has(detail)) {
-    reportCrash(update, worker, detail);
+    reportCrash(update, worker.incarnation, detail);
   }
   const {incarnation, isGone, answeredAt} = worker;
   if (!isGone) {
@@ -154,7 +154,7 @@
   worker: Worker,
   incarnation: string,
 ): void {
-  reportCrash(update, worker, 'reborn');
+  reportCrash(update, worker.incarnation, 'reborn');
   forbidUnansweredOrders(update, {...worker, incarnation});
   const runs = update.read(RUNS).withKey(worker.incarnation);
   if (!runs.some(mayStillStart)) {
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -22,6 +22,7 @@
 export {ModelWorker} from './ModelWorker';
 export {
   ALL_FAULTS,
+  REFUSAL_FAULTS,
   type ScheduleFaults,
   type ScheduleReport,
   drawSteps,
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -43,10 +43,20 @@
   /** Number of times that the capacity of a worker shrinks for a while. */
   readonly workerShrinks: number;
   readonly lostOrderAnswers: boolean;
+  /**
+   * Number of times that a worker refuses half of its orders for a while. If not
+   * 0, answers to orders are lost more often.
+   */
+  readonly workerRefusals: number;
   readonly cancels: number;
+  /** Number of jobs whose tasks may crash their workers; none by default. */
+  readonly crashingJobs?: number;
 }
 
-/** A few faults of each kind but changes of capacity, which have schedules of their own. */
+/** Time from the start of a task until it crashes its worker, if it does. */
+const CRASH_MILLIS = 10;
+
+/** A few faults of each kind, but those that have schedules of their own. */
 export const ALL_FAULTS: ScheduleFaults = {
   hostKills: 3,
   rollingRestarts: 1,
@@ -63,9 +73,16 @@
   workerFailures: 1,
   workerShrinks: 0,
   lostOrderAnswers: true,
+  workerRefusals: 0,
   cancels: 4,
 };
 
+/** Workers that refuse orders, beside a few faults of each other kind. */
+export const REFUSAL_FAULTS: ScheduleFaults = {
+  ...ALL_FAULTS,
+  workerRefusals: 20,
+};
+
 /** What a schedule led to. */
 export interface ScheduleReport {
   readonly violations: readonly string[];
@@ -108,6 +125,8 @@
   const logAvailabilityByHost = new Map<string, 'refuses' | 'silent'>();
   const brokenLinks = new Set<string>();
   const failingJobs = new Set<string>();
+  const refusingWorkers = new Set<string>();
+  const crashingJobs = new Set<string>();
   let areFaultsActive = true;
   const site = new ModelSite({
     hosts: 3,
@@ -126,12 +145,19 @@
         !brokenLinks.has(`${host}/${worker}`) &&
         !brokenLinks.has(`*/${worker}`),
       losesOrderAnswer: () =>
-        areFaultsActive && faults.lostOrderAnswers && random() < 0.08,
+        areFaultsActive &&
+        faults.lostOrderAnswers &&
+        random() < (faults.workerRefusals > 0 ? 0.3 : 0.08),
+      refusesOrder: worker => refusingWorkers.has(worker) && random() < 0.5,
       orderDelayMillis: () => (random() < 0.3 ? 0 : between(500, 6000)),
     },
     script: (job, runId) => ({
       step: job.steps[runId.step],
       workMillis: job.steps[runId.step].estimateMillis,
+      crashMillis:
+        runId.index === 0 && crashingJobs.has(job.id)
+          ? CRASH_MILLIS
+          : undefined,
       fails: run => failingJobs.has(job.id) && run % 3 !== 0,
     }),
   });
@@ -262,6 +288,9 @@
         : {}),
     });
     jobs.push(job);
+    if (index < (faults.crashingJobs ?? 0)) {
+      crashingJobs.add(id);
+    }
     if (random() < 0.1) {
       failingJobs.add(id);
     }
@@ -288,6 +317,10 @@
     between,
     repeatAtRandomTimes,
   });
+  disturbWorkers(faults.workerRefusals, ({id}) => {
+    refusingWorkers.add(id);
+    return () => refusingWorkers.delete(id);
+  });
   const readRandomAnswers = () => {
     readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
     after(READ_INTERVAL_MILLIS, readRandomAnswers);
