Test: a worker without an entry that refuses connections keeps its runs (fails)

Cause: an unregistered worker counts as gone at the first refused connection, and its runs are discarded before its lease has expired. A cut link may refuse connections too, and an entry lapses while its worker can't reach the store. Fails on this code; no fix yet.

--- a/testing/src/__tests__/unit/drainingWorkers.test.ts
+++ b/testing/src/__tests__/unit/unregisteredWorkers.test.ts
@@ -48,3 +48,25 @@
     t.equal(site.readJobState(site.hosts[0], JOB_ID), 'completed');
   },
 );
+
+void t.test(
+  'no task starts again while its worker is only unregistered and refuses connections',
+  async t => {
+    const site = buildModelSite({workers: 2, policies: [POLICY]});
+    const worker = await runLongJob(site);
+    site.faultState = {
+      ...site.faultState,
+      refusesConnections: id => id === worker.id,
+    };
+    // A poll that is open is answered, and the next one is refused.
+    await site.run(1500);
+    site.deleteRegistryEntry(worker);
+    await site.run(2500);
+    site.faultState = {...site.faultState, refusesConnections: () => false};
+    site.writeRegistryEntry(worker);
+    await site.run(5000);
+    t.same(site.checker.violations, []);
+    t.equal(site.checker.countStarts(JOB_ID), 1);
+    t.equal(site.readJobState(site.hosts[0], JOB_ID), 'completed');
+  },
+);
--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -51,6 +51,9 @@
       detail: 'no answer',
     } as const;
     await this.delay(NETWORK_DELAY_MILLIS);
+    if (this.faultState().refusesConnections(call.id)) {
+      return {kind: 'failed', failure: 'closed', detail: 'refused'} as const;
+    }
     if (!worker?.isUp || !this.faultState().canCall(host, call.id)) {
       await this.delay(call.timeoutMillis);
       return noAnswer;
--- a/testing/src/site/SiteFaultState.ts
+++ b/testing/src/site/SiteFaultState.ts
@@ -4,6 +4,8 @@
 export interface SiteFaultState extends LogFaultState {
   /** Whether calls from a host reach a worker, and its answers the host. */
   canCall(host: string, worker: string): boolean;
+  /** Whether a worker refuses the connections of polls. */
+  refusesConnections(worker: string): boolean;
   /** Whether the answer to an order to start or stop a run is lost. */
   losesOrderAnswer(): boolean;
   /** Delay before an order with a lost answer is executed. */
@@ -16,6 +18,7 @@
   losesAppendAnswer: () => false,
   appendDelayMillis: () => 0,
   canCall: () => true,
+  refusesConnections: () => false,
   losesOrderAnswer: () => false,
   orderDelayMillis: () => 0,
 };
