Test: late polls of an earlier incarnation neither acknowledge nor prolong (fails)

Cause: a poll without an answer may be executed seconds later, by the next incarnation of the worker under the same id. It then acknowledges ends of that incarnation which nobody has read, and prolongs its lease by up to the longest hold, since the clock of an incarnation starts anew. The model executes polls late where losesPollAnswer says so.

--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -59,6 +59,15 @@
       return noAnswer;
     }
     const {term, acknowledgedEnd, leaseUntil, waitMillis} = call;
+    if (this.faultState().losesPollAnswer(call.id)) {
+      this.timeline.after(this.faultState().orderDelayMillis(), () => {
+        if (worker.isUp) {
+          void worker.poll(term, acknowledgedEnd, leaseUntil, 0);
+        }
+      });
+      await this.delay(call.timeoutMillis);
+      return noAnswer;
+    }
     const report = await worker.poll(
       term,
       acknowledgedEnd,
--- a/testing/src/site/SiteFaultState.ts
+++ b/testing/src/site/SiteFaultState.ts
@@ -6,9 +6,11 @@
   canCall(host: string, worker: string): boolean;
   /** Whether a worker refuses the connections of polls. */
   refusesConnections(worker: string): boolean;
+  /** Whether the answer to a poll is lost, and the poll executed late. */
+  losesPollAnswer(worker: string): boolean;
   /** Whether the answer to an order to start or stop a run is lost. */
   losesOrderAnswer(): boolean;
-  /** Delay before an order with a lost answer is executed. */
+  /** Delay before an order or a poll with a lost answer is executed. */
   orderDelayMillis(): number;
 }
 
@@ -19,6 +21,7 @@
   appendDelayMillis: () => 0,
   canCall: () => true,
   refusesConnections: () => false,
+  losesPollAnswer: () => false,
   losesOrderAnswer: () => false,
   orderDelayMillis: () => 0,
 };
