--- a/testing/src/__tests__/unit/capacityChanges.test.ts
+++ b/testing/src/__tests__/unit/capacityChanges.test.ts
@@ -189,3 +189,46 @@
   t.equal(site.checker.countStarts('ea'), 1);
   t.same(site.checker.violations, []);
 });
+
+void t.test(
+  'no run reserved before the log was out of reach starts by an old capacity',
+  async t => {
+    const site = await buildSite({workers: 1});
+    submitStep(site, 'eb', {need: LARGE_NEED, estimateMillis: 500});
+    while (!site.events.some(line => line.includes('step-placed'))) {
+      await site.run(1);
+    }
+    site.faultState = {...site.faultState, logAvailability: () => 'silent'};
+    changeCapacity(site, site.workers[0], SMALL);
+    await site.run(GRACE_MILLIS);
+    site.faultState = {...site.faultState, logAvailability: () => 'answers'};
+    await site.run(3000);
+    t.same(site.checker.violations, []);
+    changeCapacity(site, site.workers[0], CAPACITY);
+    await site.run(2000);
+    t.equal(site.readJobState(site.hosts[0], 'eb'), 'completed');
+  },
+);
+
+void t.test(
+  'start orders are repeated only while the old capacity counts',
+  async t => {
+    const site = await buildSite({workers: 1});
+    // No order but the third takes effect.
+    let orders = 0;
+    site.faultState = {
+      ...site.faultState,
+      losesOrderAnswer: () => ++orders < 3,
+      orderDelayMillis: () => 60_000,
+    };
+    submitStep(site, 'ec', {need: LARGE_NEED});
+    while (orders === 0) {
+      await site.run(1);
+    }
+    changeCapacity(site, site.workers[0], SMALL, 1500);
+    await site.run(GRACE_MILLIS);
+    t.equal(site.checker.countStarts('ec'), 1);
+    t.equal(orders, 3);
+    t.same(site.checker.violations, []);
+  },
+);
