A refused stop of a run that may not have started is repeated soon

Cause: the task of a run with an unanswered start order waits until its worker has confirmed a stop. A worker that is unhealthy refuses the stop at once; it was sent again 700 ms after the one before, as for a run that is ending.

Change: after such an answer the stop is repeated 150 ms later.

Evidence: 'a refused stop of an unanswered order is repeated soon' failed before and passes.

--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -29,6 +29,8 @@
 const STOP_TIMEOUT_MILLIS = 500;
 /** Delay before a stop order is repeated if the run has not ended by then. */
 const STOP_RETRY_MILLIS = 700;
+/** The same after a worker refused to stop a run that may not have started. */
+const REFUSED_STOP_RETRY_MILLIS = 150;
 
 /** Sends the start order of a reserved run, or repeats it. */
 export function sendStartOrder(update: Update, order: StartOrder): void {
@@ -237,6 +239,10 @@
   } else if (outcome === 'stopped') {
     // From here on, a report without this run proves that it isn't running.
     changeRun(update, key, {confirmedAt: run.confirmedAt ?? update.now});
+  } else if (outcome === 'silent' && run.confirmedAt === undefined) {
+    // The task of the run waits for the confirmation.
+    const retryAt = update.now + REFUSED_STOP_RETRY_MILLIS;
+    changeRun(update, key, {lastOrderAt: retryAt - STOP_RETRY_MILLIS});
   }
 }
 
--- a/testing/src/__tests__/unit/runRegressions.test.ts
+++ b/testing/src/__tests__/unit/runRegressions.test.ts
@@ -194,3 +194,28 @@
     t.equal(site.readJobState(site.hosts[0], gang.id), 'completed');
   },
 );
+
+void t.test(
+  'a refused stop of an unanswered order is repeated soon',
+  async t => {
+    const site = buildModelSite({workers: 2, policies: [POLICY]});
+    await site.run(1000);
+    // The worker refuses the repeated start order and the first three stop orders.
+    let orders = 0;
+    let deliveries = 0;
+    site.faultState = {
+      ...site.faultState,
+      losesOrderAnswer: () => ++orders === 1,
+      orderDelayMillis: () => 60_000,
+      refusesOrder: () => ++deliveries <= 4,
+    };
+    const job = buildJob('00000000000000be', [buildStep()], {
+      policy: POLICY,
+      receivedAt: 1000,
+    });
+    void site.submit(site.hosts[0], job);
+    await site.run(3000);
+    t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+    t.same(site.checker.violations, []);
+  },
+);
