--- a/testing/src/site/CrashLedger.ts
+++ b/testing/src/site/CrashLedger.ts
@@ -42,9 +42,13 @@
       .reduce((sum, [, crashes]) => sum + crashes, 0);
   }
 
-  /** Whether so many workers crashed under a task that it may be given up. */
+  /**
+   * Whether a task may be given up: it crashes workers, and so many crashed while
+   * they ran it.
+   */
   mayBeGivenUp(key: string): boolean {
-    return (this.sufferedByTask.get(key) ?? 0) >= CRASHES_TO_FAIL;
+    const crashes = this.sufferedByTask.get(key) ?? 0;
+    return this.causedByTask.has(key) && crashes >= CRASHES_TO_FAIL;
   }
 }
 
--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -37,7 +37,8 @@
  *   started, and completed only if all its tasks are done.
  * - `REFUSED`: nothing runs for a job whose submits were all refused.
  * - `LOST`: a job is shown as cancelled only if a caller cancelled it, and as
- *   failed only if a task used up its attempts or two workers crashed under it.
+ *   failed only if a task used up its attempts, or crashes workers and two of
+ *   them crashed under it.
  */
 export type Invariant =
   | 'LIMIT'
@@ -301,8 +302,8 @@
   }
 
   /**
-   * Whether a task or gang of the job failed in all its attempts, or two workers
-   * crashed under a task.
+   * Whether a task or gang of the job failed in all its attempts, or a task that
+   * crashes workers ran on two that crashed.
    */
   private hasCauseToFail({job, maxAttempts}: SubmittedJob): boolean {
     return this.taskKeysOf(job).some(key => {
