--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -31,6 +31,7 @@
 import type {Run} from './Run';
 import type {Worker} from './Worker';
 import {recordStartAnswer} from './unansweredOrders';
+import {reportCrash} from './workerCrashes';
 import {awaitNextIncarnation, discardRun, removeWorker} from './workerRemoval';
 
 /** How long a worker with runs may hold back the answer until a run ends. */
@@ -254,6 +255,9 @@
     removeWorker(update, worker, failure);
     return;
   }
+  if (failure === 'closed' && !worker.isRegistered) {
+    reportCrash(update, incarnation, failure);
+  }
   if (!worker.isSilent) {
     update.emit(FLEET_EVENT, {
       event: 'worker-silent',
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -18,11 +18,7 @@
 import {reportCrash} from './workerCrashes';
 
 /** Reasons of a removal that show that the process of the worker has ended. */
-const CRASH_DETAILS: ReadonlySet<string> = new Set([
-  'reborn',
-  'other-life',
-  'closed',
-]);
+const CRASH_DETAILS: ReadonlySet<string> = new Set(['reborn', 'other-life']);
 
 /** Drops a run that can't be running, without a reported end. */
 export function discardRun(
