A crash counts also if the worker is back after its lease

Other callers' work was lost with worker after worker (BUDGET): a crash was known only by the next life of the worker, or by its entry that was gone. Once its lease had expired its runs were discarded, and the life that came later found none to charge, so that the task started again without end.

A worker whose address refuses connections until its lease has expired counts as crashed, before its runs are discarded. This replaces the refused connection of a worker without an entry.

--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -51,6 +51,8 @@
   readonly nextPollAt: number;
   /** Whether its last poll failed, or a later incarnation answered it. */
   readonly isSilent: boolean;
+  /** Whether its last poll failed as its address refused the connection. */
+  readonly refusesConnections: boolean;
   /** Failed runs here since the last success; repeats by one job count once. */
   readonly consecutiveFailures: number;
   /** Job of the last run that was counted as a failure. */
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -31,7 +31,6 @@
 import type {Run} from './Run';
 import type {Worker} from './Worker';
 import {recordStartAnswer} from './unansweredOrders';
-import {reportCrash} from './workerCrashes';
 import {awaitNextIncarnation, discardRun, removeWorker} from './workerRemoval';
 
 /** How long a worker with runs may hold back the answer until a run ends. */
@@ -121,6 +120,7 @@
   changeWorker(update, incarnation, {
     hasReported: true,
     isSilent: false,
+    refusesConnections: false,
     isGone: false,
     isPollOpen: false,
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
@@ -255,9 +255,6 @@
     removeWorker(update, worker, failure);
     return;
   }
-  if (failure === 'closed' && !worker.isRegistered) {
-    reportCrash(update, incarnation, failure);
-  }
   if (!worker.isSilent) {
     update.emit(FLEET_EVENT, {
       event: 'worker-silent',
@@ -269,6 +266,7 @@
   changeWorker(update, incarnation, {
     isPollOpen: false,
     isSilent: true,
+    refusesConnections: failure === 'closed',
     nextPollAt: update.now + POLL_RETRY_MILLIS,
   });
 }
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -110,6 +110,7 @@
     isPollOpen: false,
     nextPollAt: 0,
     isSilent: false,
+    refusesConnections: false,
     consecutiveFailures: 0,
     lastFailedJobId: '',
     logSlowdown: 0,
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -117,6 +117,9 @@
   if (update.now < leasesExpiredAt(worker, beganAt)) {
     return;
   }
+  if (worker.refusesConnections) {
+    reportCrash(update, incarnation, 'closed');
+  }
   for (const run of update.read(RUNS).withKey(incarnation)) {
     if (!mayNextIncarnationStart(update, run.runId)) {
       discardRun(update, run, 'lapsed-silent');
--- a/testing/src/__tests__/unit/crashingTasks.test.ts
+++ b/testing/src/__tests__/unit/crashingTasks.test.ts
@@ -56,6 +56,23 @@
   t.same(site.checker.violations, []);
 });
 
+void t.test(
+  'a task is given up although its workers are back after their lease',
+  async t => {
+    const [job] = buildJobs('a', 1, 2);
+    const site = buildSite([job.id]);
+    for (const worker of site.workers) {
+      worker.crashRecoveryMillis = 8000;
+    }
+    await site.run(1000);
+    submitAll(site, [job]);
+    await site.run(50_000);
+    t.equal(site.readJobState(site.hosts[0], job.id), 'failed');
+    t.equal(site.checker.crashes.countCaused(job.id), 2);
+    t.same(site.checker.violations, []);
+  },
+);
+
 void t.test('a gang that crashes its workers is given up', async t => {
   const step = buildStep({count: 3, isGang: true, estimateMillis: 4000});
   const job = buildJob('b000000000000000', [step], {
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -18,8 +18,6 @@
 const MAX_LEASE_MILLIS = 10_000;
 /** A gang member ends as `alone` if the others don't start within this time. */
 const GANG_TIMEOUT_MILLIS = 3000;
-/** How long a worker that a task crashed is away. */
-const CRASH_RECOVERY_MILLIS = 3000;
 /** Work between two checkpoints of a run. */
 const CHECKPOINT_INTERVAL_MILLIS = 500;
 
@@ -30,6 +28,8 @@
   isUp = true;
   /** Whether its process has ended, so that connections to it are refused. */
   refusesConnections = false;
+  /** How long it is away after a task crashed it. */
+  crashRecoveryMillis = 3000;
   /** Called when it is back after a crash. */
   onReturn: () => void = () => undefined;
   /** Whether it has left for good. */
@@ -127,7 +127,7 @@
     this.isUp = false;
     this.refusesConnections = true;
     this.waitingPolls.splice(0).forEach(resolve => resolve());
-    this.timeline.after(CRASH_RECOVERY_MILLIS, () => {
+    this.timeline.after(this.crashRecoveryMillis, () => {
       this.refusesConnections = false;
       this.isUp = !this.isGone;
       this.onReturn();
