An answer to a stop order counts for the incarnation it was meant for

A task could run twice: a stop order answered by a worker's earlier incarnation was credited to the next one, which had meanwhile taken its place, so that the next report without the run freed its task although the next incarnation had not been told to refuse the run.

Stop orders and their answers carry the incarnation. 'an answer to a stop order for an earlier incarnation does not settle a run' failed before (confirmedAt 1600).

--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -79,6 +79,8 @@
 /** A stop order was answered, or its answer did not come in time. */
 export const STOP_ANSWERED = createCommand<{
   readonly runKey: string;
+  /** The incarnation that the order was meant for. */
+  readonly incarnation: string;
   readonly term: number;
   readonly outcome: 'stopped' | CallFailure;
 }>('stop-answered');
@@ -178,6 +180,8 @@
 /** Sends a stop order to a worker. */
 export const ORDER_STOP = createEffect<{
   readonly runId: RunId;
+  /** The incarnation that the order is meant for. */
+  readonly incarnation: string;
   readonly id: string;
   readonly address: string;
   readonly term: number;
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -225,6 +225,7 @@
   });
   update.emit(ORDER_STOP, {
     runId: run.runId,
+    incarnation: worker.incarnation,
     id: worker.id,
     address: worker.address,
     term,
@@ -242,17 +243,21 @@
   }
 }
 
-/** Handles the answer to a stop order. */
+/**
+ * Handles the answer to a stop order. One that was meant for an earlier incarnation
+ * says nothing of what the present one does.
+ */
 export function onStopAnswered(
   update: Update,
-  {runKey: key, term, outcome}: PayloadOf<typeof STOP_ANSWERED>,
+  answer: PayloadOf<typeof STOP_ANSWERED>,
 ): void {
+  const {runKey: key, incarnation, term, outcome} = answer;
   if (term !== heldTerm(update)) {
     return;
   }
-  onForbidAnswered(update, key, outcome);
+  onForbidAnswered(update, answer);
   const run = update.read(RUNS).get(key);
-  if (run === undefined) {
+  if (run?.incarnation !== incarnation) {
     return;
   }
   emitStopAnswered(update, run, outcome);
--- a/packages/fleet/src/unansweredOrders.ts
+++ b/packages/fleet/src/unansweredOrders.ts
@@ -142,6 +142,7 @@
   });
   update.emit(ORDER_STOP, {
     runId,
+    incarnation,
     id,
     address,
     term,
@@ -171,12 +172,11 @@
 /** Handles the answer to an order to refuse a run. */
 export function onForbidAnswered(
   update: Update,
-  key: string,
-  outcome: PayloadOf<typeof STOP_ANSWERED>['outcome'],
+  {runKey: key, incarnation, outcome}: PayloadOf<typeof STOP_ANSWERED>,
 ): void {
   const orders = update.read(UNANSWERED_ORDERS).get(key);
   const forbidden = orders?.forbidden;
-  if (forbidden === undefined || forbidden.isConfirmed) {
+  if (forbidden?.incarnation !== incarnation || forbidden.isConfirmed) {
     return;
   }
   update.emit(FLEET_EVENT, {
--- a/packages/site-daemon/src/workersPlugin.ts
+++ b/packages/site-daemon/src/workersPlugin.ts
@@ -46,9 +46,14 @@
         kernel.dispatch(START_ANSWERED, {order, term, outcome});
       }),
       kernel.registerEffect(ORDER_STOP, async call => {
-        const {runId, term} = call;
+        const {runId, incarnation, term} = call;
         const outcome = await client.stop(call, runId);
-        kernel.dispatch(STOP_ANSWERED, {runKey: runKey(runId), term, outcome});
+        kernel.dispatch(STOP_ANSWERED, {
+          runKey: runKey(runId),
+          incarnation,
+          term,
+          outcome,
+        });
       }),
     );
 }
--- a/testing/src/__tests__/unit/lateOrders.test.ts
+++ b/testing/src/__tests__/unit/lateOrders.test.ts
@@ -1,5 +1,6 @@
-import {RUNS} from '@samphireramp/fleet';
-import type {Job} from '@samphireramp/jobs';
+import {RUNS, STOP_ANSWERED} from '@samphireramp/fleet';
+import {heldTerm} from '@samphireramp/holding';
+import {type Job, runKey} from '@samphireramp/jobs';
 import t from 'tap';
 import {
   type ModelSite,
@@ -170,3 +171,34 @@
     t.equal(site.checker.countStarts(job.id), 1);
   },
 );
+
+void t.test(
+  'an answer to a stop order for an earlier incarnation does not settle a run',
+  async t => {
+    const site = buildModelSite({workers: 1, policies: [POLICY]});
+    await site.run(1000);
+    site.faultState = {
+      ...site.faultState,
+      losesOrderAnswer: () => true,
+      orderDelayMillis: () => NEVER_MILLIS,
+    };
+    const job = buildTask('00000000000000c5', 500);
+    const {kernel} = site.holder() ?? site.hosts[0];
+    void site.submit(site.hosts[0], job);
+    await site.run(200);
+    const [run] = [...kernel.read(RUNS).values()];
+    const [worker] = site.workers;
+    worker.restart();
+    site.writeRegistryEntry(worker);
+    await site.run(400);
+    const key = runKey(run.runId);
+    t.equal(kernel.read(RUNS).get(key)?.incarnation, worker.incarnation);
+    kernel.dispatch(STOP_ANSWERED, {
+      runKey: key,
+      incarnation: run.incarnation,
+      term: heldTerm(kernel) ?? 0,
+      outcome: 'stopped',
+    });
+    t.equal(kernel.read(RUNS).get(key)?.confirmedAt, undefined);
+  },
+);
