--- a/packages/dispatch/src/trialPlacement.ts
+++ b/packages/dispatch/src/trialPlacement.ts
@@ -11,10 +11,10 @@
 import {isYoung} from './crashTrials';
 import type {PlacementPass} from './PlacementPass';
 
-/** Added to the score of a worker on which another run has just begun. */
-const YOUNG_RUN_PENALTY = 1000;
-/** Added to the score on a rack without the data; exceeds most counts of runs. */
-const REMOTE_DATA_PENALTY = 100;
+/** Number of runs that a run which has just begun counts as. */
+const RUNS_PER_YOUNG_RUN = 1000;
+/** Number of runs that a rack without the data counts as. */
+const RUNS_PER_REMOTE_RACK = 100;
 
 /**
  * Chooses workers for the tasks of a step that are suspected to crash workers: one
@@ -42,7 +42,7 @@
   return placements;
 }
 
-/** Chooses the worker with the fewest runs to lose, none of which has just begun. */
+/** Chooses the worker with the fewest runs to lose, one without young runs if there is one. */
 function chooseTrialWorker(
   update: Update,
   readyStep: ReadyStep,
@@ -57,8 +57,8 @@
     const runs = update.read(RUNS).withKey(candidate.worker.incarnation);
     const score =
       runs.length +
-      (isNearData(candidate, readyStep) ? 0 : REMOTE_DATA_PENALTY) +
-      (runs.some(run => isYoung(run, update.now)) ? YOUNG_RUN_PENALTY : 0);
+      (isNearData(candidate, readyStep) ? 0 : RUNS_PER_REMOTE_RACK) +
+      (runs.some(run => isYoung(run, update.now)) ? RUNS_PER_YOUNG_RUN : 0);
     if (score < bestScore) {
       bestCandidate = candidate;
       bestScore = score;
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -22,6 +22,11 @@
   STOP_ANSWERED,
 } from './messages';
 import type {RejectedStartReason, Run, StartOrder} from './Run';
+import {
+  AWAITED_STOP_RETRY_MILLIS,
+  STOP_RETRY_MILLIS,
+  STOP_TIMEOUT_MILLIS,
+} from './stopTiming';
 import {
   onForbidAnswered,
   recordStartAnswer,
@@ -33,13 +38,6 @@
 const START_TIMEOUT_MILLIS = 450;
 /** Number of unanswered start orders after which the run is stopped instead. */
 const MAX_START_ORDERS = 3;
-/** Timeout of a stop order. */
-const STOP_TIMEOUT_MILLIS = 500;
-/** Delay before a stop order is repeated if the run has not ended by then. */
-const STOP_RETRY_MILLIS = 700;
-/** The same after a worker refused to stop a run that may not have started. */
-const REFUSED_STOP_RETRY_MILLIS = 150;
-
 /** Sends the start order of a reserved run, or repeats it. */
 export function sendStartOrder(update: Update, order: StartOrder): void {
   const run = update.read(RUNS).get(runKey(order.runId));
@@ -268,7 +266,7 @@
     changeRun(update, key, {confirmedAt: run.confirmedAt ?? update.now});
   } else if (outcome === 'silent' && run.confirmedAt === undefined) {
     // The task of the run waits for the confirmation.
-    const retryAt = update.now + REFUSED_STOP_RETRY_MILLIS;
+    const retryAt = update.now + AWAITED_STOP_RETRY_MILLIS;
     changeRun(update, key, {lastOrderAt: retryAt - STOP_RETRY_MILLIS});
   }
 }
--- a/packages/fleet/src/unansweredOrders.ts
+++ b/packages/fleet/src/unansweredOrders.ts
@@ -9,15 +9,11 @@
 import {RUNS} from './FleetState';
 import {FLEET_EVENT, ORDER_STOP, type STOP_ANSWERED} from './messages';
 import type {StartOrder} from './Run';
+import {STOP_RETRY_MILLIS, STOP_TIMEOUT_MILLIS} from './stopTiming';
 import type {Worker} from './Worker';
 
 /** How long after it was sent a worker may still carry out a start order. */
 const MAX_ORDER_DELAY_MILLIS = 15_000;
-/** Timeout of an order that forbids a run. */
-const FORBID_TIMEOUT_MILLIS = 500;
-/** Delay before such an order is repeated if it is not confirmed by then. */
-const FORBID_RETRY_MILLIS = 700;
-
 /** An order to a later incarnation of a worker to refuse a run. */
 interface ForbidOrder {
   readonly incarnation: string;
@@ -146,7 +142,7 @@
     id,
     address,
     term,
-    timeoutMillis: FORBID_TIMEOUT_MILLIS,
+    timeoutMillis: STOP_TIMEOUT_MILLIS,
   });
 }
 
@@ -160,7 +156,7 @@
     const isDue =
       forbidden !== undefined &&
       !forbidden.isConfirmed &&
-      update.now - forbidden.sentAt > FORBID_RETRY_MILLIS;
+      update.now - forbidden.sentAt > STOP_RETRY_MILLIS;
     const run = update.read(RUNS).get(runKey(runId));
     if (isDue && run?.phase !== 'stopping') {
       const {incarnation, address} = forbidden;
