--- a/testing/src/__tests__/unit/lateOrders.test.ts
+++ b/testing/src/__tests__/unit/lateOrders.test.ts
@@ -1,7 +1,7 @@
 import {RUNS, STOP_ANSWERED} from '@samphireramp/fleet';
 import {heldTerm} from '@samphireramp/holding';
 import {type Job, runKey} from '@samphireramp/jobs';
-import t from 'tap';
+import t, {type Test} from 'tap';
 import {
   type ModelSite,
   type ModelWorker,
@@ -68,6 +68,17 @@
   });
 }
 
+/** Runs the site until the job must have ended, and checks that all went well. */
+async function runToCompletion(
+  t: Test,
+  site: ModelSite,
+  job: Job,
+): Promise<void> {
+  await site.run(30_000);
+  t.same(site.checker.violations, []);
+  t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+}
+
 void t.test(
   'an order to a crashed worker holds its task back until it is settled',
   async t => {
@@ -80,9 +91,7 @@
     crash(site, worker, 10_900);
     site.clock.after(4500, () => site.deleteRegistryEntry(worker));
     site.clock.after(11_900, () => site.writeRegistryEntry(worker));
-    await site.run(30_000);
-    t.same(site.checker.violations, []);
-    t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+    await runToCompletion(t, site, job);
   },
 );
 
@@ -99,9 +108,7 @@
     crash(site, worker, 4400);
     site.deleteRegistryEntry(worker);
     site.clock.after(5300, () => site.writeRegistryEntry(worker));
-    await site.run(30_000);
-    t.same(site.checker.violations, []);
-    t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+    await runToCompletion(t, site, job);
   },
 );
 
@@ -118,9 +125,7 @@
     crash(site, worker, 9400);
     site.clock.after(4500, () => site.deleteRegistryEntry(worker));
     site.clock.after(10_400, () => site.writeRegistryEntry(worker));
-    await site.run(30_000);
-    t.same(site.checker.violations, []);
-    t.equal(site.readJobState(site.hosts[0], job.id), 'completed');
+    await runToCompletion(t, site, job);
   },
 );
 
