--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -2,9 +2,9 @@
 // One job of many small tasks, for which the workers have room.
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {readState, submit} from '../standins/client.mjs';
-import {CAPACITY, HAS_TROUBLE, runCase} from '../standins/site.mjs';
-import {sleep} from '../standins/store.mjs';
+import {readState, submit} from '../client.mjs';
+import {CAPACITY, HAS_TROUBLE, runCase} from '../site.mjs';
+import {sleep} from '../store.mjs';
 
 /** The program accepts up to so many tasks in a step. */
 const WIDE_COUNT = 10_000;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -2,13 +2,18 @@
 // More than 500 tasks end on a worker while its link is cut.
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {readState, submit} from '../standins/client.mjs';
-import {CannotRun} from '../standins/hosts.mjs';
-import {HAS_TROUBLE, findRunsTwice, runCase} from '../standins/site.mjs';
-import {sleep} from '../standins/store.mjs';
+import {readState, submit} from '../client.mjs';
+import {CannotRun} from '../hosts.mjs';
+import {HAS_TROUBLE, findRunsTwice, runCase} from '../site.mjs';
+import {sleep} from '../store.mjs';
 
-const JOB_ID = '00000000000000a1';
-const TASKS = 700;
+const JOBS = 12;
+/** The widest step of the site file. */
+const TASKS_PER_JOB = 60;
+const TASKS = JOBS * TASKS_PER_JOB;
+const JOB_IDS = Array.from({length: JOBS}, (_, index) =>
+  (index + 16).toString(16).padStart(16, '0'),
+);
 const WORK_MILLIS = 6000;
 /** The cut begins this long before the first task ends. */
 const CUT_LEAD_MILLIS = 200;
@@ -31,17 +36,14 @@
   },
   play: async ({hosts, workers, proxies, record, events}) => {
     const step = {
-      count: TASKS,
+      count: TASKS_PER_JOB,
       cpu: 20,
       memory_request_mb: 20,
       estimated_ms: WORK_MILLIS,
     };
-    await submit(
-      hosts,
-      'batch',
-      JOB_ID,
-      {specification: 'small tasks', steps: [step]},
-      record,
+    const job = {specification: 'small tasks', steps: [step]};
+    await Promise.all(
+      JOB_IDS.map(id => submit(hosts, 'batch', id, job, record)),
     );
     const index = await waitForRuns(workers);
     const worker = workers[index];
@@ -81,10 +83,12 @@
 
 async function waitForEnd(host, record) {
   const deadline = performance.now() + END_TIMEOUT_MILLIS;
-  let state = '';
-  while (performance.now() < deadline && state !== 'completed') {
-    await sleep(250);
-    state = await readState(host, 'batch', JOB_ID);
+  for (const id of JOB_IDS) {
+    let state = '';
+    while (performance.now() < deadline && state !== 'completed') {
+      await sleep(100);
+      state = await readState(host, 'batch', id);
+    }
+    record('state', {id, state});
   }
-  record('state', {id: JOB_ID, state});
 }
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # Node.js and need no build. The program itself is built as the deploy file says.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in standins/*.mjs [0-9]/*.mjs; do
+for file in *.mjs [0-9]/*.mjs; do
   node --check "$file"
 done
--- a/review/standins/hosts.mjs
+++ b/review/hosts.mjs
@@ -18,7 +18,7 @@
 import {call} from './client.mjs';
 import {sleep} from './store.mjs';
 
-const REPOSITORY = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+const REPOSITORY = join(dirname(fileURLToPath(import.meta.url)), '..');
 const METRICS_PORT = 9464;
 const CALLER_PORT = 8161;
 const READINESS_PORT = 8167;
@@ -51,6 +51,12 @@
   lease_ms: 3000,
 };
 
+/** All processes that were started and have not ended. */
+const children = new Set();
+
+// Whatever ends this process, none of those that it started goes on.
+process.on('exit', () => children.forEach(child => child.kill('SIGKILL')));
+
 /** The case can't run on this machine; it shows nothing about the system. */
 export class CannotRun extends Error {}
 
@@ -149,8 +155,10 @@
   closeSync(output);
   host.isRunning = true;
   const {process: child} = host;
+  children.add(child);
   host.ended = new Promise(resolve => {
     child.once('exit', (code, signal) => {
+      children.delete(child);
       if (host.process === child) {
         host.isRunning = false;
       }
