--- a/review/hosts.mjs
+++ b/review/hosts.mjs
@@ -85,11 +85,11 @@
 
 /** Starts `count` hosts that use the store at an address. */
 export async function startHosts({network, count, storeAddress, record}) {
-  const folder = mkdtempSync(join(tmpdir(), 'samphireramp-review-'));
   const command = readCommand();
   if (!existsSync(join(REPOSITORY, command.at(-1)))) {
     throw new CannotRun(`${command.at(-1)} is not built`);
   }
+  const folder = mkdtempSync(join(tmpdir(), 'samphireramp-review-'));
   const hosts = [];
   let isClosing = false;
   for (let index = 0; index < count; index++) {
