Logs name what decided that a worker is gone, that its leases have lapsed and that runs are missing

Of the hypotheses for the run that started twice, the lines so far did not tell an entry from an answer (worker-gone detail=reborn), nor an answer that is cut at 500 ends from one that is complete (void-missing), nor by which lease end a worker was taken for lapsed.

--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -197,4 +197,14 @@
   readonly millis?: number;
   /** Number of start orders sent for the run so far. */
   readonly orders?: number;
+  /** The incarnation whose entry or answer decided. */
+  readonly by?: string;
+  /** Number of runs that are concerned. */
+  readonly runs?: number;
+  /** Number of ends that the answer lists. */
+  readonly ends?: number;
+  /** Latest lease end sent to the worker, in milliseconds of its clock. */
+  readonly leaseUntil?: number;
+  /** The worker's clock at its newest answer, in milliseconds. */
+  readonly workerClock?: number;
 }>('fleet-event');
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -216,10 +216,24 @@
   sentAt: number,
 ): void {
   const reportedKeys = new Set(report.running.map(run => runKey(run.runId)));
-  for (const run of update.read(RUNS).withKey(incarnation)) {
-    if (!reportedKeys.has(runKey(run.runId)) && mustBeReported(run, sentAt)) {
-      discardRun(update, run, 'missing');
-    }
+  const missingRuns = update
+    .read(RUNS)
+    .withKey(incarnation)
+    .filter(
+      run =>
+        !reportedKeys.has(runKey(run.runId)) && mustBeReported(run, sentAt),
+    );
+  if (missingRuns.length > 0) {
+    update.emit(FLEET_EVENT, {
+      event: 'runs-missing',
+      worker: incarnation,
+      runs: missingRuns.length,
+      ends: report.ended.length,
+      millis: Math.round(update.now - sentAt),
+    });
+  }
+  for (const run of missingRuns) {
+    discardRun(update, run, 'missing');
   }
 }
 
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -92,7 +92,7 @@
           stopRun(update, moved, 'reborn');
         }
       }
-      removeWorker(update, worker, 'reborn');
+      removeWorker(update, worker, 'reborn', record.incarnation);
     }
   }
 }
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -46,6 +46,7 @@
   update: Update,
   worker: Worker,
   detail: string,
+  by?: string,
 ): void {
   if (CRASH_DETAILS.has(detail)) {
     reportCrash(update, worker.incarnation, detail);
@@ -56,6 +57,8 @@
       event: 'worker-gone',
       worker: incarnation,
       detail,
+      by,
+      runs: update.read(RUNS).withKey(incarnation).length,
       millis: Math.round(update.now - answeredAt),
     });
   }
@@ -120,16 +123,37 @@
   if (worker.refusesConnections) {
     reportCrash(update, incarnation, 'closed');
   }
-  for (const run of update.read(RUNS).withKey(incarnation)) {
-    if (!mayNextIncarnationStart(update, run.runId)) {
-      discardRun(update, run, 'lapsed-silent');
-    }
+  const lapsedRuns = update
+    .read(RUNS)
+    .withKey(incarnation)
+    .filter(({runId}) => !mayNextIncarnationStart(update, runId));
+  if (lapsedRuns.length > 0) {
+    emitLapsed(update, worker, lapsedRuns.length);
+  }
+  for (const run of lapsedRuns) {
+    discardRun(update, run, 'lapsed-silent');
   }
   if (!worker.isRegistered) {
     removeWorker(update, worker, 'silent-and-unlisted');
   }
 }
 
+/** Logs by what the leases of a silent worker are taken for expired. */
+function emitLapsed(
+  update: Update,
+  {incarnation, answeredAt, leaseGrantedUntil, clock}: Worker,
+  runs: number,
+): void {
+  update.emit(FLEET_EVENT, {
+    event: 'worker-lapsed',
+    worker: incarnation,
+    runs,
+    leaseUntil: leaseGrantedUntil,
+    workerClock: clock?.clockMillis,
+    millis: Math.round(update.now - answeredAt),
+  });
+}
+
 /**
  * Whether a start order for the run may still be in transit. Orders name a
  * worker, not an incarnation: the next incarnation carries out an order that
@@ -157,7 +181,7 @@
   forbidUnansweredOrders(update, {...worker, incarnation});
   const runs = update.read(RUNS).withKey(worker.incarnation);
   if (!runs.some(mayStillStart)) {
-    removeWorker(update, worker, 'reborn');
+    removeWorker(update, worker, 'reborn', incarnation);
     return;
   }
   for (const run of runs) {
--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -94,16 +94,9 @@
           term: heldTerm(kernel),
         });
       }),
-      kernel.registerEffect(FLEET_EVENT, event => {
-        metrics.count('fleet_events', {event: event.event});
-        log(event.event, {
-          worker: event.worker,
-          subject: event.subject,
-          detail: event.detail,
-          millis: event.millis,
-          orders: event.orders,
-          term: heldTerm(kernel),
-        });
+      kernel.registerEffect(FLEET_EVENT, ({event, ...fields}) => {
+        metrics.count('fleet_events', {event});
+        log(event, {...fields, term: heldTerm(kernel)});
       }),
       kernel.registerEffect(STANDBY_EVENT, ({event, detail, silentMillis}) => {
         metrics.count('standby_events', {event});
