--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -104,12 +104,17 @@
       answerPoll(incarnation, term, 0);
     }
   });
-  kernel.registerEffect(ORDER_START, ({order, term}) => {
+  kernel.registerEffect(ORDER_START, ({order, term, id, fence}) => {
     startCount++;
     const runs = runsByIncarnation.get(order.incarnation) ?? [];
     runsByIncarnation.set(order.incarnation, [...runs, order.runId]);
-    const outcome = 'started';
-    kernel.dispatch(START_ANSWERED, {order, term, outcome});
+    kernel.dispatch(START_ANSWERED, {
+      order,
+      term,
+      workerId: id,
+      fence,
+      outcome: 'started',
+    });
   });
   kernel.registerEffect(REQUEST_ADVICE, ({requestId, workerIds}) =>
     kernel.dispatch(ADVICE_RECEIVED, {
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -29,6 +29,8 @@
 
 /** A worker as the holder knows it. */
 export interface Worker extends WorkerRecord {
+  /** Number of this life among those of the worker in this holding, from 1. */
+  readonly life: number;
   /** Whether it is in the worker registry. */
   readonly isRegistered: boolean;
   /** Whether it has answered a poll of this holder. */
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -8,6 +8,7 @@
   onWorkerReported,
   onPollFailed,
 } from './workerPolling';
+import {LATEST_LIVES} from './fence';
 import {GRANTS_LEASES, reportLeaseGranting} from './leaseGranting';
 import {
   ENDS_DURABLE,
@@ -49,6 +50,7 @@
       kernel.registerSlice(RUNS),
       kernel.registerSlice(GRANTS_LEASES),
       kernel.registerSlice(UNANSWERED_ORDERS),
+      kernel.registerSlice(LATEST_LIVES),
       kernel.registerCommand(WORKER_REGISTRY_READ, onWorkerRegistryRead),
       kernel.registerCommand(WORKER_REPORTED, onWorkerReported),
       kernel.registerCommand(POLL_FAILED, onPollFailed),
@@ -82,6 +84,7 @@
   update.write(WORKERS).clear();
   update.write(RUNS).clear();
   update.write(UNANSWERED_ORDERS).clear();
+  update.write(LATEST_LIVES).clear();
   update.write(GRANTS_LEASES).set(true);
   update.write(MAY_COMMAND_WORKERS).set(false);
 }
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -4,6 +4,10 @@
 export const CLOCK_DRIFT_BOUND = 0.02;
 /** Duration of a lease, counted from when the holder sends it. */
 export const LEASE_MILLIS = 6000;
+/** A worker cuts a longer lease to this duration. */
+const MAX_LEASE_MILLIS = 10_000;
+/** How long after it was sent a worker may still carry out a call. */
+export const MAX_CALL_DELAY_MILLIS = 15_000;
 /** Added to each wait for a lease to expire, on top of the clock drift. */
 const LEASE_EXPIRY_MARGIN_MILLIS = 300;
 /**
@@ -30,6 +34,16 @@
   );
 }
 
+/**
+ * Returns the latest end of the leases that a worker may have at its first report
+ * to a holder, in milliseconds of its clock: of an earlier holder or, shortly after
+ * its start, from a late call to its earlier life, whose clock was ahead.
+ */
+export function latestUnknownLeaseEnd(clockMillis: number): number {
+  const isYoung = clockMillis < MAX_CALL_DELAY_MILLIS + MAX_LEASE_MILLIS;
+  return clockMillis + (isYoung ? MAX_LEASE_MILLIS : LEASE_MILLIS);
+}
+
 /**
  * Returns when, on this host's clock, all leases of a silent worker are sure to
  * have expired, so that no run is left there. `worker` is undefined for a
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -62,6 +62,8 @@
 export const POLL_FAILED = createCommand<{
   readonly incarnation: string;
   readonly term: number;
+  /** The fence of the poll. */
+  readonly fence: number;
   readonly failure: CallFailure;
   readonly detail: string;
 }>('hold-failed');
@@ -73,6 +75,9 @@
 export const START_ANSWERED = createCommand<{
   readonly order: StartOrder;
   readonly term: number;
+  /** The worker that the order was sent to, and the fence of the order. */
+  readonly workerId: string;
+  readonly fence: number;
   readonly outcome: 'started' | 'silent' | StartRefusal;
 }>('start-answered');
 
@@ -82,6 +87,9 @@
   /** The incarnation that the order was meant for. */
   readonly incarnation: string;
   readonly term: number;
+  /** The worker that the order was sent to, and the fence of the order. */
+  readonly workerId: string;
+  readonly fence: number;
   readonly outcome: 'stopped' | CallFailure;
 }>('stop-answered');
 
@@ -157,6 +165,7 @@
   readonly id: string;
   readonly address: string;
   readonly term: number;
+  readonly fence: number;
   /** Number of the newest end that the worker may drop. */
   readonly acknowledgedEnd: number;
   /** Lease end on the worker's clock; undefined until its clock is known. */
@@ -172,6 +181,7 @@
   readonly id: string;
   readonly address: string;
   readonly term: number;
+  readonly fence: number;
   /** Lease end on the worker's clock. */
   readonly leaseUntil: number;
   readonly timeoutMillis: number;
@@ -185,6 +195,7 @@
   readonly id: string;
   readonly address: string;
   readonly term: number;
+  readonly fence: number;
   readonly timeoutMillis: number;
 }>('order-stop');
 
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -10,6 +10,7 @@
   freeResources,
   isOverCapacity,
 } from './FleetState';
+import {fenceOf, isFencedByOwnCall} from './fence';
 import {isGrantingLeases} from './leaseGranting';
 import {leaseEnd} from './leaseTiming';
 import {
@@ -76,6 +77,7 @@
     id: worker.id,
     address: worker.address,
     term,
+    fence: fenceOf(term, worker.life),
     leaseUntil,
     timeoutMillis: START_TIMEOUT_MILLIS,
   });
@@ -84,13 +86,15 @@
 /** Handles the answer to a start order. */
 export function onStartAnswered(
   update: Update,
-  {order, term, outcome}: PayloadOf<typeof START_ANSWERED>,
+  answer: PayloadOf<typeof START_ANSWERED>,
 ): void {
+  const {order, term} = answer;
   const key = runKey(order.runId);
   const run = update.read(RUNS).get(key);
   if (term !== heldTerm(update)) {
     return;
   }
+  const outcome = reinterpretFenced(update, answer);
   if (outcome !== 'silent') {
     recordStartAnswer(update, order.runId);
   }
@@ -132,6 +136,17 @@
   }
 }
 
+/** A refusal because of an own call to a later life says nothing of a newer holder. */
+function reinterpretFenced<Outcome extends string>(
+  update: Update,
+  answer: {workerId: string; fence: number; outcome: Outcome},
+): Outcome | 'silent' {
+  const {workerId, fence, outcome} = answer;
+  return outcome === 'fenced' && isFencedByOwnCall(update, workerId, fence)
+    ? 'silent'
+    : outcome;
+}
+
 /** Logs the answer to a start order, unless the first order was confirmed. */
 function emitStartAnswered(
   update: Update,
@@ -227,6 +242,7 @@
     id: worker.id,
     address: worker.address,
     term,
+    fence: fenceOf(term, worker.life),
     timeoutMillis: STOP_TIMEOUT_MILLIS,
   });
 }
@@ -249,10 +265,11 @@
   update: Update,
   answer: PayloadOf<typeof STOP_ANSWERED>,
 ): void {
-  const {runKey: key, incarnation, term, outcome} = answer;
+  const {runKey: key, incarnation, term} = answer;
   if (term !== heldTerm(update)) {
     return;
   }
+  const outcome = reinterpretFenced(update, answer);
   onForbidAnswered(update, answer);
   const run = update.read(RUNS).get(key);
   if (run?.incarnation !== incarnation) {
--- a/packages/fleet/src/unansweredOrders.ts
+++ b/packages/fleet/src/unansweredOrders.ts
@@ -6,14 +6,14 @@
 } from '@samphireramp/kernel';
 import {heldTerm} from '@samphireramp/holding';
 import {type RunId, runKey} from '@samphireramp/jobs';
+import {fenceOf, latestLife} from './fence';
 import {RUNS} from './FleetState';
+import {MAX_CALL_DELAY_MILLIS} from './leaseTiming';
 import {FLEET_EVENT, ORDER_STOP, type STOP_ANSWERED} from './messages';
 import type {StartOrder} from './Run';
 import {STOP_RETRY_MILLIS, STOP_TIMEOUT_MILLIS} from './stopTiming';
 import type {Worker} from './Worker';
 
-/** How long after it was sent a worker may still carry out a start order. */
-const MAX_ORDER_DELAY_MILLIS = 15_000;
 /** An order to a later incarnation of a worker to refuse a run. */
 interface ForbidOrder {
   readonly incarnation: string;
@@ -87,7 +87,7 @@
 export function forgetUnansweredOrders(update: Update): void {
   const orders = update.write(UNANSWERED_ORDERS);
   for (const [key, {sentAt}] of [...orders.entries()]) {
-    if (update.now - sentAt > MAX_ORDER_DELAY_MILLIS) {
+    if (update.now - sentAt > MAX_CALL_DELAY_MILLIS) {
       orders.delete(key);
     }
   }
@@ -142,6 +142,7 @@
     id,
     address,
     term,
+    fence: fenceOf(term, latestLife(update, id)),
     timeoutMillis: STOP_TIMEOUT_MILLIS,
   });
 }
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -12,8 +12,9 @@
   changeRun,
   changeWorker,
 } from './FleetState';
+import {fenceOf, isFencedByOwnCall, latestLife} from './fence';
 import {isGrantingLeases} from './leaseGranting';
-import {leaseEnd} from './leaseTiming';
+import {latestUnknownLeaseEnd, leaseEnd} from './leaseTiming';
 import {
   ENDS_DURABLE,
   ENDS_APPLIED,
@@ -64,6 +65,8 @@
     !isGrantingLeases(update, update.now)
       ? undefined
       : leaseEnd(worker.clock, update.now);
+  // A later life of a silent worker may answer, whose ends nobody has read.
+  const acknowledgedEnd = worker.isSilent ? 0 : worker.durableEnd;
   const runs = update.read(RUNS).withKey(worker.incarnation);
   const mayLongPoll =
     worker.hasReported &&
@@ -82,7 +85,8 @@
     id: worker.id,
     address: worker.address,
     term,
-    acknowledgedEnd: worker.durableEnd,
+    fence: fenceOf(term, worker.life),
+    acknowledgedEnd,
     leaseUntil,
     waitMillis,
     timeoutMillis: waitMillis + POLL_ANSWER_MARGIN_MILLIS,
@@ -124,6 +128,9 @@
     isGone: false,
     isPollOpen: false,
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
+    leaseGrantedUntil: worker.hasReported
+      ? worker.leaseGrantedUntil
+      : latestUnknownLeaseEnd(report.clockMillis),
     answeredAt: update.now,
     appliedEnd,
     nextPollAt:
@@ -253,13 +260,13 @@
  */
 export function onPollFailed(
   update: Update,
-  {incarnation, term, failure, detail}: PayloadOf<typeof POLL_FAILED>,
+  {incarnation, term, fence, failure, detail}: PayloadOf<typeof POLL_FAILED>,
 ): void {
   const worker = update.read(WORKERS).get(incarnation);
   if (worker === undefined || term !== heldTerm(update)) {
     return;
   }
-  if (failure === 'fenced') {
+  if (failure === 'fenced' && !isFencedByOwnCall(update, worker.id, fence)) {
     update.dispatch(HOLDING_FENCED, {worker: incarnation});
     return;
   }
@@ -277,7 +284,11 @@
       millis: Math.round(update.now - worker.answeredAt),
     });
   }
+  // Refused because of a poll of another life, it goes on with the same fence.
+  const life =
+    failure === 'fenced' ? latestLife(update, worker.id) : worker.life;
   changeWorker(update, incarnation, {
+    life,
     isPollOpen: false,
     isSilent: true,
     refusesConnections: failure === 'closed',
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -1,6 +1,7 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
 import {runKey} from '@samphireramp/jobs';
 import {RUNS, WORKERS, changeWorker} from './FleetState';
+import {beginLife} from './fence';
 import {pollIfDue} from './workerPolling';
 import {FLEET_EVENT, RESOURCES_CHANGED, WORKER_REGISTRY_READ} from './messages';
 import {stopRun} from './runOrders';
@@ -44,9 +45,7 @@
 function applyRecord(update: Update, record: WorkerRecord): void {
   const known = update.read(WORKERS).get(record.incarnation);
   if (known === undefined) {
-    update
-      .write(WORKERS)
-      .set(record.incarnation, createWorker(record, update.now));
+    update.write(WORKERS).set(record.incarnation, createWorker(update, record));
     forbidUnansweredOrders(update, record);
     emitWorkerEvent(update, record.incarnation, 'worker-listed', record.pool);
   } else {
@@ -97,14 +96,15 @@
   }
 }
 
-function createWorker(record: WorkerRecord, now: number): Worker {
+function createWorker(update: Update, record: WorkerRecord): Worker {
   return {
     ...record,
+    life: beginLife(update, record.id),
     isRegistered: true,
     hasReported: false,
     clock: undefined,
     leaseGrantedUntil: 0,
-    answeredAt: now,
+    answeredAt: update.now,
     appliedEnd: 0,
     durableEnd: 0,
     isPollOpen: false,
--- a/packages/site-daemon/src/workersPlugin.ts
+++ b/packages/site-daemon/src/workersPlugin.ts
@@ -19,7 +19,7 @@
   return kernel =>
     mergeUnregister(
       kernel.registerEffect(POLL_WORKER, async call => {
-        const {incarnation, term} = call;
+        const {incarnation, term, fence} = call;
         const sentAt = now();
         const outcome = await client.poll(call);
         if (outcome.kind === 'reported') {
@@ -35,23 +35,32 @@
           kernel.dispatch(POLL_FAILED, {
             incarnation,
             term,
+            fence,
             failure,
             detail,
           });
         }
       }),
       kernel.registerEffect(ORDER_START, async call => {
-        const {order, term} = call;
+        const {order, term, id: workerId, fence} = call;
         const outcome = await client.start(call, order);
-        kernel.dispatch(START_ANSWERED, {order, term, outcome});
+        kernel.dispatch(START_ANSWERED, {
+          order,
+          term,
+          workerId,
+          fence,
+          outcome,
+        });
       }),
       kernel.registerEffect(ORDER_STOP, async call => {
-        const {runId, incarnation, term} = call;
+        const {runId, incarnation, term, id: workerId, fence} = call;
         const outcome = await client.stop(call, runId);
         kernel.dispatch(STOP_ANSWERED, {
           runKey: runKey(runId),
           incarnation,
           term,
+          workerId,
+          fence,
           outcome,
         });
       }),
--- a/testing/src/__tests__/unit/lateOrders.test.ts
+++ b/testing/src/__tests__/unit/lateOrders.test.ts
@@ -202,6 +202,8 @@
       runKey: key,
       incarnation: run.incarnation,
       term: heldTerm(kernel) ?? 0,
+      workerId: worker.id,
+      fence: Infinity,
       outcome: 'stopped',
     });
     t.equal(kernel.read(RUNS).get(key)?.confirmedAt, undefined);
--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -37,7 +37,7 @@
     host: string,
     call: {
       id: string;
-      term: number;
+      fence: number;
       acknowledgedEnd: number;
       leaseUntil: number | undefined;
       waitMillis: number;
@@ -59,18 +59,18 @@
       await this.delay(call.timeoutMillis);
       return noAnswer;
     }
-    const {term, acknowledgedEnd, leaseUntil, waitMillis} = call;
+    const {fence, acknowledgedEnd, leaseUntil, waitMillis} = call;
     if (this.faultState().losesPollAnswer(call.id)) {
       this.timeline.after(this.faultState().orderDelayMillis(), () => {
         if (worker.isUp) {
-          void worker.poll(term, acknowledgedEnd, leaseUntil, 0);
+          void worker.poll(fence, acknowledgedEnd, leaseUntil, 0);
         }
       });
       await this.delay(call.timeoutMillis);
       return noAnswer;
     }
     const report = await worker.poll(
-      term,
+      fence,
       acknowledgedEnd,
       leaseUntil,
       waitMillis,
@@ -91,26 +91,31 @@
   /** Delivers an order to start a run. */
   async startRun(
     host: string,
-    call: {id: string; term: number; leaseUntil: number; timeoutMillis: number},
+    call: {
+      id: string;
+      fence: number;
+      leaseUntil: number;
+      timeoutMillis: number;
+    },
     order: StartOrder,
   ) {
-    const {term, leaseUntil} = call;
+    const {fence, leaseUntil} = call;
     const sentAt = this.timeline.now;
     // An order is addressed to a worker id, so that a later incarnation of the
     // worker can receive it too.
     return this.sendOrder(host, call, 'unhealthy', worker =>
-      worker.start(order, term, leaseUntil, sentAt),
+      worker.start(order, fence, leaseUntil, sentAt),
     );
   }
 
   /** Delivers an order to stop a run. */
   async stopRun(
     host: string,
-    call: {id: string; term: number; timeoutMillis: number},
+    call: {id: string; fence: number; timeoutMillis: number},
     runId: RunId,
   ) {
     return this.sendOrder(host, call, 'silent', worker =>
-      worker.stop(runId, call.term),
+      worker.stop(runId, call.fence),
     );
   }
 
