Model: registry with other writers, addresses, any start times, 500 ends in an answer

Entries are now encoded as on the platform and decoded by the program; any record can be written under any id; a call reaches the worker at its address (refused if nothing listens, 421 if it is another worker); a life may begin with any start time; an answer lists the 500 oldest ends; a start order may be judged late by the worker's own lease instead of the order's.

--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -11,6 +11,13 @@
 /** One-way latency of each call and answer. */
 const NETWORK_DELAY_MILLIS = 2;
 
+/** The worker that a call is meant for, and the address that it is sent to. */
+interface AddressedCall {
+  readonly id: string;
+  readonly address: string;
+  readonly timeoutMillis: number;
+}
+
 /**
  * Simulates the network: delays each call from a host to a worker or through
  * another host to the adviser, and fails those that faults hit.
@@ -28,8 +35,8 @@
     return new Promise(resolve => this.timeline.after(millis, resolve));
   }
 
-  private findWorker(id: string): ModelWorker | undefined {
-    return this.workers.find(worker => worker.id === id);
+  private findListener(address: string): ModelWorker | undefined {
+    return this.workers.find(worker => worker.address === address);
   }
 
   /** Delivers a poll; faults on the way there or back leave it unanswered. */
@@ -37,6 +44,7 @@
     host: string,
     call: {
       id: string;
+      address: string;
       term: number;
       acknowledgedEnd: number;
       leaseUntil: number | undefined;
@@ -44,21 +52,32 @@
       timeoutMillis: number;
     },
   ) {
-    const worker = this.findWorker(call.id);
+    const worker = this.findListener(call.address);
     const noAnswer = {
       kind: 'failed',
       failure: 'silent',
       detail: 'no answer',
     } as const;
     await this.delay(NETWORK_DELAY_MILLIS);
-    const isRefused = this.faultState().refusesConnections(call.id);
-    if (isRefused || worker?.refusesConnections) {
+    if (
+      worker === undefined ||
+      worker.refusesConnections ||
+      this.faultState().refusesConnections(worker.id)
+    ) {
       return {kind: 'failed', failure: 'closed', detail: 'refused'} as const;
     }
-    if (!worker?.isUp || !this.faultState().canCall(host, call.id)) {
+    if (!worker.isUp || !this.faultState().canCall(host, worker.id)) {
       await this.delay(call.timeoutMillis);
       return noAnswer;
     }
+    if (worker.id !== call.id) {
+      await this.delay(NETWORK_DELAY_MILLIS);
+      return {
+        kind: 'failed',
+        failure: 'other-life',
+        detail: 'status 421',
+      } as const;
+    }
     const {term, acknowledgedEnd, leaseUntil, waitMillis} = call;
     if (this.faultState().losesPollAnswer(call.id)) {
       this.timeline.after(this.faultState().orderDelayMillis(), () => {
@@ -91,14 +110,15 @@
   /** Delivers an order to start a run. */
   async startRun(
     host: string,
-    call: {id: string; term: number; leaseUntil: number; timeoutMillis: number},
+    call: AddressedCall & {term: number; leaseUntil: number},
     order: StartOrder,
   ) {
     const {term, leaseUntil} = call;
     const sentAt = this.timeline.now;
     // An order is addressed to a worker id, so that a later incarnation of the
     // worker can receive it too.
-    return this.sendOrder(host, call, 'unhealthy', worker =>
+    const failures = {refused: 'unhealthy', closed: 'unhealthy'} as const;
+    return this.sendOrder(host, call, failures, worker =>
       worker.start(order, term, leaseUntil, sentAt),
     );
   }
@@ -106,34 +126,42 @@
   /** Delivers an order to stop a run. */
   async stopRun(
     host: string,
-    call: {id: string; term: number; timeoutMillis: number},
+    call: AddressedCall & {term: number},
     runId: RunId,
   ) {
-    return this.sendOrder(host, call, 'silent', worker =>
+    const failures = {refused: 'silent', closed: 'closed'} as const;
+    return this.sendOrder(host, call, failures, worker =>
       worker.stop(runId, call.term),
     );
   }
 
   /**
-   * Delivers an order; faults can delay it and lose its answer. A worker that
-   * refuses it answers with `refusal`.
+   * Delivers an order; faults can delay it and lose its answer. `failures` are the
+   * outcomes if the worker refuses it, and if nothing listens at the address.
    */
-  private async sendOrder<Answer>(
+  private async sendOrder<Answer, Failure>(
     host: string,
-    call: {id: string; timeoutMillis: number},
-    refusal: Answer | 'silent',
+    call: AddressedCall,
+    failures: {readonly refused: Failure; readonly closed: Failure},
     execute: (worker: ModelWorker) => Answer,
-  ): Promise<Answer | 'silent'> {
-    const worker = this.findWorker(call.id);
+  ): Promise<Answer | Failure | 'silent' | 'other-life'> {
+    const worker = this.findListener(call.address);
     await this.delay(NETWORK_DELAY_MILLIS);
     const isAnswerLost = this.faultState().losesOrderAnswer();
-    if (worker?.refusesConnections) {
+    if (worker === undefined) {
+      return failures.closed;
+    }
+    if (worker.refusesConnections) {
       return 'silent';
     }
-    if (!worker?.isUp || !this.faultState().canCall(host, call.id)) {
+    if (!worker.isUp || !this.faultState().canCall(host, worker.id)) {
       await this.delay(call.timeoutMillis);
       return 'silent';
     }
+    if (worker.id !== call.id) {
+      await this.delay(NETWORK_DELAY_MILLIS);
+      return 'other-life';
+    }
     if (isAnswerLost) {
       this.timeline.after(this.faultState().orderDelayMillis(), () => {
         if (worker.isUp) {
@@ -144,7 +172,7 @@
       return 'silent';
     }
     const answer = this.faultState().refusesOrder(call.id)
-      ? refusal
+      ? failures.refused
       : execute(worker);
     await this.delay(NETWORK_DELAY_MILLIS);
     return answer;
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -4,12 +4,7 @@
   DISPATCH_TICK,
   createDispatchPlugin,
 } from '@samphireramp/dispatch';
-import {
-  FLEET_EVENT,
-  FLEET_TICK,
-  type WorkerRecord,
-  createFleetPlugin,
-} from '@samphireramp/fleet';
+import {FLEET_EVENT, FLEET_TICK, createFleetPlugin} from '@samphireramp/fleet';
 import {HOSTS_READ, createHostsPlugin} from '@samphireramp/hosts';
 import {
   HOLDING_EVENT,
@@ -32,6 +27,7 @@
 } from '@samphireramp/intake';
 import type {Job} from '@samphireramp/jobs';
 import {type Kernel, createKernel, mergeUnregister} from '@samphireramp/kernel';
+import {decodeWorkerEntry} from '@samphireramp/platform';
 import {
   createAdvicePlugin,
   createStreamLogPlugin,
@@ -47,6 +43,7 @@
 import {ModelWorker} from './ModelWorker';
 import {registerModelTimers} from './modelTimers';
 import {ModelAdviser} from './ModelAdviser';
+import {buildRegistryEntry, encodeRegistryEntry} from './registryEntry';
 import {NO_SITE_FAULTS, type SiteFaultState} from './SiteFaultState';
 
 /** Interval of a host's ticks; the workers tick four times as often. */
@@ -55,6 +52,7 @@
 const PARTITIONS = 2;
 const CONFIGURATION_KEY = 'config';
 const KEEP_ENDED_MILLIS = 600_000;
+const WORKER_PORT = 7000;
 /** Real event loop turns per virtual millisecond, for promises to settle. */
 const EVENT_LOOP_TURNS_PER_MILLISECOND = 2;
 
@@ -210,13 +208,18 @@
 
   /** Writes a worker's entry in the worker registry. */
   writeRegistryEntry(worker: ModelWorker, isDraining = false): void {
-    const entry = JSON.stringify(worker.record(isDraining));
-    this.log.put('workers', worker.id, Buffer.from(entry));
+    const entry = buildRegistryEntry(worker.record(isDraining));
+    this.writeRegistryRecord(worker.id, encodeRegistryEntry(entry));
+  }
+
+  /** Writes any content under any id to the worker registry. */
+  writeRegistryRecord(id: string, content: Buffer): void {
+    this.log.put('workers', id, content);
   }
 
   /** Deletes a worker's entry from the worker registry. */
   deleteRegistryEntry(worker: ModelWorker): void {
-    this.log.put('workers', worker.id, Buffer.alloc(0));
+    this.writeRegistryRecord(worker.id, Buffer.alloc(0));
   }
 
   /** Sends a request to a host; undefined at once if the host is down. */
@@ -247,6 +250,7 @@
     const worker: ModelWorker = new ModelWorker(
       id,
       rack,
+      `10.0.0.${this.workers.length + 1}:${WORKER_PORT}`,
       capacity,
       clockRate,
       this.clock,
@@ -344,8 +348,7 @@
         streams: this.log.createStreamLog(name, isAlive),
         decodeConfiguration: () => buildConfiguration(this.options.policies),
         configurationKey: CONFIGURATION_KEY,
-        decodeWorker: (_, value) =>
-          JSON.parse(value.toString()) as WorkerRecord,
+        decodeWorker: decodeWorkerEntry,
         log: () => undefined,
       }),
     ];
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -20,10 +20,13 @@
 const GANG_TIMEOUT_MILLIS = 3000;
 /** Work between two checkpoints of a run. */
 const CHECKPOINT_INTERVAL_MILLIS = 500;
+/** Maximum number of ends in an answer to a poll; the oldest come first. */
+const MAX_LISTED_ENDS = 500;
 
 /** Simulates a worker, which obeys the holder and reports to the checker. */
 export class ModelWorker {
-  incarnation: string;
+  /** Start of this incarnation; may be earlier than that of the one before. */
+  born = 1;
   readonly capacity: ModelCapacity;
   isUp = true;
   /** Whether its process has ended, so that connections to it are refused. */
@@ -38,6 +41,8 @@
   isStalled = false;
   /** Whether runs whose work is done end as failed. */
   failsAllRuns = false;
+  /** Whether its own lease, not that in a start order, decides if that is late. */
+  judgesLatenessByOwnLease = false;
   /** Highest term seen; calls with a lower term are fenced. */
   private highestTerm = 0;
   /** End of its lease, by its own clock. */
@@ -57,6 +62,8 @@
   constructor(
     readonly id: string,
     readonly rack: string,
+    /** HOST:PORT at which calls reach it. */
+    readonly address: string,
     capacity: Resources,
     /** Speed of its clock relative to the timeline: 0.98 to 1.02. */
     private readonly clockRate: number,
@@ -66,19 +73,23 @@
     private readonly scriptOf: (runId: RunId) => TaskScript | undefined,
     private readonly acceptsTicket: (order: StartOrder) => boolean = () => true,
   ) {
-    this.incarnation = `${id}@1`;
     this.capacity = new ModelCapacity(timeline, capacity);
     this.clockStartedAt = timeline.now;
     this.tick();
   }
 
-  /** Returns its entry in the worker registry. */
+  /** Identifies its present lifetime. */
+  get incarnation(): string {
+    return `${this.id}@${this.born}`;
+  }
+
+  /** Returns what its entry in the worker registry says. */
   record(isDraining = false): WorkerRecord {
     return {
       id: this.id,
       incarnation: this.incarnation,
-      bootedAt: Number(this.incarnation.split('@')[1]),
-      address: this.id,
+      bootedAt: this.born,
+      address: this.address,
       zone: 'zone-a',
       rack: this.rack,
       labels: ['kind-a', this.rack],
@@ -101,7 +112,7 @@
   }
 
   /** Drops all runs and state, and begins a new incarnation of the same id. */
-  restart(): void {
+  restart(born = this.born + 1): void {
     const lostRuns = this.runs;
     this.runs = [];
     for (const run of lostRuns) {
@@ -111,8 +122,7 @@
         this.checker.endGang(run.runId, 'broken');
       }
     }
-    const bootCount = Number(this.incarnation.split('@')[1]) + 1;
-    this.incarnation = `${this.id}@${bootCount}`;
+    this.born = born;
     this.highestTerm = 0;
     this.leaseUntil = 0;
     this.unacknowledgedEnds = [];
@@ -153,7 +163,7 @@
     if (runId.run <= (this.lastEnded.get(taskKey(runId)) ?? 0)) {
       return 'superseded';
     }
-    if (leaseUntil <= this.clock()) {
+    if (this.isLate(leaseUntil)) {
       return 'late';
     }
     const script = this.scriptOf(runId);
@@ -251,7 +261,7 @@
         checkpoint: this.checkpointOf(run),
         percentDone: Math.floor(this.completedShare(run) * 100),
       })),
-      ended: [...this.unacknowledgedEnds],
+      ended: this.unacknowledgedEnds.slice(0, MAX_LISTED_ENDS),
     };
   }
 
@@ -319,6 +329,12 @@
     }
   }
 
+  /** Whether a start order with this lease end arrives too late. */
+  private isLate(leaseUntil: number): boolean {
+    const until = this.judgesLatenessByOwnLease ? this.leaseUntil : leaseUntil;
+    return until <= this.clock();
+  }
+
   /** Extends the lease up to a time of this worker's clock; never shortens it. */
   private extendLease(leaseUntil: number): void {
     const latest = this.clock() + MAX_LEASE_MILLIS;
--- a/testing/src/site/capacityFaults.ts
+++ b/testing/src/site/capacityFaults.ts
@@ -1,5 +1,6 @@
 import type {WorkerRecord} from '@samphireramp/fleet';
 import type {Resources} from '@samphireramp/jobs';
+import {decodeWorkerEntry} from '@samphireramp/platform';
 import {MAX_ENTRY_DELAY_MILLIS, shareOf} from './ModelCapacity';
 import {snapshotOf} from './ModelLog';
 import type {ModelSite} from './ModelSite';
@@ -44,7 +45,7 @@
   const record = snapshotOf(site.log.records('workers', 0)).find(
     ({key}) => key === worker.id,
   );
-  return record && (JSON.parse(record.value.toString()) as WorkerRecord);
+  return record && decodeWorkerEntry(worker.id, record.value);
 }
 
 /** Lets random workers shrink to a random share, and grow again later. */
--- a/testing/src/site/createWorkerApp.ts
+++ b/testing/src/site/createWorkerApp.ts
@@ -56,7 +56,7 @@
     }
     return context.json({
       clock_ms: report.clockMillis,
-      born: bootedAtOf(worker),
+      born: worker.born,
       running: report.running.map(run => [
         taskNameOf(run.runId),
         run.runId.run,
@@ -114,8 +114,3 @@
     run,
   };
 }
-
-/** Returns the boot time that a worker reports to identify its incarnation. */
-export function bootedAtOf(worker: ModelWorker): number {
-  return Number(worker.incarnation.split('@')[1]);
-}
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -16,6 +16,11 @@
 } from './ModelLog';
 export type {ModelHost, ModelSiteOptions} from './ModelHost';
 export {ModelSite} from './ModelSite';
+export {
+  type RegistryEntry,
+  buildRegistryEntry,
+  encodeRegistryEntry,
+} from './registryEntry';
 export {buildModelSite} from './siteFixture';
 export {NO_SITE_FAULTS, type SiteFaultState} from './SiteFaultState';
 export type {TaskScript} from './ModelRun';
--- a/testing/src/site/startPlatform.ts
+++ b/testing/src/site/startPlatform.ts
@@ -17,7 +17,12 @@
   type PlatformFaultState,
   injectCallFaults,
 } from './platformFaults';
-import {bootedAtOf, createWorkerApp} from './createWorkerApp';
+import {createWorkerApp} from './createWorkerApp';
+import {
+  type RegistryEntry,
+  buildRegistryEntry,
+  encodeRegistryEntry,
+} from './registryEntry';
 
 const LOOPBACK_ADDRESS = '127.0.0.1';
 /** Number of partitions of the `requests` stream. */
@@ -70,7 +75,10 @@
   /** Listening addresses of the workers, by worker id. */
   readonly workerAddresses: ReadonlyMap<string, string>;
   /** Writes a worker's registry entry, with the given fields replaced. */
-  writeRegistryEntry(worker: ModelWorker, change?: RegistryEntryChange): void;
+  writeRegistryEntry(
+    worker: ModelWorker,
+    change?: Partial<RegistryEntry>,
+  ): void;
   /** Deletes a worker's registry entry. */
   deleteRegistryEntry(worker: ModelWorker): void;
   /** Writes a new configuration, which replaces the previous one. */
@@ -79,12 +87,6 @@
   stop(): void;
 }
 
-/** Fields of a worker's registry entry that a test can replace. */
-export interface RegistryEntryChange {
-  readonly address?: string;
-  readonly state?: 'ready' | 'draining';
-}
-
 /** Starts the simulated platform in this process; it runs in real time. */
 export async function startPlatform(
   options: PlatformOptions,
@@ -124,23 +126,21 @@
   const workerAddresses = new Map<string, string>();
   const writeRegistryEntry = (
     worker: ModelWorker,
-    change: RegistryEntryChange = {},
+    change: Partial<RegistryEntry> = {},
   ) => {
-    const ownAddress = workerAddresses.get(worker.id) ?? '';
-    const entry = {
-      ...registryEntryOf(worker, ownAddress, options.capacity),
-      ...change,
-    };
-    log.put('workers', worker.id, Buffer.from(JSON.stringify(entry)));
+    const entry = buildRegistryEntry(worker.record(), change);
+    log.put('workers', worker.id, encodeRegistryEntry(entry));
   };
   const configure = (configuration: object) => {
     const text = JSON.stringify(configuration);
     log.put('configuration', 'config', Buffer.from(text));
   };
   for (let index = 0; index < options.workers; index++) {
+    const ownAddress = nextAddress();
     const worker: ModelWorker = new ModelWorker(
       `worker-${index}`,
       `rack-${index % 2}`,
+      ownAddress,
       options.capacity,
       1,
       timeline,
@@ -152,7 +152,6 @@
       order => adviser.acceptsTicket(order.ticket, order.runId, worker),
     );
     workers.push(worker);
-    const ownAddress = nextAddress();
     servers.push(listen(createWorkerApp(worker, faultState), ownAddress));
     workerAddresses.set(worker.id, ownAddress);
     writeRegistryEntry(worker);
@@ -191,30 +190,6 @@
   return serve({fetch: app.fetch, hostname, port: Number(port)}) as Server;
 }
 
-/** Returns a worker's registry entry in the format of the store. */
-function registryEntryOf(
-  worker: ModelWorker,
-  address: string,
-  capacity: Resources,
-) {
-  return {
-    service: 'pool',
-    address,
-    zone: 'zone-a',
-    version: 'v1',
-    slots: 8,
-    state: 'ready',
-    capacity: {
-      cpu: capacity.cpuMillis,
-      memory_request_mb: capacity.memoryMegabytes,
-      gpu: capacity.accelerators,
-    },
-    labels: ['kind-a', worker.rack],
-    born: bootedAtOf(worker),
-    sequence: 1,
-  };
-}
-
 /** Returns the stream and the partition that a call to the store names. */
 function streamPartitionOf(context: Context): [StreamName, number] {
   const topic = context.req.query('topic') ?? '';
