--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -64,6 +64,7 @@
     worker.hasReported &&
     !worker.isDraining &&
     !worker.isSilent &&
+    worker.doubtedAt === undefined &&
     now >= worker.avoidedUntil
   );
 }
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -2,7 +2,6 @@
   type StateReader,
   type Update,
   createIndexedTableSlice,
-  createTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
 import {
@@ -12,7 +11,7 @@
   runKey,
 } from '@samphireramp/jobs';
 import type {Run} from './Run';
-import type {Worker} from './Worker';
+import type {Worker, WorkerRecord} from './Worker';
 
 /**
  * Whether this host may poll workers and place runs on them. False until it has
@@ -20,8 +19,11 @@
  */
 export const MAY_COMMAND_WORKERS = createValueSlice('may-hold', false);
 
-/** Workers by incarnation. */
-export const WORKERS = createTableSlice<Worker>('workers');
+/** Lives of workers by incarnation, indexed by the id of the worker. */
+export const WORKERS = createIndexedTableSlice<Worker>(
+  'workers',
+  worker => worker.id,
+);
 
 /** Runs by run key, indexed by the incarnation of their worker. */
 export const RUNS = createIndexedTableSlice<Run>(
@@ -94,6 +96,17 @@
   changeRun(update, runKey(runId), {phase: 'running', confirmedAt: update.now});
 }
 
+/** Lists the other known lives of a worker. */
+export function listOtherLives(
+  state: StateReader,
+  {id, incarnation}: Pick<WorkerRecord, 'id' | 'incarnation'>,
+): Worker[] {
+  return state
+    .read(WORKERS)
+    .withKey(id)
+    .filter(other => other.incarnation !== incarnation);
+}
+
 /** Changes fields of a run, if it is known. */
 export function changeRun(
   update: Update,
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -7,8 +7,6 @@
    * Identifies one lifetime of the worker process; a restart begins a new one.
    */
   readonly incarnation: string;
-  /** Start of the incarnation, in milliseconds since 1970; 0 if unknown. */
-  readonly bootedAt: number;
   /** HOST:PORT of its HTTP interface. */
   readonly address: string;
   readonly zone: string;
@@ -70,6 +68,10 @@
   readonly hasLeft: boolean;
   /** Whether it is gone, and kept only for runs that may still start. */
   readonly isGone: boolean;
+  /** Since when an entry names another life, and this one has not answered a poll. */
+  readonly doubtedAt: number | undefined;
+  /** The life that answered in its place, which shows that it has ended. */
+  readonly endedBy: string | undefined;
   /** Whether its crash has been reported. */
   readonly isCrashReported: boolean;
   /** No new run is placed on it before this time. */
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -28,11 +28,7 @@
   resendStopOrders,
 } from './runOrders';
 import {stopStalledRuns} from './stalledRuns';
-import {
-  UNANSWERED_ORDERS,
-  forgetUnansweredOrders,
-  resendForbidOrders,
-} from './unansweredOrders';
+import {UNANSWERED_ORDERS, forgetUnansweredOrders} from './unansweredOrders';
 import {FLEET_LOG_SLOWDOWN} from './workerHealth';
 import {onWorkerRegistryRead} from './workerRegistry';
 import {discardLostRuns} from './workerRemoval';
@@ -74,7 +70,6 @@
     discardLostRuns(update, worker.incarnation);
   }
   forgetUnansweredOrders(update);
-  resendForbidOrders(update);
   resendStopOrders(update);
   stopStalledRuns(update);
 }
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -70,3 +70,19 @@
       LEASE_EXPIRY_MARGIN_MILLIS,
   );
 }
+
+/**
+ * Returns when, on this host's clock, all leases are sure to have expired that the
+ * next life of a worker got with an order that was answered, meant for this one.
+ */
+export function nextLifeLeasesExpiredAt(
+  worker: Worker,
+  holdingBeganAt: number,
+): number {
+  const longerMillis = MAX_LEASE_MILLIS - LEASE_MILLIS;
+  return (
+    leasesExpiredAt(worker, holdingBeganAt) +
+    longerMillis / (1 - CLOCK_DRIFT_BOUND) +
+    LEASE_EXPIRY_MARGIN_MILLIS
+  );
+}
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -28,11 +28,7 @@
   STOP_RETRY_MILLIS,
   STOP_TIMEOUT_MILLIS,
 } from './stopTiming';
-import {
-  onForbidAnswered,
-  recordStartAnswer,
-  recordStartOrder,
-} from './unansweredOrders';
+import {recordStartAnswer, recordStartOrder} from './unansweredOrders';
 import {removeWorker, discardRun} from './workerRemoval';
 
 /** Timeout of a start order, which is then repeated on another connection. */
@@ -71,7 +67,7 @@
     lastOrderAt: update.now,
     startOrders: run.startOrders + 1,
   });
-  recordStartOrder(update, order, worker.id);
+  recordStartOrder(update, order);
   update.emit(ORDER_START, {
     order,
     id: worker.id,
@@ -270,7 +266,6 @@
     return;
   }
   const outcome = reinterpretFenced(update, answer);
-  onForbidAnswered(update, answer);
   const run = update.read(RUNS).get(key);
   if (run?.incarnation !== incarnation) {
     return;
--- /dev/null
+++ b/packages/fleet/src/workerLives.ts
@@ -0,0 +1,156 @@
+import type {Update} from '@samphireramp/kernel';
+import {type RunId, runKey} from '@samphireramp/jobs';
+import {RUNS, WORKERS, changeWorker, listOtherLives} from './FleetState';
+import {beginLife} from './fence';
+import {FLEET_EVENT} from './messages';
+import type {Worker, WorkerRecord} from './Worker';
+import {reportCrash} from './workerCrashes';
+import {discardRun, removeWorker} from './workerRemoval';
+
+/**
+ * Tells which life of a worker is the present one. Only an answer at its address
+ * shows that; the worker registry names lives to ask, since an entry may come from
+ * another writer or late, and start times from a clock that was set back.
+ */
+
+/** Adds a life of a worker. It gets runs once it has answered a poll. */
+export function addIncarnation(
+  update: Update,
+  record: WorkerRecord,
+  isRegistered: boolean,
+): void {
+  update.write(WORKERS).set(record.incarnation, {
+    ...record,
+    life: beginLife(update, record.id),
+    isRegistered,
+    hasReported: false,
+    clock: undefined,
+    leaseGrantedUntil: 0,
+    answeredAt: update.now,
+    appliedEnd: 0,
+    durableEnd: 0,
+    isPollOpen: false,
+    nextPollAt: 0,
+    isSilent: false,
+    refusesConnections: false,
+    consecutiveFailures: 0,
+    lastFailedJobId: '',
+    logSlowdown: 0,
+    slowdownSamples: 0,
+    hasLeft: false,
+    isGone: false,
+    doubtedAt: undefined,
+    endedBy: undefined,
+    isCrashReported: false,
+    avoidedUntil: 0,
+  });
+}
+
+/**
+ * Handles an answer to a poll of `worker` by another life of it. As that life
+ * answered after the poll was sent, `worker` has ended or, if it never answered,
+ * its entry was wrong or came late.
+ */
+export function onOtherLifeAnswered(
+  update: Update,
+  worker: Worker,
+  present: string,
+): void {
+  const known = update.read(WORKERS).get(present);
+  if (known === undefined) {
+    const {id, address, zone, rack, labels, pool, capacity} = worker;
+    const described = {id, address, zone, rack, labels, pool, capacity};
+    addIncarnation(
+      update,
+      {...described, incarnation: present, isDraining: false},
+      false,
+    );
+    emitLifeEvent(
+      update,
+      present,
+      'worker-restarted',
+      'answered',
+      worker.incarnation,
+    );
+  } else {
+    // It has seen the fence of this poll, and refuses lower ones.
+    const life = Math.max(known.life, worker.life);
+    changeWorker(update, present, {life, doubtedAt: undefined});
+  }
+  const hasRuns = update.read(RUNS).withKey(worker.incarnation).length > 0;
+  const detail = worker.hasReported || hasRuns ? 'reborn' : 'refuted';
+  removeWorker(update, worker, detail, present);
+}
+
+/**
+ * Ends the other lives of a worker at the first report of the present one. Their
+ * runs that are not in the report can't start any more: the poll that it answers
+ * has fenced the orders for them.
+ */
+export function endOtherLives(
+  update: Update,
+  present: Worker,
+  reportedRuns: readonly RunId[],
+): void {
+  const reportedKeys = new Set(reportedRuns.map(runKey));
+  for (const worker of listOtherLives(update, present)) {
+    const runs = update.read(RUNS).withKey(worker.incarnation);
+    // A life that neither answered nor has runs may be the next one.
+    if (!worker.hasReported && runs.length === 0) {
+      continue;
+    }
+    reportCrash(update, worker.incarnation, 'reborn');
+    emitLifeEvent(
+      update,
+      worker.incarnation,
+      'worker-gone',
+      'reborn',
+      present.incarnation,
+    );
+    for (const run of runs) {
+      if (!reportedKeys.has(runKey(run.runId))) {
+        discardRun(update, run, 'worker-gone');
+      }
+    }
+    update.write(WORKERS).delete(worker.incarnation);
+  }
+}
+
+/**
+ * Has the other lives of a worker prove that they have not ended, once an entry
+ * names a new one: until they answer, polls of them grant and acknowledge nothing.
+ */
+export function doubtOtherLives(update: Update, record: WorkerRecord): void {
+  for (const worker of listOtherLives(update, record)) {
+    if (worker.hasReported && worker.doubtedAt === undefined) {
+      changeWorker(update, worker.incarnation, {doubtedAt: update.now});
+      emitLifeEvent(
+        update,
+        worker.incarnation,
+        'worker-doubted',
+        'entry',
+        record.incarnation,
+      );
+    }
+  }
+}
+
+/** Deletes lives of a worker that were only named by entries which are replaced. */
+export function deleteUnheardLives(update: Update, record: WorkerRecord): void {
+  for (const worker of listOtherLives(update, record)) {
+    const hasRuns = update.read(RUNS).withKey(worker.incarnation).length > 0;
+    if (!worker.hasReported && !hasRuns) {
+      update.write(WORKERS).delete(worker.incarnation);
+    }
+  }
+}
+
+function emitLifeEvent(
+  update: Update,
+  worker: string,
+  event: string,
+  detail: string,
+  by?: string,
+): void {
+  update.emit(FLEET_EVENT, {event, worker, detail, by});
+}
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -1,4 +1,4 @@
-import type {PayloadOf, Update} from '@samphireramp/kernel';
+import type {PayloadOf, StateReader, Update} from '@samphireramp/kernel';
 import {
   HOLDING_FENCED,
   dispatchWhenDurable,
@@ -32,7 +32,8 @@
 import type {Run} from './Run';
 import type {Worker} from './Worker';
 import {recordStartAnswer} from './unansweredOrders';
-import {awaitNextIncarnation, discardRun, removeWorker} from './workerRemoval';
+import {endOtherLives, onOtherLifeAnswered} from './workerLives';
+import {discardRun, removeWorker} from './workerRemoval';
 
 /** How long a worker with runs may hold back the answer until a run ends. */
 const POLL_WAIT_MILLIS = 1000;
@@ -42,6 +43,8 @@
 const POLL_ANSWER_MARGIN_MILLIS = 700;
 /** Delay before the next poll of a worker after a poll failed. */
 const POLL_RETRY_MILLIS = 200;
+/** The same for a worker that only an entry names, which may be wrong. */
+const UNHEARD_POLL_RETRY_MILLIS = 1000;
 /**
  * Longest delay of a poll while reported ends are not durable. The poll then
  * goes out without their acknowledgement, because it renews the lease.
@@ -58,19 +61,18 @@
   if (worker.isGone) {
     return;
   }
-  // The lease of a silent worker is not renewed, so that it is sure to expire.
+  // Otherwise a later life may receive the poll, whose ends nobody has read. The
+  // lease of a silent worker is not renewed, so that it is sure to expire.
+  const isSure = !worker.isSilent && worker.doubtedAt === undefined;
   const leaseUntil =
-    worker.clock === undefined ||
-    worker.isSilent ||
-    !isGrantingLeases(update, update.now)
-      ? undefined
-      : leaseEnd(worker.clock, update.now);
-  // A later life of a silent worker may answer, whose ends nobody has read.
-  const acknowledgedEnd = worker.isSilent ? 0 : worker.durableEnd;
+    isSure && worker.clock && isGrantingLeases(update, update.now)
+      ? leaseEnd(worker.clock, update.now)
+      : undefined;
+  const acknowledgedEnd = isSure ? worker.durableEnd : 0;
   const runs = update.read(RUNS).withKey(worker.incarnation);
   const mayLongPoll =
     worker.hasReported &&
-    !worker.isSilent &&
+    isSure &&
     worker.appliedEnd === worker.durableEnd &&
     !runs.some(awaitsReport);
   const isIdle = runs.length === 0;
@@ -105,11 +107,13 @@
   {incarnation, term, sentAt, report}: PayloadOf<typeof WORKER_REPORTED>,
 ): void {
   const worker = update.read(WORKERS).get(incarnation);
-  if (worker === undefined || term !== heldTerm(update)) {
+  const isCurrent = worker?.endedBy === undefined && term === heldTerm(update);
+  if (worker === undefined || !isCurrent) {
     return;
   }
   if (report.incarnation !== incarnation) {
-    awaitNextIncarnation(update, worker, report.incarnation);
+    onOtherLifeAnswered(update, worker, report.incarnation);
+    pollAgainIfDue(update, report.incarnation);
     return;
   }
   if (!worker.hasReported || worker.isSilent) {
@@ -126,6 +130,7 @@
     isSilent: false,
     refusesConnections: false,
     isGone: false,
+    doubtedAt: sentAt >= (worker.doubtedAt ?? 0) ? undefined : worker.doubtedAt,
     isPollOpen: false,
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
     leaseGrantedUntil: worker.hasReported
@@ -138,6 +143,10 @@
         ? update.now + DURABILITY_POLL_DELAY_MILLIS
         : 0,
   });
+  if (!worker.hasReported) {
+    const reportedRuns = report.running.map(({runId}) => runId);
+    endOtherLives(update, worker, reportedRuns);
+  }
   applyReportedRuns(update, incarnation, report.running);
   discardMissingRuns(update, incarnation, report, sentAt);
   if (!worker.hasReported || appliedEnd > worker.appliedEnd) {
@@ -272,7 +281,9 @@
   }
   // A worker without an entry may live on, cut off from the registry.
   const hasExited = worker.hasLeft && failure === 'closed';
-  if (failure === 'other-life' || hasExited) {
+  // An entry may name an address at which the worker has never been.
+  const hasEnded = worker.hasReported && failure === 'other-life';
+  if (hasEnded || hasExited) {
     removeWorker(update, worker, failure);
     return;
   }
@@ -292,10 +303,18 @@
     isPollOpen: false,
     isSilent: true,
     refusesConnections: failure === 'closed',
-    nextPollAt: update.now + POLL_RETRY_MILLIS,
+    nextPollAt: update.now + pollRetryMillis(update, worker),
   });
 }
 
+function pollRetryMillis(
+  state: StateReader,
+  {incarnation, hasReported}: Worker,
+): number {
+  const hasRuns = state.read(RUNS).withKey(incarnation).length > 0;
+  return hasReported || hasRuns ? POLL_RETRY_MILLIS : UNHEARD_POLL_RETRY_MILLIS;
+}
+
 /** Polls a worker again, if a poll is due and the worker is still known. */
 export function pollAgainIfDue(update: Update, incarnation: string): void {
   const worker = update.read(WORKERS).get(incarnation);
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -1,14 +1,14 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
-import {runKey} from '@samphireramp/jobs';
 import {RUNS, WORKERS, changeWorker} from './FleetState';
-import {beginLife} from './fence';
 import {pollIfDue} from './workerPolling';
 import {FLEET_EVENT, RESOURCES_CHANGED, WORKER_REGISTRY_READ} from './messages';
-import {stopRun} from './runOrders';
-import {forbidUnansweredOrders} from './unansweredOrders';
 import type {Worker, WorkerRecord} from './Worker';
-import {reportCrash} from './workerCrashes';
-import {removeWorker, mayStillStart} from './workerRemoval';
+import {
+  addIncarnation,
+  deleteUnheardLives,
+  doubtOtherLives,
+} from './workerLives';
+import {removeWorker} from './workerRemoval';
 
 /**
  * A worker that answered this recently was not deregistered for its silence.
@@ -45,22 +45,21 @@
 function applyRecord(update: Update, record: WorkerRecord): void {
   const known = update.read(WORKERS).get(record.incarnation);
   if (known === undefined) {
-    update.write(WORKERS).set(record.incarnation, createWorker(update, record));
-    forbidUnansweredOrders(update, record);
+    addIncarnation(update, record, true);
     emitWorkerEvent(update, record.incarnation, 'worker-listed', record.pool);
+    doubtOtherLives(update, record);
+  } else if (contradicts(known, record)) {
+    emitWorkerEvent(
+      update,
+      record.incarnation,
+      'entry-refuted',
+      record.address,
+    );
+    return;
   } else {
-    if (known.isDraining !== record.isDraining) {
-      const event = record.isDraining ? 'worker-leaving' : 'worker-staying';
-      emitWorkerEvent(update, record.incarnation, event, record.pool);
-    }
-    changeWorker(update, record.incarnation, {
-      ...record,
-      isRegistered: true,
-      hasLeft: false,
-      isGone: false,
-    });
+    updateWorker(update, known, record);
   }
-  removeEarlierIncarnations(update, record);
+  deleteUnheardLives(update, record);
   const worker = update.read(WORKERS).get(record.incarnation);
   if (worker !== undefined) {
     pollIfDue(update, worker);
@@ -68,58 +67,29 @@
 }
 
 /**
- * Removes earlier incarnations of a worker once a later one is registered. A
- * poll meant for an earlier one would reach the later one, and acknowledge ends
- * that nobody has read. A start order in transit would start its run on the
- * later one; such a run is moved to the later one and stopped there, before its
- * task runs elsewhere.
+ * Whether an entry is shown to be wrong or late by what the worker answered: it has
+ * ended, or answers at another address, which it keeps for life.
  */
-function removeEarlierIncarnations(update: Update, record: WorkerRecord): void {
-  for (const worker of [...update.read(WORKERS).values()]) {
-    if (worker.id === record.id && worker.bootedAt < record.bootedAt) {
-      reportCrash(update, worker.incarnation, 'reborn');
-      for (const run of update.read(RUNS).withKey(worker.incarnation)) {
-        if (mayStillStart(run)) {
-          const moved = {
-            ...run,
-            incarnation: record.incarnation,
-            confirmedAt: undefined,
-            startedAt: undefined,
-            isReported: false,
-          };
-          update.write(RUNS).set(runKey(run.runId), moved);
-          stopRun(update, moved, 'reborn');
-        }
-      }
-      removeWorker(update, worker, 'reborn', record.incarnation);
-    }
-  }
+function contradicts(known: Worker, {address}: WorkerRecord): boolean {
+  const hasMoved = known.hasReported && known.address !== address;
+  return known.endedBy !== undefined || hasMoved;
 }
 
-function createWorker(update: Update, record: WorkerRecord): Worker {
-  return {
+function updateWorker(
+  update: Update,
+  known: Worker,
+  record: WorkerRecord,
+): void {
+  if (known.isDraining !== record.isDraining) {
+    const event = record.isDraining ? 'worker-leaving' : 'worker-staying';
+    emitWorkerEvent(update, record.incarnation, event, record.pool);
+  }
+  changeWorker(update, record.incarnation, {
     ...record,
-    life: beginLife(update, record.id),
     isRegistered: true,
-    hasReported: false,
-    clock: undefined,
-    leaseGrantedUntil: 0,
-    answeredAt: update.now,
-    appliedEnd: 0,
-    durableEnd: 0,
-    isPollOpen: false,
-    nextPollAt: 0,
-    isSilent: false,
-    refusesConnections: false,
-    consecutiveFailures: 0,
-    lastFailedJobId: '',
-    logSlowdown: 0,
-    slowdownSamples: 0,
     hasLeft: false,
     isGone: false,
-    isCrashReported: false,
-    avoidedUntil: 0,
-  };
+  });
 }
 
 /** Removes an unregistered, silent worker that has no runs. */
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -1,8 +1,14 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
 import {HOLDING} from '@samphireramp/holding';
 import {runKey} from '@samphireramp/jobs';
-import {RUNS, WORKERS, changeRun, changeWorker} from './FleetState';
-import {leasesExpiredAt} from './leaseTiming';
+import {
+  RUNS,
+  WORKERS,
+  changeRun,
+  changeWorker,
+  listOtherLives,
+} from './FleetState';
+import {leasesExpiredAt, nextLifeLeasesExpiredAt} from './leaseTiming';
 import {
   FLEET_EVENT,
   RESOURCES_CHANGED,
@@ -10,10 +16,7 @@
   START_GIVEN_UP,
 } from './messages';
 import type {Run} from './Run';
-import {
-  forbidUnansweredOrders,
-  mayNextIncarnationStart,
-} from './unansweredOrders';
+import {mayNextIncarnationStart} from './unansweredOrders';
 import type {Worker} from './Worker';
 import {reportCrash} from './workerCrashes';
 
@@ -63,7 +66,7 @@
     });
   }
   for (const run of update.read(RUNS).withKey(incarnation)) {
-    if (mayNextIncarnationStart(update, run.runId)) {
+    if (mayNextLifeStart(update, run, by)) {
       awaitSettledOrders(update, run);
     } else {
       discardRun(update, run, 'worker-gone');
@@ -71,7 +74,7 @@
   }
   if (update.read(RUNS).withKey(incarnation).length > 0) {
     const change = {isGone: true, isRegistered: false, isSilent: true};
-    changeWorker(update, incarnation, change);
+    changeWorker(update, incarnation, {...change, endedBy: by});
   } else {
     update.write(WORKERS).delete(incarnation);
   }
@@ -112,11 +115,13 @@
   if (worker === undefined || !worker.isSilent) {
     return;
   }
+  const {holdingBeganAt: beganAt} = update.read(HOLDING).get();
   if (worker.isGone) {
-    removeWorker(update, worker, 'settled');
+    if (!awaitsReportOfNextLife(update, worker, beganAt)) {
+      removeWorker(update, worker, 'settled');
+    }
     return;
   }
-  const {holdingBeganAt: beganAt} = update.read(HOLDING).get();
   if (update.now < leasesExpiredAt(worker, beganAt)) {
     return;
   }
@@ -154,42 +159,50 @@
   });
 }
 
+/**
+ * Whether the runs of a life that has ended wait for the first report of the next
+ * one, which fences the orders for them. If none comes, it was lost, too: they wait
+ * until the leases that it got with such an order must have expired.
+ */
+function awaitsReportOfNextLife(
+  update: Update,
+  worker: Worker,
+  holdingBeganAt: number,
+): boolean {
+  if (worker.endedBy === undefined) {
+    return false;
+  }
+  const isNextHeardSoon = listOtherLives(update, worker).some(
+    ({hasReported, isSilent}) => !hasReported && !isSilent,
+  );
+  return (
+    isNextHeardSoon ||
+    update.now < nextLifeLeasesExpiredAt(worker, holdingBeganAt)
+  );
+}
+
+/**
+ * Whether the next life of a worker may start a run, or may have started it. If
+ * that life is known (`by`), an order whose answer didn't come from this one counts.
+ */
+function mayNextLifeStart(
+  update: Update,
+  run: Run,
+  by: string | undefined,
+): boolean {
+  return by === undefined
+    ? mayNextIncarnationStart(update, run.runId)
+    : mayStillStart(run);
+}
+
 /**
  * Whether a start order for the run may still be in transit. Orders name a
  * worker, not an incarnation: the next incarnation carries out an order that
  * arrives late.
  */
-export function mayStillStart(run: Run): boolean {
+function mayStillStart(run: Run): boolean {
   // Only a report shows which incarnation took an order. If a second order was
   // sent, it may still be in transit; for an adopted run the number is unknown.
   const isOnlyOrderTaken = run.isReported && run.startOrders === 1;
   return run.phase !== 'reserved' && !isOnlyOrderTaken;
 }
-
-/**
- * Handles an answer from a later incarnation that is not in the worker registry
- * yet. It is told to refuse the orders that may still arrive. Runs that may still
- * start are kept until it is registered, or until no order can start them any
- * more; the others are discarded.
- */
-export function awaitNextIncarnation(
-  update: Update,
-  worker: Worker,
-  incarnation: string,
-): void {
-  reportCrash(update, worker.incarnation, 'reborn');
-  forbidUnansweredOrders(update, {...worker, incarnation});
-  const runs = update.read(RUNS).withKey(worker.incarnation);
-  if (!runs.some(mayStillStart)) {
-    removeWorker(update, worker, 'reborn', incarnation);
-    return;
-  }
-  for (const run of runs) {
-    if (!mayStillStart(run)) {
-      discardRun(update, run, 'worker-gone');
-    }
-  }
-  // An open poll holds back further polls, whose acknowledgements would make
-  // the next incarnation drop ends that nobody has read.
-  changeWorker(update, worker.incarnation, {isSilent: true, isPollOpen: true});
-}
--- a/testing/src/__tests__/unit/lateOrders.test.ts
+++ b/testing/src/__tests__/unit/lateOrders.test.ts
@@ -130,11 +130,11 @@
 );
 
 void t.test(
-  'a restarted worker is told to refuse a run until it answers',
+  'a restarted worker refuses the orders that its earlier life left unanswered',
   async t => {
     const site = buildModelSite({workers: 1, policies: [POLICY]});
     await site.run(1000);
-    // The first start order is late; the first order to refuse the run is lost.
+    // The first start order is late, and so is the next order after its repetition.
     delayOrders(
       site,
       new Map([
@@ -178,7 +178,7 @@
 );
 
 void t.test(
-  'an answer to a stop order for an earlier incarnation does not settle a run',
+  'an answer to a stop order for another incarnation does not settle a run',
   async t => {
     const site = buildModelSite({workers: 1, policies: [POLICY]});
     await site.run(1000);
@@ -190,19 +190,15 @@
     const job = buildTask('00000000000000c5', 500);
     const {kernel} = site.holder() ?? site.hosts[0];
     void site.submit(site.hosts[0], job);
-    await site.run(200);
+    await site.run(1800);
     const [run] = [...kernel.read(RUNS).values()];
-    const [worker] = site.workers;
-    worker.restart();
-    site.writeRegistryEntry(worker);
-    await site.run(400);
+    t.equal(run.phase, 'stopping');
     const key = runKey(run.runId);
-    t.equal(kernel.read(RUNS).get(key)?.incarnation, worker.incarnation);
     kernel.dispatch(STOP_ANSWERED, {
       runKey: key,
-      incarnation: run.incarnation,
+      incarnation: `${site.workers[0].id}@0`,
       term: heldTerm(kernel) ?? 0,
-      workerId: worker.id,
+      workerId: site.workers[0].id,
       fence: Infinity,
       outcome: 'stopped',
     });
--- a/testing/src/__tests__/unit/siteRegressions.test.ts
+++ b/testing/src/__tests__/unit/siteRegressions.test.ts
@@ -1,4 +1,4 @@
-import {RUNS, RUN_ENDED, WORKERS} from '@samphireramp/fleet';
+import {POLL_WORKER, RUNS, RUN_ENDED, WORKERS} from '@samphireramp/fleet';
 import {DURABLE_PROGRESS} from '@samphireramp/holding';
 import t from 'tap';
 import {
@@ -162,24 +162,40 @@
 });
 
 void t.test('a restarted worker replaces its old incarnation', async t => {
-  const site = buildSite(2);
+  const site = buildSite(1);
   await site.run(1000);
+  const step = buildStep({count: 3});
+  const job = buildJob('00000000000000b4', [step], {policy: POLICIES[0]});
+  void site.submit(site.hosts[0], job);
+  await site.run(2000);
   const [worker] = site.workers;
-  site.faultState = {...site.faultState, canCall: (_, id) => id !== worker.id};
-  worker.restart();
-  site.writeRegistryEntry(worker);
-  await site.run(50);
-  const knownWorkers = [
-    ...(site.holder()?.kernel.read(WORKERS).values() ?? []),
-  ];
+  const {kernel} = site.holder() ?? site.hosts[0];
+  const {faultState} = site;
+  t.ok((kernel.read(WORKERS).get(worker.incarnation)?.durableEnd ?? 0) > 0);
   // A poll for the old incarnation would acknowledge ends of the new one that
   // the holder has not read.
+  const old = worker.incarnation;
+  const polls: Array<{acknowledgedEnd: number; leaseUntil?: number}> = [];
+  site.faultState = {...faultState, canCall: (_, id) => id !== worker.id};
+  worker.restart();
+  site.writeRegistryEntry(worker);
+  await site.run(20);
+  kernel.registerEffect(POLL_WORKER, poll => {
+    if (poll.incarnation === old) {
+      polls.push(poll);
+    }
+  });
+  await site.run(6000);
+  t.ok(polls.length > 0);
   t.same(
-    knownWorkers
-      .filter(({id}) => id === worker.id)
-      .map(({incarnation}) => incarnation),
-    [worker.incarnation],
+    polls.filter(
+      ({acknowledgedEnd, leaseUntil}) => acknowledgedEnd || leaseUntil,
+    ),
+    [],
   );
+  site.faultState = faultState;
+  await site.run(1100);
+  t.same([...kernel.read(WORKERS).keys()], [worker.incarnation]);
 });
 
 void t.test('a step that waits long is logged with what it lacks', async t => {
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -88,7 +88,6 @@
     return {
       id: this.id,
       incarnation: this.incarnation,
-      bootedAt: this.born,
       address: this.address,
       zone: 'zone-a',
       rack: this.rack,
--- a/testing/src/site/registryEntry.ts
+++ b/testing/src/site/registryEntry.ts
@@ -26,7 +26,7 @@
   record: WorkerRecord,
   overrides: Partial<RegistryEntry> = {},
 ): RegistryEntry {
-  const {pool, address, zone, capacity, labels, bootedAt} = record;
+  const {pool, address, zone, capacity, labels, incarnation} = record;
   return {
     service: pool,
     address,
@@ -40,7 +40,7 @@
       gpu: capacity.accelerators,
     },
     labels,
-    born: bootedAt,
+    born: Number(incarnation.split('@')[1]),
     sequence: 1,
     ...overrides,
   };
