A worker whose leases have lapsed is called with a new fence, so that no late order starts a run there (TWICE)

Cause: a task whose orders got no answer is placed elsewhere once the leases of its silent worker have lapsed; the worker that comes back could carry out such an order if it judges it by its present lease, which the protocol leaves open. lateOrdersByTicket.test.ts: TWICE at 10,530 ms before, and at 39,531 ms with workers up for 30 s: the tests of late orders and of earlier leases now use such workers, as shortly after a start longer leases are reckoned with, which hid the fault. Change: the number of the life goes up at the lapse, so that the poll that the worker answers next fences all calls before. Seen on the model only.

--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -27,7 +27,10 @@
 
 /** A worker as the holder knows it. */
 export interface Worker extends WorkerRecord {
-  /** Number of this life among those of the worker in this holding, from 1. */
+  /**
+   * Number of this life among those of the worker in this holding, from 1. It goes
+   * up when the worker's leases have lapsed: what ran there has ended.
+   */
   readonly life: number;
   /** Whether it is in the worker registry. */
   readonly isRegistered: boolean;
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -8,6 +8,7 @@
   changeWorker,
   listOtherLives,
 } from './FleetState';
+import {beginLife} from './fence';
 import {leasesExpiredAt, nextLifeLeasesExpiredAt} from './leaseTiming';
 import {
   FLEET_EVENT,
@@ -134,6 +135,8 @@
     .filter(({runId}) => !mayNextIncarnationStart(update, runId));
   if (lapsedRuns.length > 0) {
     emitLapsed(update, worker, lapsedRuns.length);
+    // The poll that it answers next refuses the orders that may still arrive.
+    changeWorker(update, incarnation, {life: beginLife(update, worker.id)});
   }
   for (const run of lapsedRuns) {
     discardRun(update, run, 'lapsed-silent');
--- a/testing/src/__tests__/unit/earlierLeaseFixture.ts
+++ b/testing/src/__tests__/unit/earlierLeaseFixture.ts
@@ -12,6 +12,8 @@
 
 const POLICY = buildPolicy();
 const JOB_ID = '00000000000000d6';
+/** Age from which on a worker can't have a lease from a call to an earlier life. */
+const OLD_WORKER_MILLIS = 30_000;
 
 /**
  * Builds a site whose first worker, with a slow clock, runs a long task. Returns it
@@ -25,10 +27,13 @@
     policies: [POLICY],
     random: () => 0,
   });
-  await site.run(1000);
+  await site.run(OLD_WORKER_MILLIS);
   const [worker] = site.workers;
   const step = buildStep({estimateMillis: 40_000, dataRack: worker.rack});
-  const job = buildJob(JOB_ID, [step], {policy: POLICY, receivedAt: 1000});
+  const job = buildJob(JOB_ID, [step], {
+    policy: POLICY,
+    receivedAt: OLD_WORKER_MILLIS,
+  });
   void site.submit(site.hosts[0], job);
   await site.run(2500);
   t.equal(worker.countRuns(), 1);
--- a/testing/src/__tests__/unit/lateOrderFixture.ts
+++ b/testing/src/__tests__/unit/lateOrderFixture.ts
@@ -18,6 +18,8 @@
 const JOB_ID = '00000000000000d5';
 /** By when the lease in an order has passed, and a silent worker is given up. */
 const LAPSED_MILLIS = 7500;
+/** Age from which on a worker can't have a lease from a call to an earlier life. */
+const OLD_WORKER_MILLIS = 30_000;
 /** Time from an order until it is carried out. */
 const ORDER_DELAY_MILLIS = 9500;
 
@@ -34,7 +36,7 @@
   site.workers.forEach(worker => {
     worker.judgesLatenessByOwnLease = judgesLatenessByOwnLease;
   });
-  await site.run(1000);
+  await site.run(OLD_WORKER_MILLIS);
   await orderLate(site, policy);
   await site.run(30_000);
   t.same(site.checker.violations, []);
