Runs that an answer has no end of are not lost while it lists as many ends as a worker lists at once (TWICE)

Cause: an absence was taken for an end. Change: the client says whether a report may lack ends; nothing is missing from such a one, and the rest comes once these are acknowledged.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -145,6 +145,7 @@
         clockMillis: Math.floor(performance.now()),
         incarnation,
         running: [],
+        mayLackEnds: false,
         ended: runs.slice(firstIndex).map((runId, index) => ({
           endNumber: firstIndex + index + 1,
           runId,
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -26,7 +26,10 @@
   /** The incarnation that answered. */
   readonly incarnation: string;
   readonly running: readonly ReportedRun[];
+  /** Ends that are not acknowledged, the oldest first. */
   readonly ended: readonly ReportedEnd[];
+  /** Whether `ended` may lack later ends, as a report has a limited number. */
+  readonly mayLackEnds: boolean;
 }
 
 /** Why a call to a worker failed. */
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -224,13 +224,19 @@
   }
 }
 
-/** Discards runs that the worker confirmed before but no longer reports. */
+/**
+ * Discards runs that the worker confirmed before but no longer reports. If the
+ * report may lack ends, those of such runs come with a later one.
+ */
 function discardMissingRuns(
   update: Update,
   incarnation: string,
   report: WorkerReport,
   sentAt: number,
 ): void {
+  if (report.mayLackEnds) {
+    return;
+  }
   const reportedKeys = new Set(report.running.map(run => runKey(run.runId)));
   const missingRuns = update
     .read(RUNS)
--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -9,6 +9,7 @@
   taskKey,
 } from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
+import {CompletionLedger} from './CompletionLedger';
 import {CrashLedger} from './CrashLedger';
 import type {ModelWorker} from './ModelWorker';
 
@@ -24,8 +25,8 @@
  *
  * - `LIMIT`: the runs on a worker never reserve more than its capacity once a
  *   run is started, and a capacity that has shrunk counts after a grace period.
- * - `TWICE`: a task has at most one run at a time, and none after its
- *   acknowledged completion.
+ * - `TWICE`: a task has at most one run at a time, and none after a completion
+ *   that is acknowledged then or later, unless its worker's lease lapsed between.
  * - `ORDER`: a task starts after its due time and the steps it depends on.
  * - `UNASKED`: runs belong to a submitted job that wasn't cancelled before, and
  *   get a checkpoint only if their step saves checkpoints.
@@ -90,10 +91,7 @@
   hasClockSteps = false;
   /** Workers that run a task, by task key. */
   private readonly workerByTask = new Map<string, string>();
-  /** Tasks that a run has completed, acknowledged or not. */
-  private readonly doneTasks = new Set<string>();
-  /** Tasks whose completion a holder has acknowledged. */
-  private readonly acknowledgedDone = new Set<string>();
+  private readonly completions = new CompletionLedger();
   /** Numbers of the failed and acknowledged runs, by task key. */
   private readonly failedRunsByTask = new Map<string, Set<number>>();
   /** Number of started runs, by job id. */
@@ -150,7 +148,7 @@
         `${key} started on ${worker} while it runs on ${otherWorker}`,
       );
     }
-    if (this.acknowledgedDone.has(key)) {
+    if (this.completions.onStart(runId)) {
       this.reportViolation(
         'TWICE',
         `${key} started on ${worker} after its acknowledged completion`,
@@ -213,7 +211,7 @@
     const prefix = `${runId.jobId}.${runId.occurrence}`;
     for (const dependency of job.steps[runId.step].after) {
       for (let index = 0; index < job.steps[dependency].count; index++) {
-        if (!this.doneTasks.has(`${prefix}.${dependency}.${index}`)) {
+        if (!this.completions.isDone(`${prefix}.${dependency}.${index}`)) {
           this.reportViolation(
             'ORDER',
             `${key} started before ${prefix}.${dependency}.${index} was done`,
@@ -242,18 +240,25 @@
       this.workerByTask.delete(key);
     }
     if (outcome === 'done') {
-      this.doneTasks.add(key);
+      this.completions.onDone(runId);
     }
     if (outcome === 'alone' && this.areFaultsOver()) {
       this.reportViolation('GANG', key);
     }
   }
 
-  /** A holder acknowledged the end of a run to the worker. */
-  onEndAcknowledged({runId, outcome}: ReportedEnd): void {
+  /**
+   * A holder acknowledged the end of a run to the worker, whose lease has lapsed or
+   * not since then.
+   */
+  onEndAcknowledged(end: ReportedEnd, hasLapsed: boolean): void {
+    const {runId, outcome} = end;
     const key = taskKey(runId);
-    if (outcome === 'done') {
-      this.acknowledgedDone.add(key);
+    if (outcome === 'done' && this.completions.onAcknowledged(end, hasLapsed)) {
+      this.reportViolation(
+        'TWICE',
+        `${key} started again after a completion that is acknowledged later`,
+      );
     }
     if (outcome === 'failed') {
       const runs = this.failedRunsByTask.get(key) ?? new Set();
@@ -293,7 +298,7 @@
     }
     if (state === 'completed') {
       for (const key of this.taskKeysOf(submitted.job)) {
-        if (!this.doneTasks.has(key)) {
+        if (!this.completions.isDone(key)) {
           this.reportViolation(
             'MIXED',
             `${jobId} is shown as completed, but ${key} isn't done`,
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -53,6 +53,8 @@
   private unacknowledgedEnds: ReportedEnd[] = [];
   /** Number of the latest end; ends are numbered from 1 in each incarnation. */
   private endCount = 0;
+  /** Number of the newest end when its lease last had lapsed. */
+  private lapsedEnd = 0;
   private runs: ModelRun[] = [];
   /** Last run that ended or was stopped, by task key; starts need a later one. */
   private readonly lastEnded = new Map<string, number>();
@@ -126,6 +128,7 @@
     this.leaseUntil = 0;
     this.unacknowledgedEnds = [];
     this.endCount = 0;
+    this.lapsedEnd = 0;
     this.lastEnded.clear();
     this.clockStartedAt = this.timeline.now;
   }
@@ -241,7 +244,7 @@
     for (const end of this.unacknowledgedEnds.filter(
       each => each.endNumber <= acknowledgedEnd,
     )) {
-      this.checker.onEndAcknowledged(end);
+      this.checker.onEndAcknowledged(end, end.endNumber <= this.lapsedEnd);
     }
     this.unacknowledgedEnds = this.unacknowledgedEnds.filter(
       end => end.endNumber > acknowledgedEnd,
@@ -261,6 +264,7 @@
         percentDone: Math.floor(this.completedShare(run) * 100),
       })),
       ended: this.unacknowledgedEnds.slice(0, MAX_LISTED_ENDS),
+      mayLackEnds: this.unacknowledgedEnds.length >= MAX_LISTED_ENDS,
     };
   }
 
@@ -295,6 +299,7 @@
   /** Ends all runs if the lease has expired, and each run whose work is done. */
   tick(): void {
     if (this.clock() > this.leaseUntil) {
+      this.lapsedEnd = this.endCount;
       for (const run of [...this.runs]) {
         this.endRun(run, 'lapsed');
       }
