A worker's odd answer to a poll ends no process

Before: an entry of another writer named an address whose answers to polls had 130,000 numbers as running. The library that checks the answer passes its findings as the arguments of one call and overflows the stack; the RangeError was an unhandled rejection, which ends a process. An adviser's answer, a call of another host and its answer were checked in the same way.

--- a/packages/host-links/src/hostLinks.ts
+++ b/packages/host-links/src/hostLinks.ts
@@ -6,6 +6,7 @@
   status,
 } from '@grpc/grpc-js';
 import type {Advice} from '@samphireramp/dispatch';
+import {decodeValue} from '@samphireramp/record-codec';
 import {
   ADVICE_SERVICE,
   type AdviseRequest,
@@ -72,11 +73,11 @@
               resolve({kind: 'failed', detail: status[error.code]});
               return;
             }
-            const parsed = adviseReplySchema.safeParse(reply);
             resolve(
-              parsed.success
-                ? parsed.data
-                : {kind: 'failed', detail: 'malformed reply'},
+              decodeValue(adviseReplySchema, reply) ?? {
+                kind: 'failed',
+                detail: 'malformed reply',
+              },
             );
           },
         );
@@ -105,13 +106,13 @@
       call: {request: unknown},
       reply: (error: {code: status} | null, advice?: Advice) => void,
     ) => {
-      const parsed = adviseRequestSchema.safeParse(call.request);
-      if (!parsed.success) {
+      const request = decodeValue(adviseRequestSchema, call.request);
+      if (request === undefined) {
         onMalformed();
         reply({code: status.INVALID_ARGUMENT});
         return;
       }
-      advise(parsed.data).then(
+      advise(request).then(
         advice => reply(null, advice),
         () => reply({code: status.INTERNAL}),
       );
--- a/packages/kernel/src/Kernel.ts
+++ b/packages/kernel/src/Kernel.ts
@@ -42,7 +42,10 @@
   payload: Payload,
 ) => boolean | void;
 
-/** Performs an effect. Its result, if any, is dispatched as a command. */
+/**
+ * Performs an effect. Its result, if any, is dispatched as a command. It may return
+ * a promise, whose rejection is reported like an error.
+ */
 export type EffectHandler<Payload> = (payload: Payload) => void;
 
 /** Describes a committed update to listeners. */
@@ -187,7 +190,10 @@
   function runEffect(effect: Effect<unknown>, payload: unknown): void {
     for (const handler of effectHandlers.get(effect)) {
       try {
-        handler(payload as never);
+        const result: unknown = handler(payload as never);
+        if (result instanceof Promise) {
+          result.catch(error => options.onError(error, effect.name));
+        }
       } catch (error) {
         options.onError(error, effect.name);
       }
--- a/packages/kernel/src/__tests__/unit/Kernel.test.ts
+++ b/packages/kernel/src/__tests__/unit/Kernel.test.ts
@@ -74,3 +74,14 @@
   t.strictSame(sizesAfterDispatch, [1]);
   t.equal(kernel.read(ROWS).get('b'), 2);
 });
+
+void t.test('the rejection of an asynchronous effect is reported', async t => {
+  const {kernel, errors} = buildKernel();
+  const failure = new Error('no answer');
+  kernel.registerEffect(ROW_SET, async () => {
+    throw failure;
+  });
+  kernel.dispatch(SET, {id: 'a', value: 1});
+  await new Promise(setImmediate);
+  t.strictSame(errors, [failure]);
+});
