A malformed record costs no other record of its page

Before: a list of some 125,000 invalid elements (an entry of 260 KB), or a cancel whose receivedAt is an object, made the decoder throw.

--- a/packages/record-codec/src/hostCodec.ts
+++ b/packages/record-codec/src/hostCodec.ts
@@ -1,6 +1,7 @@
 import {type HostRecord, hostRecordSchema} from '@samphireramp/hosts';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
-import {parseJson} from './parseJson';
+import type {OnMalformed} from './decodeEntries';
+import {decodeJson} from './decodeJson';
 
 /** Encodes the address, zone and region of a host as a record. */
 export function encodeHost(host: HostRecord): LogRecord {
@@ -8,23 +9,23 @@
 }
 
 /**
- * Decodes records of hosts. Skips tombstones, and calls `onMalformed` with the key
- * of each invalid record.
+ * Decodes records of hosts. Skips tombstones, and calls `onMalformed` for each
+ * invalid record.
  */
 export function decodeHosts(
   records: readonly StoredRecord[],
-  onMalformed: (key: string) => void,
+  onMalformed: OnMalformed,
 ): HostRecord[] {
   const hosts: HostRecord[] = [];
   for (const {key, value} of records) {
     if (value.length === 0) {
       continue;
     }
-    const parsed = hostRecordSchema.safeParse(parseJson(value));
-    if (parsed.success) {
-      hosts.push(parsed.data);
-    } else {
-      onMalformed(key);
+    const host = decodeJson(hostRecordSchema, value, reason =>
+      onMalformed(key, reason),
+    );
+    if (host !== undefined) {
+      hosts.push(host);
     }
   }
   return hosts;
--- a/packages/record-codec/src/index.ts
+++ b/packages/record-codec/src/index.ts
@@ -1,4 +1,5 @@
 /** Encodes and decodes the records of the log. */
+export type {OnMalformed} from './decodeEntries';
 export {type OnInvalid, decodeJson, decodeValue} from './decodeJson';
 export {decodeHosts, encodeHost} from './hostCodec';
 export {decodeJournal, encodeJournalEntry} from './journalCodec';
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -5,8 +5,8 @@
 } from '@samphireramp/holding';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
-import {decodeEntries} from './decodeEntries';
-import {parseJson} from './parseJson';
+import {type OnMalformed, decodeEntries} from './decodeEntries';
+import {type OnInvalid, decodeJson} from './decodeJson';
 import {decodeProgress, encodeProgress} from './progressCodec';
 
 const HOLDER_KEY = 'holder';
@@ -32,20 +32,22 @@
 }
 
 /**
- * Decodes records of the journal. Calls `onMalformed` with the key of each invalid
- * record.
+ * Decodes records of the journal. Calls `onMalformed` for each invalid record.
  */
 export function decodeJournal(
   records: readonly StoredRecord[],
-  onMalformed: (key: string) => void,
+  onMalformed: OnMalformed,
 ): StoredEntry[] {
   return decodeEntries(records, decodeEntry, onMalformed);
 }
 
-function decodeEntry({key, value}: LogRecord): JournalEntry | undefined {
+function decodeEntry(
+  {key, value}: LogRecord,
+  onInvalid: OnInvalid,
+): JournalEntry | undefined {
   if (key === HOLDER_KEY) {
-    const parsed = holderRecordSchema.safeParse(parseJson(value));
-    return parsed.success ? {kind: 'holder', record: parsed.data} : undefined;
+    const record = decodeJson(holderRecordSchema, value, onInvalid);
+    return record && {kind: 'holder', record};
   }
   if (!key.startsWith(JOB_PREFIX)) {
     return undefined;
@@ -54,6 +56,6 @@
   if (value.length === 0) {
     return {kind: 'forgotten', jobId};
   }
-  const progress = decodeProgress(jobId, value);
+  const progress = decodeProgress(jobId, value, onInvalid);
   return progress && {kind: 'progress', progress};
 }
--- a/packages/record-codec/src/objectProgressCodec.ts
+++ b/packages/record-codec/src/objectProgressCodec.ts
@@ -6,6 +6,7 @@
   jobStateSchema,
 } from '@samphireramp/jobs';
 import * as z from 'zod/mini';
+import {type OnInvalid, decodeValue} from './decodeJson';
 
 /** Record of a task that has never run. */
 const NEVER_RUN = 0;
@@ -43,12 +44,12 @@
 export function decodeObjectProgress(
   jobId: string,
   content: unknown,
+  onInvalid?: OnInvalid,
 ): Progress | undefined {
-  const parsed = progressRecordSchema.safeParse(content);
-  if (!parsed.success) {
+  const record = decodeValue(progressRecordSchema, content, onInvalid);
+  if (record === undefined) {
     return undefined;
   }
-  const record = parsed.data;
   return {
     jobId,
     queue: record.queue,
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -6,6 +6,7 @@
   jobStateSchema,
 } from '@samphireramp/jobs';
 import * as z from 'zod/mini';
+import {type OnInvalid, decodeValue} from './decodeJson';
 import {decodeObjectProgress} from './objectProgressCodec';
 import {parseJson} from './parseJson';
 
@@ -84,18 +85,18 @@
 export function decodeProgress(
   jobId: string,
   value: Buffer,
+  onInvalid?: OnInvalid,
 ): Progress | undefined {
   const content = parseJson(value);
   if (!Array.isArray(content)) {
-    return decodeObjectProgress(jobId, content);
+    return decodeObjectProgress(jobId, content, onInvalid);
   }
-  const parsed = progressRecordSchema.safeParse(content);
-  if (!parsed.success || !hasKnownWorkers(parsed.data)) {
+  const record = decodeValue(progressRecordSchema, content, onInvalid);
+  if (record === undefined || !hasKnownWorkers(record)) {
     return undefined;
   }
-  const [queue, state, receivedAt, endedAt, nextOccurrence, workers] =
-    parsed.data;
-  const occurrences = parsed.data[6].map(([number, steps]): Occurrence => ({
+  const [queue, state, receivedAt, endedAt, nextOccurrence, workers] = record;
+  const occurrences = record[6].map(([number, steps]): Occurrence => ({
     number,
     steps: steps.map(tasks => tasks.map(task => decodeTask(task, workers))),
   }));
--- a/packages/record-codec/src/requestCodec.ts
+++ b/packages/record-codec/src/requestCodec.ts
@@ -2,12 +2,16 @@
 import type {Request} from '@samphireramp/intake';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
-import {parseJson} from './parseJson';
+import * as z from 'zod/mini';
+import {type OnMalformed, UNKNOWN_FORM} from './decodeEntries';
+import {type OnInvalid, decodeJson} from './decodeJson';
 
 const JOB_PREFIX = 'job.';
 const CANCEL_PREFIX = 'cancel.';
 const TOMBSTONE = Buffer.alloc(0);
 
+const cancelSchema = z.object({receivedAt: z.optional(z.number())});
+
 /** Encodes a caller's request as a record. */
 export function encodeRequest(request: Request): LogRecord {
   return match(request)
@@ -32,13 +36,13 @@
 
 /**
  * Decodes requests. Skips tombstones and jobs that are over, and calls `onMalformed`
- * with the key of each invalid record. Most requests that a new holder reads are
+ * for each invalid record. Most requests that a new holder reads are
  * about jobs that are over, and to decode them would delay its first orders.
  */
 export function decodeRequests(
   records: readonly StoredRecord[],
   isOver: (jobId: string) => boolean,
-  onMalformed: (key: string) => void,
+  onMalformed: OnMalformed,
 ): Request[] {
   const requests: Request[] = [];
   for (const {key, value} of records) {
@@ -46,9 +50,12 @@
     if (value.length === 0 || isOver(jobId)) {
       continue;
     }
-    const request = decodeRequest(key, value);
+    let reason = UNKNOWN_FORM;
+    const request = decodeRequest(key, value, detail => {
+      reason = detail;
+    });
     if (request === undefined) {
-      onMalformed(key);
+      onMalformed(key, reason);
     } else {
       requests.push(request);
     }
@@ -56,16 +63,21 @@
   return requests;
 }
 
-function decodeRequest(key: string, value: Buffer): Request | undefined {
+function decodeRequest(
+  key: string,
+  value: Buffer,
+  onInvalid: OnInvalid,
+): Request | undefined {
   if (key.startsWith(JOB_PREFIX)) {
-    const parsed = jobSchema.safeParse(parseJson(value));
-    return parsed.success ? {kind: 'submit', job: parsed.data} : undefined;
+    const job = decodeJson(jobSchema, value, onInvalid);
+    return job && {kind: 'submit', job};
   }
   if (key.startsWith(CANCEL_PREFIX)) {
-    const content = parseJson(value) as {receivedAt?: unknown} | undefined;
-    const receivedAt = Number(content?.receivedAt ?? 0);
+    const cancel = decodeJson(cancelSchema, value, onInvalid);
     const jobId = key.slice(CANCEL_PREFIX.length);
-    return {kind: 'cancel', jobId, receivedAt};
+    return (
+      cancel && {kind: 'cancel', jobId, receivedAt: cancel.receivedAt ?? 0}
+    );
   }
   return undefined;
 }
--- a/packages/record-codec/src/stateCodec.ts
+++ b/packages/record-codec/src/stateCodec.ts
@@ -4,8 +4,8 @@
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
 import * as z from 'zod/mini';
-import {decodeEntries} from './decodeEntries';
-import {parseJson} from './parseJson';
+import {type OnMalformed, decodeEntries} from './decodeEntries';
+import {type OnInvalid, decodeJson} from './decodeJson';
 
 const HOLDER_KEY = 'holder';
 const STANDBYS_KEY = 'standbys';
@@ -61,24 +61,27 @@
 }
 
 /**
- * Decodes records of the stream of job states. Calls `onMalformed` with the key of
- * each invalid record.
+ * Decodes records of the stream of job states. Calls `onMalformed` for each invalid
+ * record.
  */
 export function decodeStates(
   records: readonly StoredRecord[],
-  onMalformed: (key: string) => void,
+  onMalformed: OnMalformed,
 ): StoredStateEntry[] {
   return decodeEntries(records, decodeEntry, onMalformed);
 }
 
-function decodeEntry({key, value}: LogRecord): StateEntry | undefined {
+function decodeEntry(
+  {key, value}: LogRecord,
+  onInvalid: OnInvalid,
+): StateEntry | undefined {
   if (key === HOLDER_KEY) {
-    const record = decodeShortHolderRecord(value);
+    const record = decodeShortHolderRecord(value, onInvalid);
     return record && {kind: 'holder', record};
   }
   if (key === STANDBYS_KEY) {
-    const parsed = standbysSchema.safeParse(parseJson(value));
-    return parsed.success ? {kind: 'standbys', hosts: parsed.data} : undefined;
+    const hosts = decodeJson(standbysSchema, value, onInvalid);
+    return hosts && {kind: 'standbys', hosts};
   }
   if (!key.startsWith(JOB_PREFIX)) {
     return undefined;
@@ -103,12 +106,15 @@
   return Buffer.from(JSON.stringify(short));
 }
 
-function decodeShortHolderRecord(value: Buffer): HolderRecord | undefined {
-  const parsed = shortHolderRecordSchema.safeParse(parseJson(value));
-  if (!parsed.success) {
+function decodeShortHolderRecord(
+  value: Buffer,
+  onInvalid: OnInvalid,
+): HolderRecord | undefined {
+  const short = decodeJson(shortHolderRecordSchema, value, onInvalid);
+  if (short === undefined) {
     return undefined;
   }
-  const [holder, incarnation, term, batch, requestsAgeMillis] = parsed.data;
+  const [holder, incarnation, term, batch, requestsAgeMillis] = short;
   return {
     holder,
     incarnation,
