An odd entry of a worker hides no valid one before it

Before: only the newest record of each key of a page was decoded. Where another writer wrote an odd entry after the worker's own, the page named no worker (of [valid, odd] nothing was left; of [valid, removed, odd] the removal was lost), and one that is rewritten each 100 ms hid nearly all entries of its worker, since pages are 300 ms apart. Each of its records was logged.

Malformed records of all streams are counted in malformed_records{stream}; record-malformed is logged once a key, with its reason, for 1,000 keys at most.

--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -179,6 +179,7 @@
       configurationKey: CONFIGURATION_KEY,
       decodeWorker: decodeWorkerEntry,
       log,
+      countMalformed: stream => metrics.count('malformed_records', {stream}),
     }),
   );
   const unregisterTimers = kernel.register(
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -27,6 +27,8 @@
 } from '@samphireramp/dispatch';
 import {WORKER_REGISTRY_READ} from '@samphireramp/fleet';
 import {
+  type OnInvalid,
+  type OnMalformed,
   decodeHosts,
   decodeJournal,
   decodeRequests,
@@ -46,8 +48,15 @@
 import {type SiteConfiguration, isFinalState} from '@samphireramp/jobs';
 import type {Log} from '@samphireramp/telemetry';
 import {forgetRequests} from './requestTombstones';
+import {
+  type ReportMalformed,
+  createMalformedReporter,
+} from './malformedRecords';
 import {createListenerFactory} from './streamListener';
-import {type DecodeWorker, decodeWorkerRegistry} from './workerRegistryStream';
+import {
+  type DecodeWorker,
+  createWorkerRegistryReader,
+} from './workerRegistryStream';
 
 /** The partition of every stream but `requests`, which has several. */
 const ONLY_PARTITION = 0;
@@ -79,10 +88,13 @@
   readonly streams: StreamLog;
   readonly decodeConfiguration: (
     value: Buffer,
+    onInvalid: OnInvalid,
   ) => SiteConfiguration | undefined;
   readonly configurationKey: string;
   readonly decodeWorker: DecodeWorker;
   readonly log: Log;
+  /** Called for each malformed record, of which only some are logged. */
+  readonly countMalformed?: (stream: StreamName) => void;
 }
 
 /**
@@ -91,10 +103,11 @@
  * the standbys and the holder read the journal, and the holder the other streams.
  */
 export function createStreamLogPlugin(options: StreamLogPluginOptions): Plugin {
-  const {streams, log} = options;
+  const {streams, log, countMalformed = () => undefined} = options;
   return kernel => {
-    const onMalformed = (stream: StreamName) => (key: string) =>
-      log('record-malformed', {stream, key});
+    const reportMalformed = createMalformedReporter(log, countMalformed);
+    const onMalformed = (stream: StreamName) => (key: string, reason: string) =>
+      reportMalformed(stream, key, reason);
     const listenerFor = (stream: StreamName, partition = ONLY_PARTITION) =>
       createListenerFactory(stream, partition, log);
 
@@ -135,7 +148,7 @@
     const configuration = streams.follow(
       {stream: 'configuration', ...LOW_TRAFFIC_OPTIONS},
       listenerFor('configuration')(({records}) =>
-        applyConfiguration(kernel, options, records),
+        applyConfiguration(kernel, options, records, reportMalformed),
       ),
     );
     /** Handles of the streams that only the holder reads. */
@@ -156,7 +169,10 @@
           }),
         ),
       );
-      holderStreams = [hosts, followWorkerRegistry(kernel, options)];
+      holderStreams = [
+        hosts,
+        followWorkerRegistry(kernel, options, onMalformed('workers')),
+      ];
       for (let partition = 0; partition < streams.partitions; partition++) {
         holderStreams.push(
           streams.follow(
@@ -254,17 +270,18 @@
 
 function applyConfiguration(
   kernel: Kernel,
-  {decodeConfiguration, configurationKey, log}: StreamLogPluginOptions,
+  {decodeConfiguration, configurationKey}: StreamLogPluginOptions,
   records: readonly StoredRecord[],
+  reportMalformed: ReportMalformed,
 ): void {
-  for (const {key, value, offset} of records) {
+  for (const {key, value} of records) {
     if (key !== configurationKey) {
       continue;
     }
-    const configuration = decodeConfiguration(value);
-    if (configuration === undefined) {
-      log('record-malformed', {stream: 'configuration', key, offset});
-    } else {
+    const configuration = decodeConfiguration(value, reason =>
+      reportMalformed('configuration', key, reason),
+    );
+    if (configuration !== undefined) {
       kernel.dispatch(CONFIGURATION_IN_FORCE, {configuration});
     }
   }
@@ -273,12 +290,14 @@
 function followWorkerRegistry(
   kernel: Kernel,
   {streams, decodeWorker, log}: StreamLogPluginOptions,
+  onMalformed: OnMalformed,
 ): FollowHandle {
+  const readRegistry = createWorkerRegistryReader(decodeWorker, onMalformed);
   const listener = createListenerFactory('workers', ONLY_PARTITION, log);
   return streams.follow(
     {stream: 'workers', ...LOW_TRAFFIC_OPTIONS},
     listener(({records, isSnapshot}) => {
-      const read = decodeWorkerRegistry(records, isSnapshot, decodeWorker, log);
+      const read = readRegistry(records, isSnapshot);
       if (read.records.length + read.removed.length > 0 || isSnapshot) {
         kernel.dispatch(WORKER_REGISTRY_READ, read);
       }
