--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -111,11 +111,15 @@
 export function criticalPathMillis(job: Job): number {
   const endMillisByStep: number[] = [];
   for (const step of job.steps) {
-    const startMillis = Math.max(
-      0,
-      ...step.after.map(number => endMillisByStep[number] ?? 0),
+    const startMillis = maximumOf(
+      step.after.map(number => endMillisByStep[number] ?? 0),
     );
     endMillisByStep.push(startMillis + step.estimateMillis);
   }
-  return Math.max(0, ...endMillisByStep);
+  return maximumOf(endMillisByStep);
+}
+
+/** The maximum of durations, of which there may be too many for `Math.max`. */
+function maximumOf(durations: readonly number[]): number {
+  return durations.reduce((maximum, each) => Math.max(maximum, each), 0);
 }
