--- a/testing/src/site/siteClient.ts
+++ b/testing/src/site/siteClient.ts
@@ -164,6 +164,7 @@
     estimated_ms: step.estimateMillis,
     after: step.after,
     gang_scheduled: step.isGang,
+    requirements: step.requiredLabel,
     checkpointing: step.savesCheckpoints,
     anti_affinity: step.mostOnOneWorker,
     long_running: step.isService,
--- a/testing/src/site/startPlatform.ts
+++ b/testing/src/site/startPlatform.ts
@@ -301,10 +301,11 @@
  * (1 byte), key, value.
  */
 function encodeFrame({key, value}: LogRecord): Buffer[] {
+  const keyBytes = Buffer.from(key);
   const header = Buffer.alloc(LENGTH_PREFIX_BYTES + 1);
-  header.writeUInt32BE(1 + key.length + value.length, 0);
-  header.writeUInt8(key.length, LENGTH_PREFIX_BYTES);
-  return [header, Buffer.from(key), value];
+  header.writeUInt32BE(1 + keyBytes.length + value.length, 0);
+  header.writeUInt8(keyBytes.length, LENGTH_PREFIX_BYTES);
+  return [header, keyBytes, value];
 }
 
 /** Decodes the frames of an append. */
