A record whose handler fails costs no other record of its read

Before: a read of requests or of the worker registry was one update. An error of a handler in any of its records rolled all of them back, while the next read had moved on: of a first read, all jobs of a partition, and the holder could then command workers by what was left (an accepted job with 120,000 dependencies did so; a job record with a count of 1e308 would, too).

Now dispatch returns whether the update was committed, and after one that was not each record gets an update of its own; such a read does not count as complete. The count of tasks in a job record is checked as that of a body.

--- a/benchmarks/contention.ts
+++ b/benchmarks/contention.ts
@@ -215,11 +215,12 @@
     const dispatch = kernel.dispatch.bind(kernel);
     kernel.dispatch = (command, payload) => {
       const startedAt = performance.now();
-      dispatch(command, payload);
+      const isCommitted = dispatch(command, payload);
       if ((command as unknown) === PLACE_TASKS) {
         passMillis += performance.now() - startedAt;
         passes++;
       }
+      return isCommitted;
     };
   }
   for (
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -1,6 +1,9 @@
 import * as z from 'zod/mini';
 import {queuePolicySchema} from './Queue';
 
+/** Maximum number of tasks of a step. */
+export const MAX_TASKS_PER_STEP = 10_000;
+
 /** Resources that a task needs or a worker offers. */
 export const resourcesSchema = z.object({
   /** Thousandths of a CPU core. */
@@ -12,7 +15,7 @@
 /** Definition of a step: a number of identical tasks of a job. */
 export const stepSchema = z.object({
   /** Number of tasks. */
-  count: z.number(),
+  count: z.int().check(z.positive(), z.maximum(MAX_TASKS_PER_STEP)),
   /** Resources that each task needs. */
   need: resourcesSchema,
   /** The caller's estimate of the run time of one task, in milliseconds. */
--- a/packages/kernel/src/Kernel.ts
+++ b/packages/kernel/src/Kernel.ts
@@ -80,9 +80,10 @@
   /**
    * Runs a command in an update of its own, which has ended when this returns.
    * If a handler or listener calls this, the command is queued instead, and runs
-   * after the current update, its effects and its listeners.
+   * after the current update, its effects and its listeners. Returns false if the
+   * update was rolled back, since a handler threw an error.
    */
-  dispatch<Payload>(command: Command<Payload>, payload: Payload): void;
+  dispatch<Payload>(command: Command<Payload>, payload: Payload): boolean;
 }
 
 /** Options of `createKernel`. */
@@ -166,8 +167,11 @@
     }
   }
 
-  /** Runs one update: commits it and runs its effects, or rolls it back. */
-  function runUpdate(first: QueuedCommand): void {
+  /**
+   * Runs one update: commits it and runs its effects, or rolls it back and returns
+   * false.
+   */
+  function runUpdate(first: QueuedCommand): boolean {
     const effects: QueuedEffect[] = [];
     let summary: UpdateSummary;
     store.begin();
@@ -176,7 +180,7 @@
     } catch (error) {
       store.rollBack();
       options.onError(error, first.command.name);
-      return;
+      return false;
     }
     store.commit();
     for (const {effect, payload} of effects) {
@@ -185,6 +189,7 @@
     for (const listener of listeners) {
       listener(summary);
     }
+    return true;
   }
 
   function runEffect(effect: Effect<unknown>, payload: unknown): void {
@@ -200,12 +205,16 @@
     }
   }
 
-  function drain(): void {
+  /** Runs the queued commands; returns false if the first is rolled back. */
+  function drain(): boolean {
     isDraining = true;
+    let isFirstCommitted: boolean | undefined;
     try {
       for (let next = queue.shift(); next; next = queue.shift()) {
-        runUpdate(next);
+        const isCommitted = runUpdate(next);
+        isFirstCommitted ??= isCommitted;
       }
+      return isFirstCommitted ?? true;
     } finally {
       isDraining = false;
     }
@@ -225,9 +234,7 @@
     },
     dispatch: (command, payload) => {
       queue.push({command: command as Command<unknown>, payload});
-      if (!isDraining) {
-        drain();
-      }
+      return isDraining || drain();
     },
   };
   return kernel;
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -16,7 +16,12 @@
   UNFOLLOW_JOURNAL,
 } from '@samphireramp/job-states';
 import {APPEND_REQUESTS, REQUEST_APPEND_ENDED} from '@samphireramp/intake';
-import {type Kernel, type Plugin, mergeUnregister} from '@samphireramp/kernel';
+import {
+  type Kernel,
+  type PayloadOf,
+  type Plugin,
+  mergeUnregister,
+} from '@samphireramp/kernel';
 import {
   CONFIGURATION_IN_FORCE,
   FOLLOW_HOLDER_STREAMS,
@@ -52,6 +57,7 @@
   type ReportMalformed,
   createMalformedReporter,
 } from './malformedRecords';
+import {applyRecords} from './applyRecords';
 import {createListenerFactory} from './streamListener';
 import {
   type DecodeWorker,
@@ -186,15 +192,16 @@
               'requests',
               partition,
             )(({records, ...read}) =>
-              kernel.dispatch(REQUESTS_READ, {
-                partition,
-                completeUntil: reachedLogEnd(read) ? read.sentAt : undefined,
-                requests: decodeRequests(
-                  records,
-                  isOver,
-                  onMalformed('requests'),
-                ),
-              }),
+              applyRecords(
+                decodeRequests(records, isOver, onMalformed('requests')),
+                (requests, hasAll) =>
+                  kernel.dispatch(REQUESTS_READ, {
+                    partition,
+                    completeUntil:
+                      hasAll && reachedLogEnd(read) ? read.sentAt : undefined,
+                    requests,
+                  }),
+              ),
             ),
           ),
         );
@@ -298,9 +305,28 @@
     {stream: 'workers', ...LOW_TRAFFIC_OPTIONS},
     listener(({records, isSnapshot}) => {
       const read = readRegistry(records, isSnapshot);
-      if (read.records.length + read.removed.length > 0 || isSnapshot) {
-        kernel.dispatch(WORKER_REGISTRY_READ, read);
+      const isEmpty = read.records.length + read.removed.length === 0;
+      if (isEmpty && !isSnapshot) {
+        return;
+      }
+      if (!kernel.dispatch(WORKER_REGISTRY_READ, read)) {
+        applyEachWorker(kernel, read);
       }
     }),
   );
 }
+
+/** Applies what a read says of each worker in an update of its own. */
+function applyEachWorker(
+  kernel: Kernel,
+  {records, removed}: PayloadOf<typeof WORKER_REGISTRY_READ>,
+): void {
+  for (const record of records) {
+    const read = {records: [record], removed: [], isSnapshot: false};
+    kernel.dispatch(WORKER_REGISTRY_READ, read);
+  }
+  for (const id of removed) {
+    const read = {records: [], removed: [id], isSnapshot: false};
+    kernel.dispatch(WORKER_REGISTRY_READ, read);
+  }
+}
