--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -1,6 +1,9 @@
 import * as z from 'zod/mini';
 import {queuePolicySchema} from './Queue';
 
+/** Maximum number of tasks of a step. */
+export const MAX_TASKS_PER_STEP = 10_000;
+
 /** Resources that a task needs or a worker offers. */
 export const resourcesSchema = z.object({
   /** Thousandths of a CPU core. */
@@ -12,7 +15,7 @@
 /** Definition of a step: a number of identical tasks of a job. */
 export const stepSchema = z.object({
   /** Number of tasks. */
-  count: z.number(),
+  count: z.int().check(z.positive(), z.maximum(MAX_TASKS_PER_STEP)),
   /** Resources that each task needs. */
   need: resourcesSchema,
   /** The caller's estimate of the run time of one task, in milliseconds. */
@@ -111,11 +114,15 @@
 export function criticalPathMillis(job: Job): number {
   const endMillisByStep: number[] = [];
   for (const step of job.steps) {
-    const startMillis = Math.max(
-      0,
-      ...step.after.map(number => endMillisByStep[number] ?? 0),
+    const startMillis = maximumOf(
+      step.after.map(number => endMillisByStep[number] ?? 0),
     );
     endMillisByStep.push(startMillis + step.estimateMillis);
   }
-  return Math.max(0, ...endMillisByStep);
+  return maximumOf(endMillisByStep);
+}
+
+/** The maximum of durations, of which there may be too many for `Math.max`. */
+function maximumOf(durations: readonly number[]): number {
+  return durations.reduce((maximum, each) => Math.max(maximum, each), 0);
 }
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -16,7 +16,12 @@
   UNFOLLOW_JOURNAL,
 } from '@samphireramp/job-states';
 import {APPEND_REQUESTS, REQUEST_APPEND_ENDED} from '@samphireramp/intake';
-import {type Kernel, type Plugin, mergeUnregister} from '@samphireramp/kernel';
+import {
+  type Kernel,
+  type PayloadOf,
+  type Plugin,
+  mergeUnregister,
+} from '@samphireramp/kernel';
 import {
   CONFIGURATION_IN_FORCE,
   FOLLOW_HOLDER_STREAMS,
@@ -27,6 +32,8 @@
 } from '@samphireramp/dispatch';
 import {WORKER_REGISTRY_READ} from '@samphireramp/fleet';
 import {
+  type OnInvalid,
+  type OnMalformed,
   decodeHosts,
   decodeJournal,
   decodeRequests,
@@ -46,8 +53,16 @@
 import {type SiteConfiguration, isFinalState} from '@samphireramp/jobs';
 import type {Log} from '@samphireramp/telemetry';
 import {forgetRequests} from './requestTombstones';
+import {
+  type ReportMalformed,
+  createMalformedReporter,
+} from './malformedRecords';
+import {applyRecords} from './applyRecords';
 import {createListenerFactory} from './streamListener';
-import {type DecodeWorker, decodeWorkerRegistry} from './workerRegistryStream';
+import {
+  type DecodeWorker,
+  createWorkerRegistryReader,
+} from './workerRegistryStream';
 
 /** The partition of every stream but `requests`, which has several. */
 const ONLY_PARTITION = 0;
@@ -79,10 +94,13 @@
   readonly streams: StreamLog;
   readonly decodeConfiguration: (
     value: Buffer,
+    onInvalid: OnInvalid,
   ) => SiteConfiguration | undefined;
   readonly configurationKey: string;
   readonly decodeWorker: DecodeWorker;
   readonly log: Log;
+  /** Called for each malformed record, of which only some are logged. */
+  readonly countMalformed?: (stream: StreamName) => void;
 }
 
 /**
@@ -91,10 +109,11 @@
  * the standbys and the holder read the journal, and the holder the other streams.
  */
 export function createStreamLogPlugin(options: StreamLogPluginOptions): Plugin {
-  const {streams, log} = options;
+  const {streams, log, countMalformed = () => undefined} = options;
   return kernel => {
-    const onMalformed = (stream: StreamName) => (key: string) =>
-      log('record-malformed', {stream, key});
+    const reportMalformed = createMalformedReporter(log, countMalformed);
+    const onMalformed = (stream: StreamName) => (key: string, reason: string) =>
+      reportMalformed(stream, key, reason);
     const listenerFor = (stream: StreamName, partition = ONLY_PARTITION) =>
       createListenerFactory(stream, partition, log);
 
@@ -135,7 +154,7 @@
     const configuration = streams.follow(
       {stream: 'configuration', ...LOW_TRAFFIC_OPTIONS},
       listenerFor('configuration')(({records}) =>
-        applyConfiguration(kernel, options, records),
+        applyConfiguration(kernel, options, records, reportMalformed),
       ),
     );
     /** Handles of the streams that only the holder reads. */
@@ -156,7 +175,10 @@
           }),
         ),
       );
-      holderStreams = [hosts, followWorkerRegistry(kernel, options)];
+      holderStreams = [
+        hosts,
+        followWorkerRegistry(kernel, options, onMalformed('workers')),
+      ];
       for (let partition = 0; partition < streams.partitions; partition++) {
         holderStreams.push(
           streams.follow(
@@ -170,15 +192,16 @@
               'requests',
               partition,
             )(({records, ...read}) =>
-              kernel.dispatch(REQUESTS_READ, {
-                partition,
-                completeUntil: reachedLogEnd(read) ? read.sentAt : undefined,
-                requests: decodeRequests(
-                  records,
-                  isOver,
-                  onMalformed('requests'),
-                ),
-              }),
+              applyRecords(
+                decodeRequests(records, isOver, onMalformed('requests')),
+                (requests, hasAll) =>
+                  kernel.dispatch(REQUESTS_READ, {
+                    partition,
+                    completeUntil:
+                      hasAll && reachedLogEnd(read) ? read.sentAt : undefined,
+                    requests,
+                  }),
+              ),
             ),
           ),
         );
@@ -254,17 +277,18 @@
 
 function applyConfiguration(
   kernel: Kernel,
-  {decodeConfiguration, configurationKey, log}: StreamLogPluginOptions,
+  {decodeConfiguration, configurationKey}: StreamLogPluginOptions,
   records: readonly StoredRecord[],
+  reportMalformed: ReportMalformed,
 ): void {
-  for (const {key, value, offset} of records) {
+  for (const {key, value} of records) {
     if (key !== configurationKey) {
       continue;
     }
-    const configuration = decodeConfiguration(value);
-    if (configuration === undefined) {
-      log('record-malformed', {stream: 'configuration', key, offset});
-    } else {
+    const configuration = decodeConfiguration(value, reason =>
+      reportMalformed('configuration', key, reason),
+    );
+    if (configuration !== undefined) {
       kernel.dispatch(CONFIGURATION_IN_FORCE, {configuration});
     }
   }
@@ -273,15 +297,36 @@
 function followWorkerRegistry(
   kernel: Kernel,
   {streams, decodeWorker, log}: StreamLogPluginOptions,
+  onMalformed: OnMalformed,
 ): FollowHandle {
+  const readRegistry = createWorkerRegistryReader(decodeWorker, onMalformed);
   const listener = createListenerFactory('workers', ONLY_PARTITION, log);
   return streams.follow(
     {stream: 'workers', ...LOW_TRAFFIC_OPTIONS},
     listener(({records, isSnapshot}) => {
-      const read = decodeWorkerRegistry(records, isSnapshot, decodeWorker, log);
-      if (read.records.length + read.removed.length > 0 || isSnapshot) {
-        kernel.dispatch(WORKER_REGISTRY_READ, read);
+      const read = readRegistry(records, isSnapshot);
+      const isEmpty = read.records.length + read.removed.length === 0;
+      if (isEmpty && !isSnapshot) {
+        return;
+      }
+      if (!kernel.dispatch(WORKER_REGISTRY_READ, read)) {
+        applyEachWorker(kernel, read);
       }
     }),
   );
 }
+
+/** Applies what a read says of each worker in an update of its own. */
+function applyEachWorker(
+  kernel: Kernel,
+  {records, removed}: PayloadOf<typeof WORKER_REGISTRY_READ>,
+): void {
+  for (const record of records) {
+    const read = {records: [record], removed: [], isSnapshot: false};
+    kernel.dispatch(WORKER_REGISTRY_READ, read);
+  }
+  for (const id of removed) {
+    const read = {records: [], removed: [id], isSnapshot: false};
+    kernel.dispatch(WORKER_REGISTRY_READ, read);
+  }
+}
--- a/testing/src/__tests__/unit/foreignEntryFixture.ts
+++ b/testing/src/__tests__/unit/foreignEntryFixture.ts
@@ -15,6 +15,8 @@
 /** Policy of the only queue. */
 export const POLICY = buildPolicy();
 const JOB_ID = '00000000000000d0';
+/** The latest start that an entry may have. */
+const LATEST_BORN = 8.64e15;
 const TASK_COUNT = 3;
 /** Time from a submit until the worker has reported the runs as running. */
 const REPORTED_MILLIS = 2500;
@@ -40,7 +42,7 @@
 /** A later start than any of the worker. */
 export const LATER_START: ForeignEntry = {
   name: 'of a later start',
-  build: (_, worker) => changeEntry(worker, {born: Number.MAX_SAFE_INTEGER}),
+  build: (_, worker) => changeEntry(worker, {born: LATEST_BORN}),
 };
 /** A service that no configuration names, where nothing listens. */
 export const OTHER_SERVICE: ForeignEntry = {
