An answer counts for the address that was polled, and foreign entries that go on starve no worker (TWICE)

Cause, first: a foreign address that was read while the first poll of a new holder was open passed for the one that answered, and the 421 from there for the worker's end. Second: lives that entries named were deleted before their polls were answered, so that the present life went on with too low a fence and never got a lease again. Change: answers and failures name the address that was polled; an answer proves that one, and a 421 ends a life only where it had answered. A named life that is being polled is kept until that ends; a poll refused because of an own one is repeated at once; a changed address is polled at once.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -140,6 +140,7 @@
     kernel.dispatch(WORKER_REPORTED, {
       incarnation,
       term,
+      address: '',
       sentAt: performance.now(),
       report: {
         clockMillis: Math.floor(performance.now()),
--- a/packages/fleet/src/fence.ts
+++ b/packages/fleet/src/fence.ts
@@ -6,7 +6,7 @@
 import {heldTerm} from '@samphireramp/holding';
 
 /** Lives of one worker that one holding can tell apart. */
-const LIVES_PER_TERM = 10_000;
+const LIVES_PER_TERM = 1_000_000;
 
 /** Number of the latest life of each worker in this holding, by worker id. */
 export const LATEST_LIVES = createTableSlice<number>('latest-lives');
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -56,7 +56,8 @@
 export const WORKER_REPORTED = createCommand<{
   readonly incarnation: string;
   readonly term: number;
-  /** When the poll was sent. */
+  /** Where the poll was sent, and when. */
+  readonly address: string;
   readonly sentAt: number;
   readonly report: WorkerReport;
 }>('worker-held');
@@ -65,7 +66,8 @@
 export const POLL_FAILED = createCommand<{
   readonly incarnation: string;
   readonly term: number;
-  /** The fence of the poll. */
+  /** Where the poll was sent, and its fence. */
+  readonly address: string;
   readonly fence: number;
   readonly failure: CallFailure;
   readonly detail: string;
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -135,11 +135,19 @@
   }
 }
 
-/** Deletes lives of a worker that were only named by entries which are replaced. */
+/**
+ * Deletes lives of a worker that were only named by entries which are replaced; one
+ * that is being polled after that, as the answer tells which life is present.
+ */
 export function deleteUnheardLives(update: Update, record: WorkerRecord): void {
   for (const worker of listOtherLives(update, record)) {
     const hasRuns = update.read(RUNS).withKey(worker.incarnation).length > 0;
-    if (!worker.hasReported && !hasRuns) {
+    if (worker.hasReported || hasRuns) {
+      continue;
+    }
+    if (worker.isPollOpen) {
+      changeWorker(update, worker.incarnation, {isRegistered: false});
+    } else {
       update.write(WORKERS).delete(worker.incarnation);
     }
   }
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -1,4 +1,4 @@
-import type {PayloadOf, StateReader, Update} from '@samphireramp/kernel';
+import type {PayloadOf, Update} from '@samphireramp/kernel';
 import {
   HOLDING_FENCED,
   dispatchWhenDurable,
@@ -104,15 +104,16 @@
 /** Applies the report of a worker: its ended, running and missing runs. */
 export function onWorkerReported(
   update: Update,
-  {incarnation, term, sentAt, report}: PayloadOf<typeof WORKER_REPORTED>,
+  payload: PayloadOf<typeof WORKER_REPORTED>,
 ): void {
+  const {incarnation, term, address, sentAt, report} = payload;
   const worker = update.read(WORKERS).get(incarnation);
   const isCurrent = worker?.endedBy === undefined && term === heldTerm(update);
   if (worker === undefined || !isCurrent) {
     return;
   }
   if (report.incarnation !== incarnation) {
-    onOtherLifeAnswered(update, worker, report.incarnation);
+    onOtherLifeAnswered(update, {...worker, address}, report.incarnation);
     pollAgainIfDue(update, report.incarnation);
     return;
   }
@@ -126,6 +127,7 @@
   }
   const appliedEnd = applyReportedEnds(update, worker, report);
   changeWorker(update, incarnation, {
+    address,
     hasReported: true,
     isSilent: false,
     refusesConnections: false,
@@ -275,21 +277,27 @@
  */
 export function onPollFailed(
   update: Update,
-  {incarnation, term, fence, failure, detail}: PayloadOf<typeof POLL_FAILED>,
+  payload: PayloadOf<typeof POLL_FAILED>,
 ): void {
+  const {incarnation, term, address, fence, failure, detail} = payload;
   const worker = update.read(WORKERS).get(incarnation);
   if (worker === undefined || term !== heldTerm(update)) {
     return;
   }
-  if (failure === 'fenced' && !isFencedByOwnCall(update, worker.id, fence)) {
-    update.dispatch(HOLDING_FENCED, {worker: incarnation});
+  if (failure === 'fenced') {
+    onPollFenced(update, worker, fence);
+    return;
+  }
+  const hasRuns = update.read(RUNS).withKey(incarnation).length > 0;
+  if (!worker.hasReported && !worker.isRegistered && !hasRuns) {
+    update.write(WORKERS).delete(incarnation);
     return;
   }
+  // At an address that an entry named, the worker may never have been.
+  const hasAnsweredThere = worker.hasReported && worker.address === address;
   // A worker without an entry may live on, cut off from the registry.
   const hasExited = worker.hasLeft && failure === 'closed';
-  // An entry may name an address at which the worker has never been.
-  const hasEnded = worker.hasReported && failure === 'other-life';
-  if (hasEnded || hasExited) {
+  if ((failure === 'other-life' && hasAnsweredThere) || hasExited) {
     removeWorker(update, worker, failure);
     return;
   }
@@ -301,23 +309,30 @@
       millis: Math.round(update.now - worker.answeredAt),
     });
   }
-  // Refused because of a poll of another life, it goes on with the same fence.
-  const life =
-    failure === 'fenced' ? latestLife(update, worker.id) : worker.life;
   changeWorker(update, incarnation, {
-    life,
     isPollOpen: false,
     isSilent: true,
     refusesConnections: failure === 'closed',
-    nextPollAt: update.now + pollRetryMillis(update, worker),
+    nextPollAt: update.now + pollRetryMillis(worker, hasRuns),
   });
 }
 
-function pollRetryMillis(
-  state: StateReader,
-  {incarnation, hasReported}: Worker,
-): number {
-  const hasRuns = state.read(RUNS).withKey(incarnation).length > 0;
+/**
+ * Handles a poll that a worker refused because of a higher fence: that of a newer
+ * holder or, if an entry named another life, of an own poll meant for that.
+ */
+function onPollFenced(update: Update, worker: Worker, fence: number): void {
+  const {id, incarnation} = worker;
+  if (!isFencedByOwnCall(update, id, fence)) {
+    update.dispatch(HOLDING_FENCED, {worker: incarnation});
+    return;
+  }
+  const life = latestLife(update, id);
+  changeWorker(update, incarnation, {life, isPollOpen: false, nextPollAt: 0});
+  pollAgainIfDue(update, incarnation);
+}
+
+function pollRetryMillis({hasReported}: Worker, hasRuns: boolean): number {
   return hasReported || hasRuns ? POLL_RETRY_MILLIS : UNHEARD_POLL_RETRY_MILLIS;
 }
 
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -84,8 +84,10 @@
     const event = record.isDraining ? 'worker-leaving' : 'worker-staying';
     emitWorkerEvent(update, record.incarnation, event, record.pool);
   }
+  const hasMoved = known.address !== record.address;
   changeWorker(update, record.incarnation, {
     ...record,
+    nextPollAt: hasMoved ? 0 : known.nextPollAt,
     isRegistered: true,
     hasLeft: false,
     isGone: false,
--- a/packages/site-daemon/src/workersPlugin.ts
+++ b/packages/site-daemon/src/workersPlugin.ts
@@ -19,7 +19,7 @@
   return kernel =>
     mergeUnregister(
       kernel.registerEffect(POLL_WORKER, async call => {
-        const {incarnation, term, fence} = call;
+        const {incarnation, term, address, fence} = call;
         const sentAt = now();
         const outcome = await client.poll(call);
         if (outcome.kind === 'reported') {
@@ -27,6 +27,7 @@
           kernel.dispatch(WORKER_REPORTED, {
             incarnation,
             term,
+            address,
             sentAt,
             report,
           });
@@ -35,6 +36,7 @@
           kernel.dispatch(POLL_FAILED, {
             incarnation,
             term,
+            address,
             fence,
             failure,
             detail,
--- a/testing/src/__tests__/unit/foreignEntryFixture.ts
+++ b/testing/src/__tests__/unit/foreignEntryFixture.ts
@@ -112,6 +112,20 @@
   t.equal(site.workers[0].countRuns(), TASK_COUNT);
 }
 
+/** Has a worker answer each poll that much later than it carries it out. */
+export function delayAnswers(
+  site: ModelSite,
+  worker: ModelWorker,
+  millis: number,
+): void {
+  const poll = worker.poll.bind(worker);
+  worker.poll = async (...call) => {
+    const report = await poll(...call);
+    await new Promise<void>(resolve => site.clock.after(millis, resolve));
+    return report;
+  };
+}
+
 /** Ends the holder; the hosts that remain know only the newest entries. */
 export function endHolder(site: ModelSite): void {
   const holder = site.holder();
