A new holder doesn't begin the wait for a lost worker anew

Cause: a holder knew of a worker that it can't reach only that earlier holders may have granted leases until 10.5 s after its own beginning, so that each kill of a holder began the wait again.

The direct successor takes that time over and records it anew. Batches say how old the holding is, by which readers place its beginning on their own clocks. Without a record the wait counts from the newest record of the earlier holder in place of the own beginning. A worker's first answer no longer makes the holder forget the leases that earlier holders granted it.

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -205,8 +205,8 @@
 
 /** Discards the runs on unknown workers once earlier leases have expired. */
 function discardRunsOnUnknownWorkers(update: Update): void {
-  const {holdingBeganAt: beganAt} = update.read(HOLDING).get();
-  if (update.now < leasesExpiredAt(undefined, beganAt)) {
+  const {predecessor} = update.read(HOLDING).get();
+  if (update.now < leasesExpiredAt(undefined, predecessor.heardAt)) {
     return;
   }
   for (const run of [...update.read(RUNS).values()]) {
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -1,5 +1,5 @@
 import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
-import {HOLDING_ENDED, heldTerm} from '@samphireramp/holding';
+import {HOLDING_BEGAN, HOLDING_ENDED, heldTerm} from '@samphireramp/holding';
 import {MAY_COMMAND_WORKERS, RUNS, WORKERS} from './FleetState';
 import {
   pollIfDue,
@@ -8,7 +8,17 @@
   onWorkerReported,
   onPollFailed,
 } from './workerPolling';
+import {
+  BOUNDED_LEASES,
+  LEASE_BOUND_LIFTED,
+  takeOverBounds,
+} from './leaseBounds';
 import {GRANTS_LEASES, reportLeaseGranting} from './leaseGranting';
+import {
+  UNLISTED_CHECKED_AT,
+  maintainLeaseBounds,
+  onLeaseBoundLifted,
+} from './lostWorkers';
 import {
   ENDS_DURABLE,
   ENDS_APPLIED,
@@ -49,6 +59,8 @@
       kernel.registerSlice(RUNS),
       kernel.registerSlice(GRANTS_LEASES),
       kernel.registerSlice(UNANSWERED_ORDERS),
+      kernel.registerSlice(BOUNDED_LEASES),
+      kernel.registerSlice(UNLISTED_CHECKED_AT),
       kernel.registerCommand(WORKER_REGISTRY_READ, onWorkerRegistryRead),
       kernel.registerCommand(WORKER_REPORTED, onWorkerReported),
       kernel.registerCommand(POLL_FAILED, onPollFailed),
@@ -58,6 +70,8 @@
       kernel.registerCommand(START_ANSWERED, onStartAnswered),
       kernel.registerCommand(STOP_ANSWERED, onStopAnswered),
       kernel.registerCommand(FLEET_TICK, onTick),
+      kernel.registerCommand(LEASE_BOUND_LIFTED, onLeaseBoundLifted),
+      kernel.registerCommand(HOLDING_BEGAN, takeOverBounds),
       kernel.registerCommand(HOLDING_ENDED, clearFleetState),
     );
 }
@@ -71,6 +85,7 @@
     pollIfDue(update, worker);
     discardLostRuns(update, worker.incarnation);
   }
+  maintainLeaseBounds(update);
   forgetUnansweredOrders(update);
   resendForbidOrders(update);
   resendStopOrders(update);
@@ -82,6 +97,7 @@
   update.write(WORKERS).clear();
   update.write(RUNS).clear();
   update.write(UNANSWERED_ORDERS).clear();
+  update.write(BOUNDED_LEASES).clear();
   update.write(GRANTS_LEASES).set(true);
   update.write(MAY_COMMAND_WORKERS).set(false);
 }
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -33,15 +33,16 @@
 /**
  * Returns when, on this host's clock, all leases of a silent worker are sure to
  * have expired, so that no run is left there. `worker` is undefined for a
- * worker that this holder has not seen.
+ * worker that this holder has not seen. Earlier holders had proof of their holding
+ * until `predecessorHeardAt` at the latest.
  */
 export function leasesExpiredAt(
   worker: Worker | undefined,
-  holdingBeganAt: number,
+  predecessorHeardAt: number,
 ): number {
   const minClockRate = 1 - CLOCK_DRIFT_BOUND;
   const earlierLeasesExpiredAt =
-    holdingBeganAt +
+    predecessorHeardAt +
     (LEASE_MILLIS + MAX_UNCONFIRMED_MILLIS) / minClockRate +
     LEASE_EXPIRY_MARGIN_MILLIS;
   if (worker?.clock === undefined) {
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -10,6 +10,7 @@
   freeResources,
   isOverCapacity,
 } from './FleetState';
+import {isLeaseBounded} from './leaseBounds';
 import {isGrantingLeases} from './leaseGranting';
 import {leaseEnd} from './leaseTiming';
 import {
@@ -55,6 +56,10 @@
     giveUpStart(update, run, 'unconfirmed-holding');
     return;
   }
+  if (isLeaseBounded(update, worker.incarnation)) {
+    giveUpStart(update, run, 'no-answer');
+    return;
+  }
   // The worker may have shrunk while the placement was recorded.
   const isFirstOrder = run.phase === 'reserved';
   if (isFirstOrder && isOverCapacity(freeResources(update, worker))) {
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -12,8 +12,9 @@
   changeRun,
   changeWorker,
 } from './FleetState';
+import {isLeaseBounded, liftBound} from './leaseBounds';
 import {isGrantingLeases} from './leaseGranting';
-import {leaseEnd} from './leaseTiming';
+import {LEASE_MILLIS, leaseEnd} from './leaseTiming';
 import {
   ENDS_DURABLE,
   ENDS_APPLIED,
@@ -57,10 +58,12 @@
   if (worker.isGone) {
     return;
   }
+  const isBounded = isLeaseBounded(update, worker.incarnation);
   // The lease of a silent worker is not renewed, so that it is sure to expire.
   const leaseUntil =
     worker.clock === undefined ||
     worker.isSilent ||
+    isBounded ||
     !isGrantingLeases(update, update.now)
       ? undefined
       : leaseEnd(worker.clock, update.now);
@@ -68,6 +71,7 @@
   const mayLongPoll =
     worker.hasReported &&
     !worker.isSilent &&
+    !isBounded &&
     worker.appliedEnd === worker.durableEnd &&
     !runs.some(awaitsReport);
   const isIdle = runs.length === 0;
@@ -124,13 +128,18 @@
     isGone: false,
     isPollOpen: false,
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
+    // Earlier holders, which this poll has fenced, may have granted as much.
+    leaseGrantedUntil: worker.hasReported
+      ? worker.leaseGrantedUntil
+      : report.clockMillis + LEASE_MILLIS,
     answeredAt: update.now,
     appliedEnd,
     nextPollAt:
-      appliedEnd > worker.durableEnd
+      appliedEnd > worker.durableEnd || isLeaseBounded(update, incarnation)
         ? update.now + DURABILITY_POLL_DELAY_MILLIS
         : 0,
   });
+  liftBound(update, incarnation, 'answered');
   applyReportedRuns(update, incarnation, report.running);
   discardMissingRuns(update, incarnation, report, sentAt);
   if (!worker.hasReported || appliedEnd > worker.appliedEnd) {
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -1,8 +1,7 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
-import {HOLDING} from '@samphireramp/holding';
 import {runKey} from '@samphireramp/jobs';
 import {RUNS, WORKERS, changeRun, changeWorker} from './FleetState';
-import {leasesExpiredAt} from './leaseTiming';
+import {leasesEndAt} from './leaseBounds';
 import {
   FLEET_EVENT,
   RESOURCES_CHANGED,
@@ -113,8 +112,7 @@
     removeWorker(update, worker, 'settled');
     return;
   }
-  const {holdingBeganAt: beganAt} = update.read(HOLDING).get();
-  if (update.now < leasesExpiredAt(worker, beganAt)) {
+  if (update.now < leasesEndAt(update, incarnation, worker)) {
     return;
   }
   if (worker.refusesConnections) {
--- a/packages/holding/src/HolderRecord.ts
+++ b/packages/holding/src/HolderRecord.ts
@@ -23,6 +23,12 @@
    * hosts differ.
    */
   requestsAgeMillis: z.optional(z.number()),
+  /**
+   * Time from the beginning of the holding to when the batch was created. With it
+   * a reader can tell times that the journal counts from that beginning. Absent in
+   * a claim.
+   */
+  termMillis: z.optional(z.number()),
 });
 
 /** Names the holder that wrote a batch, and its term. */
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -33,6 +33,16 @@
   readonly payload: unknown;
 }
 
+/** What a host knows of the holding before its own, on its own clock. */
+export interface Predecessor {
+  /** Undefined if there was none. */
+  readonly term: number | undefined;
+  /** It began before this time. */
+  readonly beganBefore: number;
+  /** When its newest record was read, which was durable by then. */
+  readonly heardAt: number;
+}
+
 /** What this host knows of the journal and of the holder of the site. */
 export interface HoldingState extends StreamCopy {
   readonly phase: 'following' | 'claiming' | 'holding';
@@ -44,6 +54,10 @@
   readonly isStopping: boolean;
   /** When this host's latest holding began. */
   readonly holdingBeganAt: number;
+  /** The holding of the newest holder record began before this time. */
+  readonly termBeganBefore: number;
+  /** The holding before the latest claim of this host. */
+  readonly predecessor: Predecessor;
   /**
    * When this holder sent the newest append that is known to be durable. Another
    * host may have claimed the site since.
@@ -66,6 +80,8 @@
   nextClaimAt: 0,
   isStopping: false,
   holdingBeganAt: 0,
+  termBeganBefore: Infinity,
+  predecessor: {term: undefined, beganBefore: Infinity, heardAt: 0},
   confirmedAt: -Infinity,
   nextBatchNumber: 1,
   batchInFlight: undefined,
@@ -88,16 +104,6 @@
   return phase === 'holding' ? latestHolderRecord?.term : undefined;
 }
 
-/**
- * Drops the copy of the journal, which this host no longer follows. Claims need
- * a copy, so that this host makes none until it has read the journal again.
- */
-export function dropJournalCopy(update: Update): void {
-  const holding = update.write(HOLDING);
-  holding.set({...holding.get(), ...EMPTY_COPY});
-  update.write(DURABLE_PROGRESS).clear();
-}
-
 /** Appends pending entries to the journal, after the batch in flight if any. */
 export const FLUSH_JOURNAL = createCommand<void>('journal-due');
 
--- a/packages/holding/src/applyEntries.ts
+++ b/packages/holding/src/applyEntries.ts
@@ -1,17 +1,38 @@
 import type {Update} from '@samphireramp/kernel';
+import {match} from 'ts-pattern';
 import type {HolderRecord} from './HolderRecord';
-import {HOLDING, DURABLE_PROGRESS} from './HoldingState';
+import {HOLDING, type HoldingState, DURABLE_PROGRESS} from './HoldingState';
+import {DURABLE_LEASE_BOUNDS, deleteAbsentLeaseBounds} from './leaseBounds';
 import type {JournalEntry, JournalRead, StoredEntry} from './messages';
-import {advanceCopy, isOutdatedSnapshot} from './streamCopy';
+import {EMPTY_COPY, advanceCopy, isOutdatedSnapshot} from './streamCopy';
 
-/** Applies a durable entry to the durable progress. */
+/** Applies a durable entry to the copy of the journal. */
 export function applyEntry(update: Update, entry: JournalEntry): void {
   const durableProgress = update.write(DURABLE_PROGRESS);
-  if (entry.kind === 'progress') {
-    durableProgress.set(entry.progress.jobId, entry.progress);
-  } else if (entry.kind === 'forgotten') {
-    durableProgress.delete(entry.jobId);
-  }
+  match(entry)
+    .with({kind: 'progress'}, ({progress}) =>
+      durableProgress.set(progress.jobId, progress),
+    )
+    .with({kind: 'forgotten'}, ({jobId}) => durableProgress.delete(jobId))
+    .with({kind: 'lease-bound'}, ({bound}) =>
+      update.write(DURABLE_LEASE_BOUNDS).set(bound.incarnation, bound),
+    )
+    .with({kind: 'lease-bound-lifted'}, ({incarnation}) =>
+      update.write(DURABLE_LEASE_BOUNDS).delete(incarnation),
+    )
+    .with({kind: 'holder'}, () => undefined)
+    .exhaustive();
+}
+
+/**
+ * Drops the copy of the journal, which this host no longer follows. Claims need
+ * a copy, so that this host makes none until it has read the journal again.
+ */
+export function dropJournalCopy(update: Update): void {
+  const holding = update.write(HOLDING);
+  holding.set({...holding.get(), ...EMPTY_COPY, termBeganBefore: Infinity});
+  update.write(DURABLE_PROGRESS).clear();
+  update.write(DURABLE_LEASE_BOUNDS).clear();
 }
 
 /**
@@ -29,6 +50,7 @@
   }
   if (isSnapshot) {
     deleteAbsentJobs(update, entries);
+    deleteAbsentLeaseBounds(update, entries);
   }
   const holderRecords: HolderRecord[] = [];
   for (const {offset, entry} of entries) {
@@ -43,9 +65,27 @@
   holding.set({
     ...previous,
     ...advanceCopy(previous, read, holderRecords, update.now),
+    termBeganBefore: boundTermBeginning(previous, holderRecords, update.now),
   });
 }
 
+/** Returns a time before which the holding of the newest record began. */
+function boundTermBeginning(
+  {latestHolderRecord, termBeganBefore}: HoldingState,
+  holderRecords: readonly HolderRecord[],
+  now: number,
+): number {
+  let latestTerm = latestHolderRecord?.term;
+  let beganBefore = termBeganBefore;
+  for (const {term, termMillis} of holderRecords) {
+    // The record was created before it was read.
+    const bound = termMillis === undefined ? Infinity : now - termMillis;
+    beganBefore = term === latestTerm ? Math.min(beganBefore, bound) : bound;
+    latestTerm = term;
+  }
+  return beganBefore;
+}
+
 function deleteAbsentJobs(
   update: Update,
   entries: readonly StoredEntry[],
--- a/packages/holding/src/claimRules.ts
+++ b/packages/holding/src/claimRules.ts
@@ -1,5 +1,5 @@
 import type {HolderRecord} from './HolderRecord';
-import type {HoldingState} from './HoldingState';
+import type {HoldingState, Predecessor} from './HoldingState';
 
 /**
  * Shortest silence of a holder that has not resigned after which a follower
@@ -85,6 +85,16 @@
   return offset + 1;
 }
 
+/** Returns the holding that a claim of this host would follow. */
+export function predecessorOf(holding: HoldingState): Predecessor {
+  const {latestHolderRecord, termBeganBefore, holderHeardAt} = holding;
+  return {
+    term: latestHolderRecord?.term,
+    beganBefore: termBeganBefore,
+    heardAt: holderHeardAt,
+  };
+}
+
 /** Creates the record of a claim that is appended at `offset`. */
 export function createClaim(
   {self, incarnation}: HoldingOptions,
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -13,6 +13,7 @@
   type HoldingOptions,
   createClaim,
   isClaimDue,
+  predecessorOf,
   termOfClaim,
 } from './claimRules';
 import type {HolderRecord} from './HolderRecord';
@@ -26,6 +27,7 @@
   heldTerm,
 } from './HoldingState';
 import {createBatch} from './journalBatch';
+import {DURABLE_LEASE_BOUNDS} from './leaseBounds';
 import {NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import {
   APPEND_JOURNAL,
@@ -56,6 +58,8 @@
     update.write(HOLDING).set({
       ...holding,
       phase: 'claiming',
+      // The claim takes effect only if the journal ends where this copy does.
+      predecessor: predecessorOf(holding),
       lastAppendAt: update.now,
       nextClaimAt: update.now + CLAIM_TIMEOUT_MILLIS + CLAIM_RETRY_DELAY_MILLIS,
     });
@@ -88,6 +92,7 @@
       endOffset,
       logEndOffset: Math.max(holding.get().logEndOffset, endOffset),
       holdingBeganAt: update.now,
+      termBeganBefore: update.now,
       confirmedAt: holding.get().lastAppendAt,
       requestsReadUntil: -Infinity,
       jobKnowledge: {
@@ -153,9 +158,12 @@
     if (isIdle && !isHeartbeatDue && !current.isStopping) {
       return;
     }
-    const batch = createBatch(current, current.latestHolderRecord, [
-      ...pendingEntries.values(),
-    ]);
+    const batch = createBatch(
+      current,
+      current.latestHolderRecord,
+      [...pendingEntries.values()],
+      update.now,
+    );
     pendingEntries.clear();
     holding.set({
       ...current,
@@ -364,6 +372,7 @@
     mergeUnregister(
       kernel.registerSlice(HOLDING),
       kernel.registerSlice(DURABLE_PROGRESS),
+      kernel.registerSlice(DURABLE_LEASE_BOUNDS),
       kernel.registerSlice(PENDING_ENTRIES),
       kernel.registerCommand(FLUSH_JOURNAL, update => flushJournal(update)),
       kernel.registerCommand(JOURNAL_READ, onRead),
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -6,12 +6,19 @@
   type HoldingState,
   DURABLE_PROGRESS,
   dispatchWhenDurable,
-  dropJournalCopy,
   heldTerm,
   recordForgottenJob,
   recordProgress,
   recordRequestsRead,
 } from './HoldingState';
+export {dropJournalCopy} from './applyEntries';
+export {
+  DURABLE_LEASE_BOUNDS,
+  type LeaseBound,
+  inheritedLeasesEndAt,
+  recordLeaseBound,
+  recordLiftedLeaseBound,
+} from './leaseBounds';
 export {
   EMPTY_COPY,
   type StreamCopy,
--- a/packages/holding/src/journalBatch.ts
+++ b/packages/holding/src/journalBatch.ts
@@ -8,6 +8,7 @@
   holding: HoldingState,
   latestHolderRecord: HolderRecord,
   pendingEntries: readonly JournalEntry[],
+  now: number,
 ): JournalBatch {
   const {nextBatchNumber, isStopping, requestsReadUntil} = holding;
   const record: HolderRecord = {
@@ -15,6 +16,7 @@
     batch: nextBatchNumber,
     isResigned: isStopping,
     requestsAgeMillis: requestsAge(requestsReadUntil, holding.holderHeardAt),
+    termMillis: Math.floor(now - holding.holdingBeganAt),
   };
   return {
     number: nextBatchNumber,
--- a/packages/holding/src/messages.ts
+++ b/packages/holding/src/messages.ts
@@ -2,12 +2,15 @@
 import type {Progress} from '@samphireramp/jobs';
 import type {AppendOutcome, StreamRead} from '@samphireramp/stream-log';
 import type {HolderRecord} from './HolderRecord';
+import type {LeaseBound} from './leaseBounds';
 
 /** A decoded record of the journal. */
 export type JournalEntry =
   | {readonly kind: 'holder'; readonly record: HolderRecord}
   | {readonly kind: 'progress'; readonly progress: Progress}
-  | {readonly kind: 'forgotten'; readonly jobId: string};
+  | {readonly kind: 'forgotten'; readonly jobId: string}
+  | {readonly kind: 'lease-bound'; readonly bound: LeaseBound}
+  | {readonly kind: 'lease-bound-lifted'; readonly incarnation: string};
 
 /** A journal entry and its offset. */
 export interface StoredEntry {
--- a/packages/record-codec/src/__tests__/unit/codecs.test.ts
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -234,3 +234,28 @@
   );
   t.same(decoded, [{kind: 'submit', job}, cancel]);
 });
+
+void t.test('bounds of leases survive encoding and decoding', async t => {
+  const incarnation = 'i-1@1776251519213';
+  const bound = {incarnation, term: 812, endsAtTermMillis: 10_504};
+  const entries = [
+    {kind: 'lease-bound', bound},
+    {kind: 'lease-bound-lifted', incarnation},
+  ] as const;
+  const malformed: string[] = [];
+  const records = entries.map((entry, offset) => ({
+    ...encodeJournalEntry(entry),
+    offset,
+  }));
+  const unreadable = {...records[0], value: Buffer.from('[812]'), offset: 2};
+  const decoded = decodeJournal([...records, unreadable], key =>
+    malformed.push(key),
+  );
+  t.same(
+    decoded.map(({entry}) => entry),
+    [...entries, entries[1]],
+    'one that cannot be read is none',
+  );
+  t.same(malformed, []);
+  t.ok(records[0].key.length + records[0].value.length < 50);
+});
