--- a/packages/holding/src/__tests__/unit/leaseBounds.test.ts
+++ b/packages/holding/src/__tests__/unit/leaseBounds.test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import {
   DURABLE_LEASE_BOUNDS,
+  HOLDING,
   HOLDING_TICK,
   JOURNAL_APPEND_ENDED,
   JOURNAL_READ,
@@ -8,7 +9,7 @@
   heldTerm,
   inheritedLeasesEndAt,
 } from '../../index';
-import {buildHost} from '../buildHost';
+import {HOST_INCARNATION, HOST_NAME, buildHost} from '../buildHost';
 
 const BOUND = {incarnation: 'i-1@7', term: 1, endsAtTermMillis: 9000};
 
@@ -123,3 +124,25 @@
   }
   t.equal(kernel.read(DURABLE_LEASE_BOUNDS).size, 0);
 });
+
+void t.test('a claim that is found by a read proves nothing yet', async t => {
+  const {clock, kernel, readEmptyJournal} = buildHost();
+  readEmptyJournal();
+  clock.now = 1000;
+  kernel.dispatch(HOLDING_TICK, undefined);
+  const outcome = {kind: 'unknown', detail: 'no answer'} as const;
+  kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+  clock.now = 4000;
+  kernel.dispatch(HOLDING_TICK, undefined);
+  const claim = {holder: HOST_NAME, incarnation: HOST_INCARNATION};
+  const record = {...claim, term: 1, batch: 0, isResigned: false};
+  kernel.dispatch(JOURNAL_READ, {
+    entries: [{offset: 0, entry: {kind: 'holder', record}}],
+    endOffset: 1,
+    logEndOffset: 1,
+    sentAt: 4000,
+    isSnapshot: false,
+  });
+  t.equal(heldTerm(kernel), 1);
+  t.equal(kernel.read(HOLDING).get().confirmedAt, -Infinity);
+});
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -81,6 +81,7 @@
     update: Update,
     record: HolderRecord,
     endOffset: number,
+    confirmedAt: number,
   ): void {
     const holding = update.write(HOLDING);
     holding.set({
@@ -93,7 +94,7 @@
       logEndOffset: Math.max(holding.get().logEndOffset, endOffset),
       holdingBeganAt: update.now,
       termBeganBefore: update.now,
-      confirmedAt: holding.get().lastAppendAt,
+      confirmedAt,
       requestsReadUntil: -Infinity,
       jobKnowledge: {
         ...NO_JOB_KNOWLEDGE,
@@ -269,6 +270,7 @@
         update,
         createClaim(options, outcome.offset),
         outcome.endOffset,
+        current.lastAppendAt,
       );
       return;
     }
@@ -326,7 +328,7 @@
       return;
     }
     applyReadEntries(update, read);
-    const {latestHolderRecord} = update.read(HOLDING).get();
+    const {latestHolderRecord, endOffset} = update.read(HOLDING).get();
     // A claim whose answer was lost may be in the journal all the same. If this
     // read finds it, the holding begins.
     const hasNewEntries = read.entries.some(
@@ -337,11 +339,8 @@
       latestHolderRecord.batch === 0 &&
       latestHolderRecord.term >= termOfClaim(knownEndOffset);
     if (hasNewEntries && isOwnClaim && latestHolderRecord !== undefined) {
-      beginHolding(
-        update,
-        latestHolderRecord,
-        update.read(HOLDING).get().endOffset,
-      );
+      // A later claim may have been sent, which proves nothing.
+      beginHolding(update, latestHolderRecord, endOffset, -Infinity);
     }
   }
 
