--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -1,5 +1,5 @@
 import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
-import {HOLDING_ENDED, heldTerm} from '@samphireramp/holding';
+import {HOLDING_BEGAN, HOLDING_ENDED, heldTerm} from '@samphireramp/holding';
 import {MAY_COMMAND_WORKERS, RUNS, WORKERS} from './FleetState';
 import {
   pollIfDue,
@@ -9,7 +9,17 @@
   onPollFailed,
 } from './workerPolling';
 import {LATEST_LIVES} from './fence';
+import {
+  BOUNDED_LEASES,
+  LEASE_BOUND_LIFTED,
+  takeOverBounds,
+} from './leaseBounds';
 import {GRANTS_LEASES, reportLeaseGranting} from './leaseGranting';
+import {
+  UNLISTED_CHECKED_AT,
+  maintainLeaseBounds,
+  onLeaseBoundLifted,
+} from './lostWorkers';
 import {
   ENDS_DURABLE,
   ENDS_APPLIED,
@@ -47,6 +57,8 @@
       kernel.registerSlice(GRANTS_LEASES),
       kernel.registerSlice(UNANSWERED_ORDERS),
       kernel.registerSlice(LATEST_LIVES),
+      kernel.registerSlice(BOUNDED_LEASES),
+      kernel.registerSlice(UNLISTED_CHECKED_AT),
       kernel.registerCommand(WORKER_REGISTRY_READ, onWorkerRegistryRead),
       kernel.registerCommand(WORKER_REPORTED, onWorkerReported),
       kernel.registerCommand(POLL_FAILED, onPollFailed),
@@ -56,6 +68,8 @@
       kernel.registerCommand(START_ANSWERED, onStartAnswered),
       kernel.registerCommand(STOP_ANSWERED, onStopAnswered),
       kernel.registerCommand(FLEET_TICK, onTick),
+      kernel.registerCommand(LEASE_BOUND_LIFTED, onLeaseBoundLifted),
+      kernel.registerCommand(HOLDING_BEGAN, takeOverBounds),
       kernel.registerCommand(HOLDING_ENDED, clearFleetState),
     );
 }
@@ -69,6 +83,7 @@
     pollIfDue(update, worker);
     discardLostRuns(update, worker.incarnation);
   }
+  maintainLeaseBounds(update);
   forgetUnansweredOrders(update);
   resendStopOrders(update);
   stopStalledRuns(update);
@@ -80,6 +95,7 @@
   update.write(RUNS).clear();
   update.write(UNANSWERED_ORDERS).clear();
   update.write(LATEST_LIVES).clear();
+  update.write(BOUNDED_LEASES).clear();
   update.write(GRANTS_LEASES).set(true);
   update.write(MAY_COMMAND_WORKERS).set(false);
 }
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -47,15 +47,16 @@
 /**
  * Returns when, on this host's clock, all leases of a silent worker are sure to
  * have expired, so that no run is left there. `worker` is undefined for a
- * worker that this holder has not seen.
+ * worker that this holder has not seen. Earlier holders had proof of their holding
+ * until `predecessorHeardAt` at the latest.
  */
 export function leasesExpiredAt(
   worker: Worker | undefined,
-  holdingBeganAt: number,
+  predecessorHeardAt: number,
 ): number {
   const minClockRate = 1 - CLOCK_DRIFT_BOUND;
   const earlierLeasesExpiredAt =
-    holdingBeganAt +
+    predecessorHeardAt +
     (LEASE_MILLIS + MAX_UNCONFIRMED_MILLIS) / minClockRate +
     LEASE_EXPIRY_MARGIN_MILLIS;
   if (worker?.clock === undefined) {
@@ -73,15 +74,13 @@
 
 /**
  * Returns when, on this host's clock, all leases are sure to have expired that the
- * next life of a worker got with an order that was answered, meant for this one.
+ * next life of a worker got with an order that was answered, meant for the one whose
+ * leases end at `leasesEndAt`.
  */
-export function nextLifeLeasesExpiredAt(
-  worker: Worker,
-  holdingBeganAt: number,
-): number {
+export function nextLifeLeasesExpiredAt(leasesEndAt: number): number {
   const longerMillis = MAX_LEASE_MILLIS - LEASE_MILLIS;
   return (
-    leasesExpiredAt(worker, holdingBeganAt) +
+    leasesEndAt +
     longerMillis / (1 - CLOCK_DRIFT_BOUND) +
     LEASE_EXPIRY_MARGIN_MILLIS
   );
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -11,6 +11,7 @@
   isOverCapacity,
 } from './FleetState';
 import {fenceOf, isFencedByOwnCall} from './fence';
+import {isLeaseBounded} from './leaseBounds';
 import {isGrantingLeases} from './leaseGranting';
 import {leaseEnd} from './leaseTiming';
 import {
@@ -52,6 +53,10 @@
     giveUpStart(update, run, 'unconfirmed-holding');
     return;
   }
+  if (isLeaseBounded(update, worker.incarnation)) {
+    giveUpStart(update, run, 'no-answer');
+    return;
+  }
   // The worker may have shrunk while the placement was recorded.
   const isFirstOrder = run.phase === 'reserved';
   if (isFirstOrder && isOverCapacity(freeResources(update, worker))) {
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -13,6 +13,7 @@
   changeWorker,
 } from './FleetState';
 import {fenceOf, isFencedByOwnCall, latestLife} from './fence';
+import {isLeaseBounded, liftBound} from './leaseBounds';
 import {isGrantingLeases} from './leaseGranting';
 import {latestUnknownLeaseEnd, leaseEnd} from './leaseTiming';
 import {
@@ -64,15 +65,16 @@
   // Otherwise a later life may receive the poll, whose ends nobody has read. The
   // lease of a silent worker is not renewed, so that it is sure to expire.
   const isSure = !worker.isSilent && worker.doubtedAt === undefined;
+  const isBounded = isLeaseBounded(update, worker.incarnation);
+  const mayGrant = isSure && !isBounded && isGrantingLeases(update, update.now);
   const leaseUntil =
-    isSure && worker.clock && isGrantingLeases(update, update.now)
-      ? leaseEnd(worker.clock, update.now)
-      : undefined;
+    mayGrant && worker.clock ? leaseEnd(worker.clock, update.now) : undefined;
   const acknowledgedEnd = isSure ? worker.durableEnd : 0;
   const runs = update.read(RUNS).withKey(worker.incarnation);
   const mayLongPoll =
     worker.hasReported &&
     isSure &&
+    !isBounded &&
     worker.appliedEnd === worker.durableEnd &&
     !runs.some(awaitsReport);
   const isIdle = runs.length === 0;
@@ -141,10 +143,11 @@
     answeredAt: update.now,
     appliedEnd,
     nextPollAt:
-      appliedEnd > worker.durableEnd
+      appliedEnd > worker.durableEnd || isLeaseBounded(update, incarnation)
         ? update.now + DURABILITY_POLL_DELAY_MILLIS
         : 0,
   });
+  liftBound(update, incarnation, 'answered');
   if (!worker.hasReported) {
     const reportedRuns = report.running.map(({runId}) => runId);
     endOtherLives(update, worker, reportedRuns);
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -1,5 +1,4 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
-import {HOLDING} from '@samphireramp/holding';
 import {runKey} from '@samphireramp/jobs';
 import {
   RUNS,
@@ -9,7 +8,8 @@
   listOtherLives,
 } from './FleetState';
 import {beginLife} from './fence';
-import {leasesExpiredAt, nextLifeLeasesExpiredAt} from './leaseTiming';
+import {leasesEndAt} from './leaseBounds';
+import {nextLifeLeasesExpiredAt} from './leaseTiming';
 import {
   FLEET_EVENT,
   RESOURCES_CHANGED,
@@ -116,14 +116,14 @@
   if (worker === undefined || !worker.isSilent) {
     return;
   }
-  const {holdingBeganAt: beganAt} = update.read(HOLDING).get();
+  const endAt = leasesEndAt(update, incarnation, worker);
   if (worker.isGone) {
-    if (!awaitsReportOfNextLife(update, worker, beganAt)) {
+    if (!awaitsReportOfNextLife(update, worker, endAt)) {
       removeWorker(update, worker, 'settled');
     }
     return;
   }
-  if (update.now < leasesExpiredAt(worker, beganAt)) {
+  if (update.now < endAt) {
     return;
   }
   if (worker.refusesConnections) {
@@ -170,7 +170,7 @@
 function awaitsReportOfNextLife(
   update: Update,
   worker: Worker,
-  holdingBeganAt: number,
+  leasesEndAt: number,
 ): boolean {
   if (worker.endedBy === undefined) {
     return false;
@@ -178,10 +178,7 @@
   const isNextHeardSoon = listOtherLives(update, worker).some(
     ({hasReported, isSilent}) => !hasReported && !isSilent,
   );
-  return (
-    isNextHeardSoon ||
-    update.now < nextLifeLeasesExpiredAt(worker, holdingBeganAt)
-  );
+  return isNextHeardSoon || update.now < nextLifeLeasesExpiredAt(leasesEndAt);
 }
 
 /**
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -13,6 +13,7 @@
   type HoldingOptions,
   createClaim,
   isClaimDue,
+  predecessorOf,
   termOfClaim,
 } from './claimRules';
 import type {HolderRecord} from './HolderRecord';
@@ -26,6 +27,7 @@
   heldTerm,
 } from './HoldingState';
 import {createBatch} from './journalBatch';
+import {DURABLE_LEASE_BOUNDS} from './leaseBounds';
 import {NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import {
   APPEND_JOURNAL,
@@ -56,6 +58,8 @@
     update.write(HOLDING).set({
       ...holding,
       phase: 'claiming',
+      // The claim takes effect only if the journal ends where this copy does.
+      predecessor: predecessorOf(holding),
       lastAppendAt: update.now,
       nextClaimAt: update.now + CLAIM_TIMEOUT_MILLIS + CLAIM_RETRY_DELAY_MILLIS,
     });
@@ -77,6 +81,7 @@
     update: Update,
     record: HolderRecord,
     endOffset: number,
+    confirmedAt: number,
   ): void {
     const holding = update.write(HOLDING);
     holding.set({
@@ -88,7 +93,8 @@
       endOffset,
       logEndOffset: Math.max(holding.get().logEndOffset, endOffset),
       holdingBeganAt: update.now,
-      confirmedAt: holding.get().lastAppendAt,
+      termBeganBefore: update.now,
+      confirmedAt,
       requestsReadUntil: -Infinity,
       jobKnowledge: {
         ...NO_JOB_KNOWLEDGE,
@@ -153,9 +159,12 @@
     if (isIdle && !isHeartbeatDue && !current.isStopping) {
       return;
     }
-    const batch = createBatch(current, current.latestHolderRecord, [
-      ...pendingEntries.values(),
-    ]);
+    const batch = createBatch(
+      current,
+      current.latestHolderRecord,
+      [...pendingEntries.values()],
+      update.now,
+    );
     pendingEntries.clear();
     holding.set({
       ...current,
@@ -261,6 +270,7 @@
         update,
         createClaim(options, outcome.offset),
         outcome.endOffset,
+        current.lastAppendAt,
       );
       return;
     }
@@ -318,7 +328,7 @@
       return;
     }
     applyReadEntries(update, read);
-    const {latestHolderRecord} = update.read(HOLDING).get();
+    const {latestHolderRecord, endOffset} = update.read(HOLDING).get();
     // A claim whose answer was lost may be in the journal all the same. If this
     // read finds it, the holding begins.
     const hasNewEntries = read.entries.some(
@@ -329,11 +339,8 @@
       latestHolderRecord.batch === 0 &&
       latestHolderRecord.term >= termOfClaim(knownEndOffset);
     if (hasNewEntries && isOwnClaim && latestHolderRecord !== undefined) {
-      beginHolding(
-        update,
-        latestHolderRecord,
-        update.read(HOLDING).get().endOffset,
-      );
+      // A later claim may have been sent, which proves nothing.
+      beginHolding(update, latestHolderRecord, endOffset, -Infinity);
     }
   }
 
@@ -364,6 +371,7 @@
     mergeUnregister(
       kernel.registerSlice(HOLDING),
       kernel.registerSlice(DURABLE_PROGRESS),
+      kernel.registerSlice(DURABLE_LEASE_BOUNDS),
       kernel.registerSlice(PENDING_ENTRIES),
       kernel.registerCommand(FLUSH_JOURNAL, update => flushJournal(update)),
       kernel.registerCommand(JOURNAL_READ, onRead),
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -1,18 +1,26 @@
 import {
   type JournalEntry,
+  type LeaseBound,
   type StoredEntry,
   holderRecordSchema,
 } from '@samphireramp/holding';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
+import * as z from 'zod/mini';
 import {type OnMalformed, decodeEntries} from './decodeEntries';
 import {type OnInvalid, decodeJson} from './decodeJson';
 import {decodeProgress, encodeProgress} from './progressCodec';
 
 const HOLDER_KEY = 'holder';
 const JOB_PREFIX = 'job.';
+const LEASE_BOUND_PREFIX = 'lease.';
 const TOMBSTONE = Buffer.alloc(0);
 
+const leaseBoundSchema = z.tuple([
+  z.number(), // term
+  z.number(), // end of the leases, in milliseconds since the holding began
+]);
+
 /** Encodes an entry of the journal as a record. */
 export function encodeJournalEntry(entry: JournalEntry): LogRecord {
   return match(entry)
@@ -28,6 +36,14 @@
       key: JOB_PREFIX + jobId,
       value: TOMBSTONE,
     }))
+    .with({kind: 'lease-bound'}, ({bound}) => ({
+      key: LEASE_BOUND_PREFIX + bound.incarnation,
+      value: encodeLeaseBound(bound),
+    }))
+    .with({kind: 'lease-bound-lifted'}, ({incarnation}) => ({
+      key: LEASE_BOUND_PREFIX + incarnation,
+      value: TOMBSTONE,
+    }))
     .exhaustive();
 }
 
@@ -49,6 +65,10 @@
     const record = decodeJson(holderRecordSchema, value, onInvalid);
     return record && {kind: 'holder', record};
   }
+  if (key.startsWith(LEASE_BOUND_PREFIX)) {
+    const incarnation = key.slice(LEASE_BOUND_PREFIX.length);
+    return decodeLeaseBound(incarnation, value, onInvalid);
+  }
   if (!key.startsWith(JOB_PREFIX)) {
     return undefined;
   }
@@ -59,3 +79,26 @@
   const progress = decodeProgress(jobId, value, onInvalid);
   return progress && {kind: 'progress', progress};
 }
+
+function encodeLeaseBound({term, endsAtTermMillis}: LeaseBound): Buffer {
+  const record: z.infer<typeof leaseBoundSchema> = [term, endsAtTermMillis];
+  return Buffer.from(JSON.stringify(record));
+}
+
+/** A bound that can't be read is taken for a lifted one, which is always safe. */
+function decodeLeaseBound(
+  incarnation: string,
+  value: Buffer,
+  onInvalid: OnInvalid,
+): JournalEntry {
+  const lifted = {kind: 'lease-bound-lifted', incarnation} as const;
+  if (value.length === 0) {
+    return lifted;
+  }
+  const fields = decodeJson(leaseBoundSchema, value, onInvalid);
+  if (fields === undefined) {
+    return lifted;
+  }
+  const [term, endsAtTermMillis] = fields;
+  return {kind: 'lease-bound', bound: {incarnation, term, endsAtTermMillis}};
+}
