A pass of placement places a bounded number of tasks, and starts under way are bounded

Cause: one update placed all tasks of a wide job, and its starts were ordered at once. They waited in the holder for longer than the timeout of their orders, which were repeated, and stopped after three: 1,000 tasks on 33 workers took 16 s and 1,304 starts; 10,000 still ended processes (heap, by open calls).

The rest follows as starts are confirmed. One ended task copies its step without a call for each task, whether a step is done is looked up from its last task, and placed tasks of a step are counted once a pass.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -13,6 +13,7 @@
 import {countFreeTrials, workersOnTrial} from './crashTrials';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
+import {TaskAllowance} from './TaskAllowance';
 
 /**
  * Steps request advice until those ahead with the same requirements await it for
@@ -35,6 +36,7 @@
 /** One placement pass: what is still free, and what steps ahead wait for. */
 export class PlacementPass {
   readonly reservations: Reservation[] = [];
+  readonly allowance: TaskAllowance;
   private readonly candidates: readonly Candidate[];
   private readonly suitableByRequirement = new Map<string, SuitableWorkers>();
   private readonly cpuMillisAtStart: ReadonlyMap<Candidate, number>;
@@ -50,6 +52,7 @@
     /** The name of this host. */
     readonly self: string,
   ) {
+    this.allowance = new TaskAllowance(update);
     const candidates = listCandidates(update, update.now);
     const onTrial = workersOnTrial(update, update.now);
     this.trialsLeft = countFreeTrials(update);
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -9,6 +9,7 @@
   type Occurrence,
   type QueuePolicy,
   type Step,
+  type Task,
   reservedResources,
 } from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
@@ -39,6 +40,8 @@
   readonly step: Step;
   /** Indices of the tasks that are not placed and not done. */
   readonly openTasks: readonly number[];
+  /** Placed tasks by the incarnation of their worker, if their number is limited. */
+  readonly placedByWorker: ReadonlyMap<string, number>;
   /** Resources to reserve for each task. */
   readonly taskResources: Resources;
 }
@@ -113,7 +116,7 @@
     step.mostOnOneWorker === 0
       ? Infinity
       : step.mostOnOneWorker -
-        countPlacedTasks(readyStep, candidate.worker.incarnation);
+        (readyStep.placedByWorker.get(candidate.worker.incarnation) ?? 0);
   return Math.max(
     0,
     Math.min(byResources, byLimit, readyStep.openTasks.length),
@@ -143,10 +146,14 @@
   return required <= 0 ? Infinity : Math.floor(available / required);
 }
 
-function countPlacedTasks(readyStep: ReadyStep, incarnation: string): number {
-  return readyStep.occurrence.steps[readyStep.stepNumber].filter(
-    task => task.phase === 'placed' && task.worker === incarnation,
-  ).length;
+function countPlacedTasks(tasks: readonly Task[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const {phase, worker} of tasks) {
+    if (phase === 'placed') {
+      counts.set(worker, (counts.get(worker) ?? 0) + 1);
+    }
+  }
+  return counts;
 }
 
 /** Deducts the resources of tasks of a step for the rest of the pass. */
@@ -222,6 +229,8 @@
     stepNumber,
     step,
     openTasks,
+    placedByWorker:
+      step.mostOnOneWorker > 0 ? countPlacedTasks(tasks) : new Map(),
     taskResources,
   };
 }
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -75,6 +75,7 @@
   beginPass,
   schedulePlacement,
 } from './schedulePlacement';
+import {AWAITS_STARTS} from './TaskAllowance';
 import {
   WAITING_SINCE,
   WAITS_CHECKED_AT,
@@ -154,6 +155,7 @@
       kernel.registerSlice(PERMIT_COUNTS),
       kernel.registerSlice(SCHEDULED_PASSES),
       kernel.registerSlice(RESERVATIONS),
+      kernel.registerSlice(AWAITS_STARTS),
       kernel.registerSlice(FORGET_CHECKED_AT),
       kernel.registerSlice(WAITS_CHECKED_AT),
       kernel.registerSlice(WAITING_SINCE),
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -22,6 +22,7 @@
 import {listReadySteps, stepIdOf} from './readySteps';
 import {RESERVATIONS} from './reservations';
 import {schedulePlacement} from './schedulePlacement';
+import {AWAITS_STARTS} from './TaskAllowance';
 import {chooseTaskPlacements} from './taskPlacement';
 
 /** Maximum steps placed in one pass, so as not to delay other commands. */
@@ -44,9 +45,11 @@
   }
   const pass = new PlacementPass(update, self);
   let placedSteps = 0;
+  const cutSteps: ReadyStep[] = [];
   for (const readyStep of listReadySteps(update, scope)) {
-    if (placedSteps >= MAX_STEPS_PER_PASS) {
-      schedulePlacement(update);
+    const mayPlace = pass.allowance.forStep(readyStep);
+    if (placedSteps >= MAX_STEPS_PER_PASS || mayPlace === 0) {
+      cutSteps.push(readyStep);
       break;
     }
     const stepId = stepIdOf(readyStep);
@@ -63,12 +66,35 @@
       : chooseTaskPlacements(pass, readyStep, advice);
     if (placements.length > 0) {
       placedSteps++;
+      pass.allowance.take(placements.length);
       placeStep(update, readyStep, placements);
     }
+    const isCut = placements.length >= mayPlace;
+    if (isCut && mayPlace < readyStep.openTasks.length) {
+      cutSteps.push(readyStep);
+    }
   }
   if (scope === 'all') {
     update.write(RESERVATIONS).set(pass.reservations);
   }
+  scheduleRest(update, pass, scope, cutSteps);
+}
+
+/** Schedules the placement of tasks that a pass left open by its limits. */
+function scheduleRest(
+  update: Update,
+  {allowance}: PlacementPass,
+  scope: PlacementScope,
+  cutSteps: readonly ReadyStep[],
+): void {
+  if (cutSteps.some(readyStep => !allowance.awaitsStarts(readyStep))) {
+    schedulePlacement(update);
+  }
+  const awaitsStarts = update.write(AWAITS_STARTS);
+  const mayAwaitOthers = scope === 'urgent' && awaitsStarts.get();
+  awaitsStarts.set(
+    mayAwaitOthers || cutSteps.some(each => allowance.awaitsStarts(each)),
+  );
 }
 
 /** Records the placements and orders the runs once the record is durable. */
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -34,6 +34,7 @@
 import {endJob, removeDoneOccurrences} from './jobFlow';
 import {DISPATCH_EVENT} from './messages';
 import {schedulePlacement} from './schedulePlacement';
+import {placeAfterStart} from './TaskAllowance';
 
 /** A worker is avoided for this long after it refused a run as unhealthy. */
 const UNHEALTHY_AVOID_MILLIS = 1000;
@@ -184,6 +185,7 @@
   update: Update,
   {runId, incarnation, reason}: PayloadOf<typeof START_GIVEN_UP>,
 ): void {
+  placeAfterStart(update);
   reactToRefusal(update, runId, incarnation, reason);
   stopIncompleteGang(update, runId);
 }
@@ -217,6 +219,7 @@
   update: Update,
   {runId}: PayloadOf<typeof RUN_CONFIRMED>,
 ): void {
+  placeAfterStart(update);
   const active = findActiveTask(update, runId);
   if (active === undefined) {
     stopUnneededRun(update, runId);
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -27,12 +27,16 @@
     );
   const placements = chooseTrialPlacements(pass, readyStep, startable);
   const placedOn = new Map<Candidate, number>();
-  const suspected = readyStep.openTasks.filter(index =>
-    isSuspected(readyStep, index),
+  const suspected = new Set(
+    readyStep.openTasks.filter(index => isSuspected(readyStep, index)),
   );
-  const untriedSuspects = suspected.length - placements.length;
+  const untriedSuspects = suspected.size - placements.length;
+  const mostPlacements = pass.allowance.forStep(readyStep);
   for (const index of readyStep.openTasks) {
-    if (suspected.includes(index)) {
+    if (placements.length >= mostPlacements) {
+      break;
+    }
+    if (suspected.has(index)) {
       continue;
     }
     const candidate = chooseBestFit(startable, readyStep, placedOn);
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -113,13 +113,21 @@
   progress: Progress,
   stepId: StepId,
   update: (task: Task, index: number) => Task,
+): Progress {
+  return replaceStepTasks(progress, stepId, tasks => tasks.map(update));
+}
+
+function replaceStepTasks(
+  progress: Progress,
+  stepId: StepId,
+  replace: (tasks: readonly Task[]) => Task[],
 ): Progress {
   const occurrences = progress.occurrences.map(item =>
     item.number === stepId.occurrence
       ? {
           ...item,
           steps: item.steps.map((tasks, step) =>
-            step === stepId.step ? tasks.map(update) : tasks,
+            step === stepId.step ? replace(tasks) : tasks,
           ),
         }
       : item,
@@ -133,9 +141,13 @@
   taskId: TaskId,
   update: (task: Task) => Task,
 ): Progress {
-  return updateStepTasks(progress, taskId, (task, index) =>
-    index === taskId.index ? update(task) : task,
-  );
+  return replaceStepTasks(progress, taskId, tasks => {
+    const changed = [...tasks];
+    if (taskId.index < changed.length) {
+      changed[taskId.index] = update(changed[taskId.index]);
+    }
+    return changed;
+  });
 }
 
 /** Applies `change` to all tasks of a gang, or else to the task of the run. */
@@ -159,7 +171,10 @@
 
 /** Whether all tasks of a step are done. */
 export function isStepDone(occurrence: Occurrence, step: number): boolean {
-  return (occurrence.steps[step] ?? []).every(task => task.phase === 'done');
+  // From the end, as tasks with low indices start first and are done first.
+  return !(occurrence.steps[step] ?? []).findLast(
+    task => task.phase !== 'done',
+  );
 }
 
 /** Whether all steps that a step depends on are done. */
