A batch larger than the log takes is cut, and wide progress is refused at hand-in

A batch of requests with one too large refused all its callers.

Change: an append larger than max_record_bytes or max_call_bytes is not sent, and told as too large. Requests are cut the same way; the one that is too large is answered 413. A job whose progress may take more than a record is refused with 413 and the numbers. A job starts further occurrences only up to 5,000 open tasks; a due one waits for an earlier one to end.

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -9,6 +9,7 @@
   HOLDING,
   HOLDING_BEGAN,
   HOLDING_ENDED,
+  PROGRESS_TOO_LARGE,
   heldTerm,
   recordRequestsRead,
 } from '@samphireramp/holding';
@@ -46,6 +47,7 @@
 import {CRASH_TRIALS, endTrials} from './crashTrials';
 import {
   applyRequests,
+  failJob,
   forgetEndedJobs,
   onRequestsForgotten,
   startDueOccurrences,
@@ -168,6 +170,9 @@
         clearHoldingState(update);
         update.emit(UNFOLLOW_HOLDER_STREAMS, undefined);
       }),
+      kernel.registerCommand(PROGRESS_TOO_LARGE, (update, {jobId}) =>
+        failJob(update, jobId, wallClock()),
+      ),
       kernel.registerCommand(REQUESTS_READ, onRequestsRead),
       kernel.registerCommand(REQUESTS_FORGOTTEN, onRequestsForgotten),
       kernel.registerCommand(RESOURCES_CHANGED, update =>
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -39,6 +39,9 @@
 /** Maximum ended jobs whose requests are removed at once. */
 const MAX_FORGOTTEN_JOBS = 200;
 
+/** Occurrences beyond the first start only up to so many tasks of a job. */
+const MAX_OPEN_TASKS = 5000;
+
 /** Applies submissions and cancellations of callers. */
 export function applyRequests(
   update: Update,
@@ -125,8 +128,11 @@
   }
   const {job} = row;
   let {nextOccurrence, occurrences} = row.progress;
+  const tasks = job.steps.reduce((sum, {count}) => sum + count, 0);
   while (
     nextOccurrence < job.occurrences &&
+    (occurrences.length === 0 ||
+      (occurrences.length + 1) * tasks <= MAX_OPEN_TASKS) &&
     occurrenceDueAt(job, nextOccurrence) <= wallNow
   ) {
     occurrences = [...occurrences, newOccurrence(job, nextOccurrence)];
@@ -194,6 +200,14 @@
   );
 }
 
+/** Ends a job that can't go on as failed. */
+export function failJob(update: Update, jobId: string, wallNow: number): void {
+  const row = update.read(JOBS).get(jobId);
+  if (row !== undefined && !isFinalState(row.progress.state)) {
+    endJob(update, row, row.progress, 'failed', wallNow);
+  }
+}
+
 function cancelJob(update: Update, jobId: string, wallNow: number): void {
   const row = update.read(JOBS).get(jobId);
   if (row !== undefined && !isFinalState(row.progress.state)) {
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -54,6 +54,8 @@
   readonly nextBatchNumber: number;
   /** The batch that is being appended; at most one at a time. */
   readonly batchInFlight: JournalBatch | undefined;
+  /** Most entries of a batch; less than all pending ones after one too large. */
+  readonly maxBatchEntries: number;
   /** When a claim or a batch was last sent to the log. */
   readonly lastAppendAt: number;
 }
@@ -68,6 +70,7 @@
   confirmedAt: -Infinity,
   nextBatchNumber: 1,
   batchInFlight: undefined,
+  maxBatchEntries: Infinity,
   lastAppendAt: 0,
 };
 
--- /dev/null
+++ b/packages/holding/src/batchSplitting.ts
@@ -0,0 +1,72 @@
+import {invariant, type Update} from '@samphireramp/kernel';
+import {
+  DEFERRED_COMMANDS,
+  type DeferredCommand,
+  FLUSH_JOURNAL,
+  HOLDING,
+  type JournalBatch,
+  PENDING_ENTRIES,
+  heldTerm,
+} from './HoldingState';
+import {HOLDING_EVENT, type JournalEntry, PROGRESS_TOO_LARGE} from './messages';
+
+/**
+ * Takes back a batch that is larger than the log takes, and appends half of it,
+ * until the entry that is too large is alone. That one is dropped.
+ */
+export function splitBatch(
+  update: Update,
+  self: string,
+  batch: JournalBatch,
+  detail: string,
+): void {
+  const holding = update.write(HOLDING);
+  const entries = batch.entries.filter(entry => entry.kind !== 'holder');
+  restoreBatch(update, entries, batch.deferredCommands);
+  holding.set({
+    ...holding.get(),
+    batchInFlight: undefined,
+    nextBatchNumber: batch.number,
+    maxBatchEntries: Math.max(1, Math.floor(entries.length / 2)),
+  });
+  const [only, ...others] = entries;
+  if (only !== undefined && others.length === 0) {
+    const jobId = jobIdOf(only);
+    update.write(PENDING_ENTRIES).delete(jobId);
+    update.emit(HOLDING_EVENT, {
+      event: 'record-too-large',
+      term: heldTerm(update) ?? 0,
+      holder: self,
+      detail: `${jobId}: ${detail}`,
+    });
+    update.dispatch(PROGRESS_TOO_LARGE, {jobId});
+  }
+  update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
+}
+
+/** Puts entries and commands of a batch before those that are pending. */
+function restoreBatch(
+  update: Update,
+  entries: readonly JournalEntry[],
+  commands: readonly DeferredCommand[],
+): void {
+  const pending = update.write(PENDING_ENTRIES);
+  const later = new Map(pending.entries());
+  pending.clear();
+  for (const entry of entries) {
+    const jobId = jobIdOf(entry);
+    pending.set(jobId, later.get(jobId) ?? entry);
+  }
+  later.forEach((entry, jobId) => pending.set(jobId, entry));
+  const deferredCommands = update.write(DEFERRED_COMMANDS);
+  const laterCommands = deferredCommands.takeAll();
+  [...commands, ...laterCommands].forEach(each =>
+    deferredCommands.append(each),
+  );
+}
+
+/** The job that an entry is about. */
+function jobIdOf(entry: JournalEntry): string {
+  invariant(entry.kind !== 'holder', 'A holder record is about no job');
+  return entry.kind === 'progress' ? entry.progress.jobId : entry.jobId;
+}
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -26,7 +26,8 @@
   PENDING_ENTRIES,
   heldTerm,
 } from './HoldingState';
-import {createBatch} from './journalBatch';
+import {splitBatch} from './batchSplitting';
+import {takeBatch} from './journalBatch';
 import {NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import {
   APPEND_JOURNAL,
@@ -41,6 +42,7 @@
   JOURNAL_READ,
   type JournalRead,
   PROGRESS_DURABLE,
+  PROGRESS_TOO_LARGE,
   RESIGN,
 } from './messages';
 
@@ -97,6 +99,7 @@
       },
       nextBatchNumber: 1,
       batchInFlight: undefined,
+      maxBatchEntries: Infinity,
       lastAppendAt: update.now,
     });
     update.write(DEFERRED_COMMANDS).takeAll();
@@ -146,22 +149,15 @@
       resendIfDue(update, current, current.batchInFlight);
       return;
     }
-    const pendingEntries = update.write(PENDING_ENTRIES);
-    const deferredCommands = update.write(DEFERRED_COMMANDS);
-    const isIdle = pendingEntries.size === 0 && deferredCommands.size === 0;
+    const isIdle =
+      update.read(PENDING_ENTRIES).size === 0 &&
+      update.read(DEFERRED_COMMANDS).size === 0;
     const isHeartbeatDue =
       update.now - current.lastAppendAt >= HEARTBEAT_INTERVAL_MILLIS;
     if (isIdle && !isHeartbeatDue && !current.isStopping) {
       return;
     }
-    const batch = createBatch(
-      current,
-      current.latestHolderRecord,
-      [...pendingEntries.values()],
-      deferredCommands.takeAll(),
-    );
-    pendingEntries.clear();
-    holding.set({...current, nextBatchNumber: batch.number + 1});
+    const batch = takeBatch(update, current, current.latestHolderRecord);
     sendBatch(update, batch, MIN_APPEND_TIMEOUT_MILLIS);
   }
 
@@ -305,6 +301,9 @@
       .with({kind: 'refused'}, () =>
         scheduleResend(update, REFUSED_APPEND_RETRY_DELAY_MILLIS),
       )
+      .with({kind: 'too-large'}, ({detail}) =>
+        splitBatch(update, self, batchInFlight, detail),
+      )
       .with({kind: 'unknown'}, () =>
         scheduleResend(update, UNANSWERED_APPEND_RETRY_DELAY_MILLIS),
       )
@@ -372,6 +371,7 @@
       kernel.registerCommand(HOLDING_BEGAN, () => undefined),
       kernel.registerCommand(HOLDING_ENDED, () => undefined),
       kernel.registerCommand(PROGRESS_DURABLE, () => undefined),
+      kernel.registerCommand(PROGRESS_TOO_LARGE, () => undefined),
       kernel.registerCommand(HOLDING_FENCED, update =>
         endHolding(update, 'fenced-by-worker'),
       ),
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -36,5 +36,6 @@
   type JournalRead,
   type StoredEntry,
   PROGRESS_DURABLE,
+  PROGRESS_TOO_LARGE,
   RESIGN,
 } from './messages';
--- a/packages/holding/src/journalBatch.ts
+++ b/packages/holding/src/journalBatch.ts
@@ -1,16 +1,57 @@
 import type {HolderRecord} from './HolderRecord';
-import type {DeferredCommand, HoldingState, JournalBatch} from './HoldingState';
+import type {Update} from '@samphireramp/kernel';
+import {
+  DEFERRED_COMMANDS,
+  type DeferredCommand,
+  HOLDING,
+  type HoldingState,
+  type JournalBatch,
+  PENDING_ENTRIES,
+} from './HoldingState';
 import {requestsAge} from './jobKnowledge';
 import type {JournalEntry} from './messages';
 
-/** Creates the next batch of a holding from the entries that are pending. */
-export function createBatch(
+/** Takes the next batch of a holding, up to its limit, from what is pending. */
+export function takeBatch(
+  update: Update,
+  holding: HoldingState,
+  latestHolderRecord: HolderRecord,
+): JournalBatch {
+  const {maxBatchEntries} = holding;
+  const pendingEntries = update.write(PENDING_ENTRIES);
+  const isPartial = pendingEntries.size > maxBatchEntries;
+  const entries = [...pendingEntries.entries()].slice(0, maxBatchEntries);
+  const batch = createBatch(
+    holding,
+    latestHolderRecord,
+    entries.map(([, entry]) => entry),
+    isPartial ? [] : update.write(DEFERRED_COMMANDS).takeAll(),
+    isPartial,
+  );
+  entries.forEach(([jobId]) => pendingEntries.delete(jobId));
+  update.write(HOLDING).set({
+    ...holding,
+    nextBatchNumber: batch.number + 1,
+    maxBatchEntries: isPartial ? maxBatchEntries : Infinity,
+  });
+  return batch;
+}
+
+/**
+ * Creates the next batch of a holding from the entries that are pending. If it has
+ * only the first of them, it is not the last of a holding and tells nothing of
+ * which requests were read.
+ */
+function createBatch(
   holding: HoldingState,
   latestHolderRecord: HolderRecord,
   pendingEntries: readonly JournalEntry[],
   deferredCommands: readonly DeferredCommand[],
+  isPartial: boolean,
 ): JournalBatch {
-  const {nextBatchNumber, isStopping, requestsReadUntil} = holding;
+  const {nextBatchNumber} = holding;
+  const isStopping = holding.isStopping && !isPartial;
+  const requestsReadUntil = isPartial ? -Infinity : holding.requestsReadUntil;
   const record: HolderRecord = {
     ...latestHolderRecord,
     batch: nextBatchNumber,
--- a/packages/holding/src/messages.ts
+++ b/packages/holding/src/messages.ts
@@ -35,6 +35,11 @@
   readonly entries: readonly JournalEntry[];
 }>('progress-durable');
 
+/** The log can't take the progress of a job, because of its size. */
+export const PROGRESS_TOO_LARGE = createCommand<{readonly jobId: string}>(
+  'progress-too-large',
+);
+
 /** Periodic tick: a claim, a heartbeat or the resend of a batch may be due. */
 export const HOLDING_TICK = createCommand<void>('holding-tick');
 
--- a/packages/intake/src/Request.ts
+++ b/packages/intake/src/Request.ts
@@ -15,6 +15,8 @@
   | {readonly kind: 'accepted'}
   /** The request is not in the log and never will be. */
   | {readonly kind: 'refused'; readonly retryAfterMillis: number}
+  /** The log can't take the request, because of its size. */
+  | {readonly kind: 'too-large'}
   /** The request may be in the log. */
   | {readonly kind: 'unknown'};
 
--- a/packages/intake/src/requestBatches.ts
+++ b/packages/intake/src/requestBatches.ts
@@ -5,6 +5,7 @@
   BATCHES_IN_FLIGHT,
   BATCH_COUNT,
   MEAN_APPEND_TIME,
+  type PendingCall,
   type RequestBatch,
   UNBATCHED_CALLS,
 } from './IntakeState';
@@ -63,21 +64,52 @@
   ) {
     const calls = unbatchedCalls.get().slice(0, MAX_BATCH_REQUESTS);
     unbatchedCalls.set(unbatchedCalls.get().slice(MAX_BATCH_REQUESTS));
-    const count = update.write(BATCH_COUNT);
-    count.set(count.get() + 1);
-    const batch = {
-      id: String(count.get()),
-      partition: firstPartitionOf(jobIdOf(calls[0].request), partitions),
-      calls,
-      startedAt: update.now,
-      attempts: 0,
-      attemptsInFlight: 0,
-      mayBeAppended: false,
-    };
-    attemptAppend(update, batch, partitions);
+    appendCalls(update, calls, update.now, partitions);
   }
 }
 
+/** Creates a batch of calls and appends it for the first time. */
+function appendCalls(
+  update: Update,
+  calls: readonly PendingCall[],
+  startedAt: number,
+  partitions: number,
+): void {
+  const count = update.write(BATCH_COUNT);
+  count.set(count.get() + 1);
+  const batch = {
+    id: String(count.get()),
+    partition: firstPartitionOf(jobIdOf(calls[0].request), partitions),
+    calls,
+    startedAt,
+    attempts: 0,
+    attemptsInFlight: 0,
+    mayBeAppended: false,
+  };
+  attemptAppend(update, batch, partitions);
+}
+
+/**
+ * Appends the halves of a batch that is larger than the log takes, until the
+ * request that is too large is alone.
+ */
+function splitBatch(
+  update: Update,
+  batch: RequestBatch,
+  detail: string,
+  partitions: number,
+): void {
+  const {calls, startedAt} = batch;
+  if (calls.length === 1) {
+    finishBatch(update, batch, {kind: 'too-large'}, detail, partitions);
+    return;
+  }
+  update.write(BATCHES_IN_FLIGHT).delete(batch.id);
+  const middle = Math.ceil(calls.length / 2);
+  appendCalls(update, calls.slice(0, middle), startedAt, partitions);
+  appendCalls(update, calls.slice(middle), startedAt, partitions);
+}
+
 /** Appends a batch, for the first time or again, and schedules a hedge. */
 function attemptAppend(
   update: Update,
@@ -139,6 +171,10 @@
     acceptBatch(update, batch, partitions);
     return;
   }
+  if (outcome.kind === 'too-large') {
+    splitBatch(update, batch, outcome.detail, partitions);
+    return;
+  }
   const updated: RequestBatch = {
     ...batch,
     attemptsInFlight: batch.attemptsInFlight - 1,
--- a/packages/record-codec/src/index.ts
+++ b/packages/record-codec/src/index.ts
@@ -2,7 +2,11 @@
 export {decodeHosts, encodeHost} from './hostCodec';
 export {decodeJournal, encodeJournalEntry} from './journalCodec';
 export {parseJson} from './parseJson';
-export {decodeProgress, encodeProgress} from './progressCodec';
+export {
+  decodeProgress,
+  encodeProgress,
+  greatestProgressBytes,
+} from './progressCodec';
 export {
   decodeRequests,
   encodeRequestTombstones,
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -1,4 +1,5 @@
 import {
+  type Job,
   NEW_TASK,
   type Occurrence,
   type Progress,
@@ -18,6 +19,13 @@
 /** Index of the worker in the record of a task that is not placed. */
 const NO_WORKER = -1;
 
+/** Bytes of the record of a task that failed and crashed a worker. */
+const MAX_TASK_BYTES = 24;
+/** Bytes of a checkpoint. */
+const MAX_CHECKPOINT_BYTES = 32;
+/** Bytes of the other fields, with the names of some hundred workers. */
+const MAX_OTHER_BYTES = 20_000;
+
 // Tasks make up most of a record, so each has the shortest form for its state.
 const taskRecordSchema = z.union([
   z.number(), // NEVER_RUN, DONE, or FIRST_RUN + index of the worker
@@ -59,6 +67,14 @@
 type TaskRecord = z.infer<typeof taskRecordSchema>;
 type ProgressRecord = z.infer<typeof progressRecordSchema>;
 
+/** Estimates the size of the progress of a job at its greatest, in bytes. */
+export function greatestProgressBytes({steps}: Job): number {
+  return steps.reduce((bytes, {count, savesCheckpoints}) => {
+    const checkpointBytes = savesCheckpoints ? MAX_CHECKPOINT_BYTES : 0;
+    return bytes + count * (MAX_TASK_BYTES + checkpointBytes);
+  }, MAX_OTHER_BYTES);
+}
+
 /** Encodes progress as compact JSON. */
 export function encodeProgress(progress: Progress): Buffer {
   const workerIndices = new Map<string, number>();
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -10,6 +10,7 @@
   jobStatus,
 } from '@samphireramp/intake';
 import type {Kernel} from '@samphireramp/kernel';
+import {greatestProgressBytes} from '@samphireramp/record-codec';
 import type {CallerService} from '@samphireramp/platform';
 
 /** Options of `createCallerService`. */
@@ -19,6 +20,8 @@
   /** Milliseconds since 1970. */
   readonly wallClock: () => number;
   readonly isStopping: () => boolean;
+  /** Maximum bytes of a record in the log. */
+  readonly maxRecordBytes: () => number;
   /** An accepted job must be known at every host within this time. */
   readonly visibleMillis: () => number;
   /** Called with each answer that this host gives from its copy of the journal. */
@@ -51,6 +54,13 @@
 
   return {
     configuration: () => kernel.read(SITE_CONFIGURATION).get(),
+    progressExcess: job => {
+      const bytes = greatestProgressBytes(job);
+      return bytes > options.maxRecordBytes()
+        ? `the progress of the job may take ${bytes} bytes; at most ` +
+            `${options.maxRecordBytes()} can be recorded: hand in fewer tasks`
+        : undefined;
+    },
     submit: job => dispatchRequest({kind: 'submit', job}),
     cancel: jobId =>
       dispatchRequest({kind: 'cancel', jobId, receivedAt: wallClock()}),
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -101,6 +101,7 @@
     client: httpClient,
     address: () => settings().storeAddress,
     partitions,
+    limits: settings,
     now,
   });
   const adviser = createAdviser(httpClient, () => settings().adviserAddress);
@@ -155,6 +156,7 @@
     now,
     wallClock,
     visibleMillis: () => settings().visibleMillis,
+    maxRecordBytes: () => settings().maxRecordBytes,
     isStopping: () => isStopping,
     ...createAnswerReporter(kernel, {log, metrics, now}),
   });
--- a/packages/stream-log/src/StreamLog.ts
+++ b/packages/stream-log/src/StreamLog.ts
@@ -27,6 +27,8 @@
   | {readonly kind: 'conflict'; readonly endOffset: number}
   /** The request was rejected or not sent; nothing was appended. */
   | {readonly kind: 'refused'; readonly detail: string}
+  /** A record or all of them are larger than the log takes; nothing was appended. */
+  | {readonly kind: 'too-large'; readonly detail: string}
   /** No valid response: the records may have been appended, or may be later. */
   | {readonly kind: 'unknown'; readonly detail: string};
 
--- a/testing/src/__tests__/unit/wideJobs.test.ts
+++ b/testing/src/__tests__/unit/wideJobs.test.ts
@@ -1,3 +1,4 @@
+import {JOBS} from '@samphireramp/dispatch';
 import {RUNS} from '@samphireramp/fleet';
 import type {Job} from '@samphireramp/jobs';
 import t from 'tap';
@@ -68,3 +69,17 @@
   const startsOfWide = site.checker.countStarts(wide.id);
   t.ok(startsOfWide > 0 && startsOfWide < TASKS / 2, String(startsOfWide));
 });
+
+void t.test('a job of many due occurrences starts a few of them', async t => {
+  const {site} = await buildWideSite();
+  const step = buildStep({count: 100, need: NEED, estimateMillis: 60_000});
+  const repeated = buildJob('00000000000000d4', [step], {
+    receivedAt: 1000,
+    occurrences: 1000,
+    firstDueAt: 1,
+  });
+  void site.submit(site.hosts[0], repeated);
+  await site.run(500);
+  const row = site.holder()?.kernel.read(JOBS).get(repeated.id);
+  t.equal(row?.progress.occurrences.length, 50);
+});
