--- a/benchmarks/startBenchProcesses.ts
+++ b/benchmarks/startBenchProcesses.ts
@@ -1,5 +1,6 @@
 import {
   type Platform,
+  type PlatformOptions,
   type SiteProcesses,
   DEFAULT_POLICY,
   encodeConfiguration,
@@ -14,9 +15,13 @@
 const HOST_COUNT = 3;
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
 
-/** Starts three hosts as processes, and a simulated platform with workers. */
+/**
+ * Starts three hosts as processes, and a simulated platform with workers;
+ * `overrides` replaces options of the platform.
+ */
 export async function startBenchProcesses(
   workers: number,
+  overrides: Partial<PlatformOptions> = {},
 ): Promise<{platform: Platform; site: SiteProcesses}> {
   const platform = await startPlatform({
     workers,
@@ -27,6 +32,7 @@
       const step = job.steps[runId.step];
       return {step, workMillis: step.estimateMillis, fails: () => false};
     },
+    ...overrides,
   });
   const site = await startSiteProcesses(platform, HOST_COUNT, PROGRAM);
   for (const host of site.hosts) {
