--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -32,14 +32,35 @@
 }
 
 /**
- * Decodes records of the journal. Calls `onMalformed` with the key of each invalid
- * record.
+ * Decodes records of the journal. Of several valid ones about a job, only the newest
+ * is decoded, which replaces the others. Calls `onMalformed` with the key of each
+ * invalid record.
  */
 export function decodeJournal(
   records: readonly StoredRecord[],
   onMalformed: (key: string) => void,
 ): StoredEntry[] {
-  return decodeEntries(records, decodeEntry, onMalformed);
+  const newestJobs = new Set<string>();
+  const decodeNewest = (record: LogRecord): JournalEntry | undefined => {
+    const entry = decodeEntry(record);
+    if (entry !== undefined && entry.kind !== 'holder') {
+      newestJobs.add(record.key);
+    }
+    return entry;
+  };
+  const entries: StoredEntry[] = [];
+  const malformedKeys: string[] = [];
+  for (const record of [...records].reverse()) {
+    if (!newestJobs.has(record.key)) {
+      entries.push(
+        ...decodeEntries([record], decodeNewest, key =>
+          malformedKeys.push(key),
+        ),
+      );
+    }
+  }
+  malformedKeys.reverse().forEach(key => onMalformed(key));
+  return entries.reverse();
 }
 
 function decodeEntry({key, value}: LogRecord): JournalEntry | undefined {
