--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -9,6 +9,7 @@
   HOLDING,
   HOLDING_BEGAN,
   HOLDING_ENDED,
+  PROGRESS_TOO_LARGE,
   heldTerm,
   recordRequestsRead,
 } from '@samphireramp/holding';
@@ -46,6 +47,7 @@
 import {CRASH_TRIALS, endTrials} from './crashTrials';
 import {
   applyRequests,
+  failJob,
   forgetEndedJobs,
   onRequestsForgotten,
   startDueOccurrences,
@@ -75,6 +77,7 @@
   beginPass,
   schedulePlacement,
 } from './schedulePlacement';
+import {AWAITS_STARTS} from './TaskAllowance';
 import {
   WAITING_SINCE,
   WAITS_CHECKED_AT,
@@ -154,6 +157,7 @@
       kernel.registerSlice(PERMIT_COUNTS),
       kernel.registerSlice(SCHEDULED_PASSES),
       kernel.registerSlice(RESERVATIONS),
+      kernel.registerSlice(AWAITS_STARTS),
       kernel.registerSlice(FORGET_CHECKED_AT),
       kernel.registerSlice(WAITS_CHECKED_AT),
       kernel.registerSlice(WAITING_SINCE),
@@ -166,6 +170,9 @@
         clearHoldingState(update);
         update.emit(UNFOLLOW_HOLDER_STREAMS, undefined);
       }),
+      kernel.registerCommand(PROGRESS_TOO_LARGE, (update, {jobId}) =>
+        failJob(update, jobId, wallClock()),
+      ),
       kernel.registerCommand(REQUESTS_READ, onRequestsRead),
       kernel.registerCommand(REQUESTS_FORGOTTEN, onRequestsForgotten),
       kernel.registerCommand(RESOURCES_CHANGED, update =>
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -3,10 +3,12 @@
   type StateReader,
   type Update,
   createCommand,
+  createListSlice,
   createTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
 import type {Progress} from '@samphireramp/jobs';
+import {match} from 'ts-pattern';
 import type {JournalEntry} from './messages';
 import {EMPTY_COPY, type StreamCopy} from './streamCopy';
 
@@ -67,10 +69,10 @@
   readonly nextBatchNumber: number;
   /** The batch that is being appended; at most one at a time. */
   readonly batchInFlight: JournalBatch | undefined;
+  /** Most entries of a batch; less than all pending ones after one too large. */
+  readonly maxBatchEntries: number;
   /** When a claim or a batch was last sent to the log. */
   readonly lastAppendAt: number;
-  /** Commands to dispatch once the next batch is durable. */
-  readonly deferredCommands: readonly DeferredCommand[];
 }
 
 const INITIAL_STATE: HoldingState = {
@@ -85,8 +87,8 @@
   confirmedAt: -Infinity,
   nextBatchNumber: 1,
   batchInFlight: undefined,
+  maxBatchEntries: Infinity,
   lastAppendAt: 0,
-  deferredCommands: [],
 };
 
 /** The state of the holding, as this host knows it. */
@@ -95,9 +97,13 @@
 /** Durable progress of each job, by job id. */
 export const DURABLE_PROGRESS = createTableSlice<Progress>('job-views');
 
-/** Entries for the next batch, by job id; a newer entry replaces an older. */
+/** Entries for the next batch; a newer entry replaces an older with its key. */
 export const PENDING_ENTRIES = createTableSlice<JournalEntry>('unwritten');
 
+/** Commands to dispatch once the next batch is durable. */
+export const DEFERRED_COMMANDS =
+  createListSlice<DeferredCommand>('deferred-commands');
+
 /** The term of this host's holding; undefined if it is not the holder. */
 export function heldTerm(state: StateReader): number | undefined {
   const {phase, latestHolderRecord} = state.read(HOLDING).get();
@@ -107,6 +113,25 @@
 /** Appends pending entries to the journal, after the batch in flight if any. */
 export const FLUSH_JOURNAL = createCommand<void>('journal-due');
 
+/** Adds an entry to the next batch, in place of an older one with its key. */
+export function setPendingEntry(update: Update, entry: JournalEntry): void {
+  update.write(PENDING_ENTRIES).set(pendingKeyOf(entry), entry);
+}
+
+/** Returns the key of an entry among the pending ones: what it is about. */
+export function pendingKeyOf(entry: JournalEntry): string {
+  return match(entry)
+    .with({kind: 'holder'}, () => 'holder')
+    .with({kind: 'progress'}, ({progress}) => progress.jobId)
+    .with({kind: 'forgotten'}, ({jobId}) => jobId)
+    .with({kind: 'lease-bound'}, ({bound}) => `lease.${bound.incarnation}`)
+    .with(
+      {kind: 'lease-bound-lifted'},
+      ({incarnation}) => `lease.${incarnation}`,
+    )
+    .exhaustive();
+}
+
 /**
  * Records the progress of a job, to be appended with the next batch. On a
  * follower this does nothing: an entry kept until a later term would write a
@@ -116,9 +141,7 @@
   if (heldTerm(update) === undefined) {
     return;
   }
-  update
-    .write(PENDING_ENTRIES)
-    .set(progress.jobId, {kind: 'progress', progress});
+  setPendingEntry(update, {kind: 'progress', progress});
   update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
 }
 
@@ -141,7 +164,7 @@
   if (heldTerm(update) === undefined) {
     return;
   }
-  update.write(PENDING_ENTRIES).set(jobId, {kind: 'forgotten', jobId});
+  setPendingEntry(update, {kind: 'forgotten', jobId});
   update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
 }
 
@@ -157,12 +180,8 @@
   if (heldTerm(update) === undefined) {
     return;
   }
-  const holding = update.write(HOLDING);
-  const current = holding.get();
-  const deferredCommand = {command: command as Command<unknown>, payload};
-  holding.set({
-    ...current,
-    deferredCommands: [...current.deferredCommands, deferredCommand],
-  });
+  update
+    .write(DEFERRED_COMMANDS)
+    .append({command: command as Command<unknown>, payload});
   update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
 }
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -19,6 +19,7 @@
 import type {HolderRecord} from './HolderRecord';
 import {
   type JournalBatch,
+  DEFERRED_COMMANDS,
   HOLDING,
   type HoldingState,
   DURABLE_PROGRESS,
@@ -26,7 +27,8 @@
   PENDING_ENTRIES,
   heldTerm,
 } from './HoldingState';
-import {createBatch} from './journalBatch';
+import {splitBatch} from './batchSplitting';
+import {takeBatch} from './journalBatch';
 import {DURABLE_LEASE_BOUNDS} from './leaseBounds';
 import {NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import {
@@ -42,6 +44,7 @@
   JOURNAL_READ,
   type JournalRead,
   PROGRESS_DURABLE,
+  PROGRESS_TOO_LARGE,
   RESIGN,
 } from './messages';
 
@@ -102,9 +105,10 @@
       },
       nextBatchNumber: 1,
       batchInFlight: undefined,
+      maxBatchEntries: Infinity,
       lastAppendAt: update.now,
-      deferredCommands: [],
     });
+    update.write(DEFERRED_COMMANDS).takeAll();
     update.emit(HOLDING_EVENT, {
       event: 'holding-began',
       term: record.term,
@@ -123,11 +127,11 @@
       ...holding.get(),
       phase: 'following',
       batchInFlight: undefined,
-      deferredCommands: [],
       holderHeardAt: update.now,
       nextClaimAt: update.now + CLAIM_RETRY_DELAY_MILLIS,
     });
     update.write(PENDING_ENTRIES).clear();
+    update.write(DEFERRED_COMMANDS).takeAll();
     update.emit(READ_JOURNAL_NOW, undefined);
     update.emit(HOLDING_EVENT, {
       event: 'holding-ended',
@@ -151,26 +155,15 @@
       resendIfDue(update, current, current.batchInFlight);
       return;
     }
-    const pendingEntries = update.write(PENDING_ENTRIES);
     const isIdle =
-      pendingEntries.size === 0 && current.deferredCommands.length === 0;
+      update.read(PENDING_ENTRIES).size === 0 &&
+      update.read(DEFERRED_COMMANDS).size === 0;
     const isHeartbeatDue =
       update.now - current.lastAppendAt >= HEARTBEAT_INTERVAL_MILLIS;
     if (isIdle && !isHeartbeatDue && !current.isStopping) {
       return;
     }
-    const batch = createBatch(
-      current,
-      current.latestHolderRecord,
-      [...pendingEntries.values()],
-      update.now,
-    );
-    pendingEntries.clear();
-    holding.set({
-      ...current,
-      nextBatchNumber: batch.number + 1,
-      deferredCommands: [],
-    });
+    const batch = takeBatch(update, current, current.latestHolderRecord);
     sendBatch(update, batch, MIN_APPEND_TIMEOUT_MILLIS);
   }
 
@@ -315,6 +308,9 @@
       .with({kind: 'refused'}, () =>
         scheduleResend(update, REFUSED_APPEND_RETRY_DELAY_MILLIS),
       )
+      .with({kind: 'too-large'}, ({detail}) =>
+        splitBatch(update, self, batchInFlight, detail),
+      )
       .with({kind: 'unknown'}, () =>
         scheduleResend(update, UNANSWERED_APPEND_RETRY_DELAY_MILLIS),
       )
@@ -373,12 +369,14 @@
       kernel.registerSlice(DURABLE_PROGRESS),
       kernel.registerSlice(DURABLE_LEASE_BOUNDS),
       kernel.registerSlice(PENDING_ENTRIES),
+      kernel.registerSlice(DEFERRED_COMMANDS),
       kernel.registerCommand(FLUSH_JOURNAL, update => flushJournal(update)),
       kernel.registerCommand(JOURNAL_READ, onRead),
       kernel.registerCommand(JOURNAL_APPEND_ENDED, onAppended),
       kernel.registerCommand(HOLDING_BEGAN, () => undefined),
       kernel.registerCommand(HOLDING_ENDED, () => undefined),
       kernel.registerCommand(PROGRESS_DURABLE, () => undefined),
+      kernel.registerCommand(PROGRESS_TOO_LARGE, () => undefined),
       kernel.registerCommand(HOLDING_FENCED, update =>
         endHolding(update, 'fenced-by-worker'),
       ),
--- a/packages/holding/src/leaseBounds.ts
+++ b/packages/holding/src/leaseBounds.ts
@@ -6,8 +6,8 @@
 import {
   FLUSH_JOURNAL,
   HOLDING,
-  PENDING_ENTRIES,
   heldTerm,
+  setPendingEntry,
 } from './HoldingState';
 import type {StoredEntry} from './messages';
 
@@ -76,8 +76,7 @@
   const {holdingBeganAt} = update.read(HOLDING).get();
   const endsAtTermMillis = Math.ceil(leasesEndAt - holdingBeganAt);
   const bound = {incarnation, term, endsAtTermMillis};
-  const key = pendingKey(incarnation);
-  update.write(PENDING_ENTRIES).set(key, {kind: 'lease-bound', bound});
+  setPendingEntry(update, {kind: 'lease-bound', bound});
   update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
 }
 
@@ -89,14 +88,6 @@
   if (heldTerm(update) === undefined) {
     return;
   }
-  const key = pendingKey(incarnation);
-  update
-    .write(PENDING_ENTRIES)
-    .set(key, {kind: 'lease-bound-lifted', incarnation});
+  setPendingEntry(update, {kind: 'lease-bound-lifted', incarnation});
   update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
 }
-
-/** Key among the pending entries, where jobs have their id. */
-function pendingKey(incarnation: string): string {
-  return `lease.${incarnation}`;
-}
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -48,13 +48,37 @@
 }
 
 /**
- * Decodes records of the journal. Calls `onMalformed` for each invalid record.
+ * Decodes records of the journal. Of several valid ones about a job, only the newest
+ * is decoded, which replaces the others. Calls `onMalformed` for each invalid record.
  */
 export function decodeJournal(
   records: readonly StoredRecord[],
   onMalformed: OnMalformed,
 ): StoredEntry[] {
-  return decodeEntries(records, decodeEntry, onMalformed);
+  const newestJobs = new Set<string>();
+  const decodeNewest = (
+    record: LogRecord,
+    onInvalid: OnInvalid,
+  ): JournalEntry | undefined => {
+    const entry = decodeEntry(record, onInvalid);
+    if (entry !== undefined && entry.kind !== 'holder') {
+      newestJobs.add(record.key);
+    }
+    return entry;
+  };
+  const entries: StoredEntry[] = [];
+  const malformed: Array<Parameters<OnMalformed>> = [];
+  for (const record of [...records].reverse()) {
+    if (!newestJobs.has(record.key)) {
+      entries.push(
+        ...decodeEntries([record], decodeNewest, (...args) =>
+          malformed.push(args),
+        ),
+      );
+    }
+  }
+  malformed.reverse().forEach(args => onMalformed(...args));
+  return entries.reverse();
 }
 
 function decodeEntry(
