--- a/testing/src/__tests__/unit/latePolls.test.ts
+++ b/testing/src/__tests__/unit/latePolls.test.ts
@@ -93,3 +93,25 @@
     t.equal(site.checker.countStarts('00000000000000c4'), 2);
   },
 );
+
+void t.test(
+  'a lease from a late poll before the first one of a life is reckoned with',
+  async t => {
+    const site = buildModelSite({workers: 2, policies: [POLICY]});
+    await site.run(30_000);
+    const [worker] = site.workers;
+    const {faultState} = site;
+    await losePolls(site, worker, 2500, 6000);
+    site.faultState = {...faultState, canCall: (_, id) => id !== worker.id};
+    worker.restart();
+    // The late polls come now, and ask for a lease end of the earlier clock.
+    await site.run(6500);
+    site.faultState = faultState;
+    site.writeRegistryEntry(worker);
+    await site.run(300);
+    await submitJob(site, '00000000000000c5', 20_000, 300);
+    t.equal(worker.countRuns(), 1);
+    await cutOff(site, worker, 9000);
+    t.same(site.checker.violations, []);
+  },
+);
