--- a/testing/src/__tests__/process/oddEntries.test.ts
+++ b/testing/src/__tests__/process/oddEntries.test.ts
@@ -1,5 +1,6 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Job} from '@samphireramp/jobs';
 import t, {type Test} from 'tap';
 import {
   type Platform,
@@ -126,6 +127,17 @@
   }
 }
 
+/** Hands a job in again while it is refused, as callers do. */
+async function submitUntilAccepted(
+  platform: Platform,
+  {callerAddress}: SiteProcessHost,
+  job: Job,
+): Promise<void> {
+  await waitUntil(
+    async () => (await submitAt(platform, callerAddress, job)).status === 200,
+  );
+}
+
 async function findHolder(site: SiteProcesses): Promise<SiteProcessHost> {
   const holder = await waitForHolder(site, TIMEOUT_MILLIS);
   if (holder === undefined) {
@@ -162,7 +174,7 @@
   const steps = [buildStep({count: 2}), buildStep({count: 2, after: [0]})];
   const policy = DEFAULT_POLICY;
   const job = buildJob('00000000000000d1', steps, {policy});
-  await submitAt(platform, follower.callerAddress, job);
+  await submitUntilAccepted(platform, follower, job);
   await waitUntil(
     async () => (await readJobState(follower.callerAddress, job)) === 'running',
   );
@@ -181,7 +193,7 @@
   // Only the worker that no host knows so far is in this rack.
   const step = buildStep({requiredLabel: 'rack-1'});
   const later = buildJob('00000000000000d2', [step], {policy});
-  await submitAt(platform, follower.callerAddress, later);
+  await submitUntilAccepted(platform, follower, later);
   platform.writeRegistryEntry(platform.workers[1]);
   writeOddEntries();
   await waitUntil(
