The store of the process tests keeps to the size of a read

The other cause for which the test of odd entries failed on a busy machine: the store answered with the whole backlog, whatever max_kilobytes said; with 0.8 MB of odd entries each 100 ms and a delayed host that grew beyond the 16 MB that a host takes, and its stream of workers stayed lost.

--- a/testing/src/site/startPlatform.ts
+++ b/testing/src/site/startPlatform.ts
@@ -34,6 +34,7 @@
 const OFFSET_BYTES = 8;
 /** Size of the length prefix of a record frame. */
 const LENGTH_PREFIX_BYTES = 4;
+const BYTES_PER_KILOBYTE = 1024;
 
 /** Streams by the names of their topics in the store. */
 const STREAMS_BY_TOPIC: Readonly<Record<string, StreamName>> = {
@@ -236,12 +237,29 @@
     }
     const header = Buffer.alloc(2 * OFFSET_BYTES);
     header.writeBigUInt64BE(BigInt(records.length), 0);
-    const frames = records.slice(from).flatMap(encodeFrame);
-    return context.body(Uint8Array.from(Buffer.concat([header, ...frames])));
+    const maxBytes =
+      Number(context.req.query('max_kilobytes') ?? 1024) * BYTES_PER_KILOBYTE;
+    const page = encodePage(records.slice(from), maxBytes);
+    return context.body(Uint8Array.from(Buffer.concat([header, page])));
   });
   return app;
 }
 
+/** Encodes records up to a size, and at least one. */
+function encodePage(records: readonly LogRecord[], maxBytes: number): Buffer {
+  const frames: Buffer[] = [];
+  let bytes = 0;
+  for (const record of records) {
+    const frame = Buffer.concat(encodeFrame(record));
+    bytes += frame.length;
+    if (frames.length > 0 && bytes > maxBytes) {
+      break;
+    }
+    frames.push(frame);
+  }
+  return Buffer.concat(frames);
+}
+
 /** Creates an HTTP application that serves the adviser to one host. */
 function createAdviserApp(adviser: ModelAdviser, host: string): Hono {
   const app = new Hono();
