No worker that only an entry names is said to have crashed

Logs of a foreign entry at an address where nothing listens had worker-crashed detail=closed 10.4 s after a take-over, though nothing crashed; the test of odd entries fails with that when it takes so long. A life that neither answered nor has runs has no crash. The new case of foreignRegistryEntries.test.ts failed before.

--- a/packages/fleet/src/workerCrashes.ts
+++ b/packages/fleet/src/workerCrashes.ts
@@ -58,11 +58,12 @@
     return;
   }
   const isPlanned = worker.isDraining || worker.hasLeft;
-  if (isPlanned) {
+  const runs = update.read(RUNS).withKey(incarnation);
+  const wasOnlyNamed = !worker.hasReported && runs.length === 0;
+  if (isPlanned || wasOnlyNamed) {
     return;
   }
   changeWorker(update, incarnation, {isCrashReported: true});
-  const runs = update.read(RUNS).withKey(incarnation);
   const {started, unanswered} = findCrashSuspects(worker, runs);
   const aliveAt = lastSignOfLife(worker, runs);
   update.emit(FLEET_EVENT, {
--- a/testing/src/__tests__/unit/foreignRegistryEntries.test.ts
+++ b/testing/src/__tests__/unit/foreignRegistryEntries.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import {encodeRegistryEntry} from '../../index';
 import {
   LATER_START,
   LATE_OWN_ENTRY_MILLIS,
@@ -29,6 +30,20 @@
   );
 }
 
+void t.test(
+  'no worker that only an entry names is said to have crashed',
+  async t => {
+    const [site, worker] = await buildBusySite(t);
+    const content = encodeRegistryEntry(OTHER_SERVICE.build(site, worker));
+    site.writeRegistryRecord('worker-of-an-entry', content);
+    await checkEachRanOnce(t, site);
+    t.same(
+      site.events.filter(line => line.includes('worker-crashed')),
+      [],
+    );
+  },
+);
+
 void t.test(
   `no task starts again as a holder takes over with a foreign entry ${OTHER_ADDRESS.name}`,
   async t => {
