Read again: one emitter of worker events, one fixture of lasting tasks, no field that nobody reads

workerLives and workerRegistry had the same emitter; leaseBounds and lostWorkers the same site; the orders without an answer kept a run id that their key has.

--- a/packages/fleet/src/unansweredOrders.ts
+++ b/packages/fleet/src/unansweredOrders.ts
@@ -9,7 +9,6 @@
 
 /** The start orders of a run that have no answer; each may be carried out later. */
 interface UnansweredOrders {
-  readonly runId: RunId;
   /** When the latest of them was sent. */
   readonly sentAt: number;
   readonly count: number;
@@ -29,7 +28,6 @@
   const orders = update.write(UNANSWERED_ORDERS);
   const count = 1 + (orders.get(runKey(runId))?.count ?? 0);
   orders.set(runKey(runId), {
-    runId,
     sentAt: update.now,
     count,
     hasTicket: ticket !== undefined,
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -65,7 +65,7 @@
       {...described, incarnation: present, isDraining: false},
       false,
     );
-    emitLifeEvent(
+    emitWorkerEvent(
       update,
       present,
       'worker-restarted',
@@ -100,7 +100,7 @@
       continue;
     }
     reportCrash(update, worker.incarnation, 'reborn');
-    emitLifeEvent(
+    emitWorkerEvent(
       update,
       worker.incarnation,
       'worker-gone',
@@ -124,7 +124,7 @@
   for (const worker of listOtherLives(update, record)) {
     if (worker.hasReported && worker.doubtedAt === undefined) {
       changeWorker(update, worker.incarnation, {doubtedAt: update.now});
-      emitLifeEvent(
+      emitWorkerEvent(
         update,
         worker.incarnation,
         'worker-doubted',
@@ -153,7 +153,8 @@
   }
 }
 
-function emitLifeEvent(
+/** Logs an event of a life of a worker; `by` is the life that decided it. */
+export function emitWorkerEvent(
   update: Update,
   worker: string,
   event: string,
--- a/packages/fleet/src/workerRegistry.ts
+++ b/packages/fleet/src/workerRegistry.ts
@@ -1,12 +1,13 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
 import {RUNS, WORKERS, changeWorker} from './FleetState';
 import {pollIfDue} from './workerPolling';
-import {FLEET_EVENT, RESOURCES_CHANGED, WORKER_REGISTRY_READ} from './messages';
+import {RESOURCES_CHANGED, WORKER_REGISTRY_READ} from './messages';
 import type {Worker, WorkerRecord} from './Worker';
 import {
   addIncarnation,
   deleteUnheardLives,
   doubtOtherLives,
+  emitWorkerEvent,
 } from './workerLives';
 import {removeWorker} from './workerRemoval';
 
@@ -102,12 +103,3 @@
     removeWorker(update, worker, worker.hasLeft ? 'left' : 'unlisted');
   }
 }
-
-function emitWorkerEvent(
-  update: Update,
-  worker: string,
-  event: string,
-  detail: string,
-): void {
-  update.emit(FLEET_EVENT, {event, worker, detail});
-}
--- a/testing/src/__tests__/unit/leaseBounds.test.ts
+++ b/testing/src/__tests__/unit/leaseBounds.test.ts
@@ -1,33 +1,10 @@
-import {type Job} from '@samphireramp/jobs';
 import t, {type Test} from 'tap';
-import {
-  type ModelHost,
-  type ModelSite,
-  buildJob,
-  buildModelSite,
-  buildPolicy,
-  buildStep,
-} from '../../index';
+import {type ModelHost, type ModelSite} from '../../index';
+import {buildLastingSite} from './lastingSiteFixture';
 
-const POLICY = buildPolicy();
 /** Silence after which the leases of a worker are surely bounded. */
 const BOUNDED_MILLIS = 3500;
 
-/** Builds a site on which three tasks that last run on three workers. */
-async function buildBusySite(): Promise<{site: ModelSite; job: Job}> {
-  const site = buildModelSite({hosts: 3, workers: 3, policies: [POLICY]});
-  await site.run(1000);
-  const need = {cpuMillis: 2000, memoryMegabytes: 1000, accelerators: 0};
-  const step = buildStep({count: 3, need, estimateMillis: 100_000});
-  const job = buildJob('00000000000000d1', [step], {
-    policy: POLICY,
-    receivedAt: 1000,
-  });
-  void site.submit(site.hosts[0], job);
-  await site.run(3000);
-  return {site, job};
-}
-
 function holderOf(site: ModelSite): ModelHost {
   const holder = site.holder();
   if (holder === undefined) {
@@ -69,7 +46,7 @@
 void t.test(
   'a worker that comes back between two holders keeps its run',
   async t => {
-    const {site, job} = await buildBusySite();
+    const {site, job} = await buildLastingSite('00000000000000d1');
     reachableFrom(site, []);
     await site.run(BOUNDED_MILLIS);
     t.ok(hasEvent(site, 'leases-bounded'));
@@ -87,7 +64,7 @@
 void t.test(
   'a worker that one holder reaches and the next one does not runs nothing twice',
   async t => {
-    const {site} = await buildBusySite();
+    const {site} = await buildLastingSite('00000000000000d1');
     reachableFrom(site, []);
     await site.run(BOUNDED_MILLIS);
     const first = holderOf(site);
@@ -109,7 +86,7 @@
 void t.test(
   'a bound whose deletion is not durable keeps the worker without a lease',
   async t => {
-    const {site} = await buildBusySite();
+    const {site} = await buildLastingSite('00000000000000d1');
     reachableFrom(site, []);
     await site.run(BOUNDED_MILLIS);
     const first = holderOf(site);
@@ -125,7 +102,7 @@
 
 void t.test('a bound that is written late or twice is safe', async t => {
   for (const appendDelayMillis of [0, 300, 900, 2500]) {
-    const {site} = await buildBusySite();
+    const {site} = await buildLastingSite('00000000000000d1');
     reachableFrom(site, []);
     await site.run(1500);
     let appends = 0;
@@ -157,7 +134,7 @@
   'the leases of a holder that is cut off have expired for the next one',
   async t => {
     for (const cutMillis of [800, 2000, 3200, 3900, 5000]) {
-      const {site} = await buildBusySite();
+      const {site} = await buildLastingSite('00000000000000d1');
       const {faultState} = site;
       const first = holderOf(site);
       site.faultState = {
--- a/testing/src/__tests__/unit/lostWorkers.test.ts
+++ b/testing/src/__tests__/unit/lostWorkers.test.ts
@@ -1,15 +1,7 @@
-import {type Job} from '@samphireramp/jobs';
 import t from 'tap';
-import {
-  type ModelSite,
-  type ModelWorker,
-  buildJob,
-  buildModelSite,
-  buildPolicy,
-  buildStep,
-} from '../../index';
+import {type ModelSite, type ModelWorker} from '../../index';
+import {buildLastingSite} from './lastingSiteFixture';
 
-const POLICY = buildPolicy();
 /** Time after which the worker registry deletes the entry of a lost worker. */
 const REGISTRY_EXPIRY_MILLIS = 4500;
 /** How long the process of a killed host is away. */
@@ -19,21 +11,6 @@
 /** The same if the holder is lost before it can know of the loss. */
 const UNKNOWN_LOSS_LIMIT_MILLIS = 12_000;
 
-/** Builds a site on which three tasks that last run on three workers. */
-async function buildBusySite(): Promise<{site: ModelSite; job: Job}> {
-  const site = buildModelSite({hosts: 3, workers: 3, policies: [POLICY]});
-  await site.run(1000);
-  const need = {cpuMillis: 2000, memoryMegabytes: 1000, accelerators: 0};
-  const step = buildStep({count: 3, need, estimateMillis: 100_000});
-  const job = buildJob('00000000000000d0', [step], {
-    policy: POLICY,
-    receivedAt: 1000,
-  });
-  void site.submit(site.hosts[0], job);
-  await site.run(3000);
-  return {site, job};
-}
-
 /** Kills the holder again and again; its process is soon restarted. */
 function killHolders(
   site: ModelSite,
@@ -92,7 +69,7 @@
   void t.test(
     `tasks of a lost worker run again while holders are killed ${schedule}`,
     async t => {
-      const {site, job} = await buildBusySite();
+      const {site, job} = await buildLastingSite('00000000000000d0');
       loseWorker(site);
       killHolders(site, firstMillis, intervalMillis);
       const millis = await millisUntilAllRun(site);
