--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -12,6 +12,8 @@
   'fleet',
   'dispatch',
   'hosts',
+  'accounts',
+  'run-times',
 ];
 
 const TRANSPORT_IMPORTS = [
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -22,6 +22,8 @@
   readonly progress: Progress;
   /** Wall-clock milliseconds by which the job should be completed. */
   readonly objectiveAt: number;
+  /** How much later than it was received it counts as arrived, in milliseconds. */
+  readonly virtualDelayMillis: number;
 }
 
 const ACTIVE = 'active';
@@ -66,10 +68,15 @@
 }
 
 /** Creates the row of a job, with its objective. */
-export function newJobRow(job: Job, progress: Progress): JobRow {
+export function newJobRow(
+  job: Job,
+  progress: Progress,
+  virtualDelayMillis: number,
+): JobRow {
   const {stretch, targetMillis} = job.policy;
   const objectiveMillis = stretch * criticalPathMillis(job) + targetMillis;
-  return {job, progress, objectiveAt: job.receivedAt + objectiveMillis};
+  const objectiveAt = job.receivedAt + objectiveMillis;
+  return {job, progress, objectiveAt, virtualDelayMillis};
 }
 
 /** Replaces the progress of a job and records it in the log. */
--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -11,6 +11,7 @@
   meetsRequirements,
 } from './candidates';
 import {countFreeTrials, workersOnTrial} from './crashTrials';
+import type {StartQuota} from './placementFunctions';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
 import {TaskAllowance} from './TaskAllowance';
@@ -51,6 +52,7 @@
     readonly update: Update,
     /** The name of this host. */
     readonly self: string,
+    private readonly quota: StartQuota,
   ) {
     this.allowance = new TaskAllowance(update);
     const candidates = listCandidates(update, update.now);
@@ -68,6 +70,29 @@
     );
   }
 
+  /**
+   * Counts the tasks of a step that the pass may place, within its limits and those
+   * of the step's account; for a gang, all or none.
+   */
+  mostPlacements(readyStep: ReadyStep): number {
+    const {row, step, openTasks, taskResources} = readyStep;
+    const withinQuota = this.quota.mostTasks(
+      row.job.account,
+      taskResources,
+      openTasks.length,
+    );
+    if (step.isGang && withinQuota < openTasks.length) {
+      return 0;
+    }
+    return Math.min(withinQuota, this.allowance.forStep(readyStep));
+  }
+
+  /** Counts placed tasks of a step. */
+  take({row, taskResources}: ReadyStep, tasks: number): void {
+    this.allowance.take(tasks);
+    this.quota.take(row.job.account, taskResources, tasks);
+  }
+
   /** Whether a suspected task may be placed. */
   mayBeginTrial(): boolean {
     return this.trialsLeft > 0;
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -64,6 +64,10 @@
   UNFOLLOW_HOLDER_STREAMS,
 } from './messages';
 import {placeTasks} from './placement';
+import {
+  DEFAULT_PLACEMENT_FUNCTIONS,
+  type PlacementFunctions,
+} from './placementFunctions';
 import {
   onRunConfirmed,
   onRunDiscarded,
@@ -100,11 +104,14 @@
   readonly partitions: number;
   /** How long the status of an ended job stays available, in milliseconds. */
   readonly keepEndedMillis: number;
+  /** Replaces functions of `DEFAULT_PLACEMENT_FUNCTIONS`. */
+  readonly functions?: Partial<PlacementFunctions>;
 }
 
 /** Creates the plug-in that places tasks and tracks their runs and jobs. */
 export function createDispatchPlugin(options: DispatchOptions): Plugin {
   const {self, wallClock, partitions, keepEndedMillis} = options;
+  const functions = {...DEFAULT_PLACEMENT_FUNCTIONS, ...options.functions};
 
   function onRequestsRead(
     update: Update,
@@ -113,7 +120,7 @@
     if (heldTerm(update) === undefined) {
       return;
     }
-    applyRequests(update, payload, wallClock);
+    applyRequests(update, payload, wallClock, functions.virtualDelayMillis);
     if (payload.completeUntil === undefined) {
       return;
     }
@@ -179,7 +186,7 @@
         schedulePlacement(update),
       ),
       kernel.registerCommand(RUN_ENDED, (update, payload) =>
-        onRunEnded(update, payload, wallClock),
+        onRunEnded(update, payload, wallClock, functions.onRunFinished),
       ),
       kernel.registerCommand(RUN_DISCARDED, onRunDiscarded),
       kernel.registerCommand(RUN_CONFIRMED, onRunConfirmed),
@@ -193,7 +200,7 @@
         beginPass(update, scope),
       ),
       kernel.registerCommand(PLACE_TASKS, (update, {scope}) =>
-        placeTasks(update, self, scope),
+        placeTasks(update, self, scope, functions),
       ),
       kernel.registerCommand(DISPATCH_TICK, onTick),
     );
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,6 +1,11 @@
 /** Places tasks on workers, requests advice, and follows runs and jobs. */
 export {SITE_CONFIGURATION, JOBS, listActiveJobs} from './DispatchState';
 export {type DispatchOptions, createDispatchPlugin} from './dispatchPlugin';
+export type {
+  FinishedRun,
+  PlacementFunctions,
+  StartQuota,
+} from './placementFunctions';
 export {
   REQUEST_ADVICE,
   ADVICE_RECEIVED,
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -34,6 +34,7 @@
   REQUESTS_FORGOTTEN,
   REQUESTS_READ,
 } from './messages';
+import type {PlacementFunctions} from './placementFunctions';
 import {schedulePlacement} from './schedulePlacement';
 
 /** Maximum ended jobs whose requests are removed at once. */
@@ -47,10 +48,12 @@
   update: Update,
   {requests}: PayloadOf<typeof REQUESTS_READ>,
   wallClock: () => number,
+  virtualDelayMillis: PlacementFunctions['virtualDelayMillis'],
 ): void {
   for (const request of requests) {
     if (request.kind === 'submit') {
-      addJob(update, request.job, wallClock());
+      const {job} = request;
+      addJob(update, job, wallClock(), () => virtualDelayMillis(update, job));
     } else if (!update.read(CANCELLED_JOBS).has(request.jobId)) {
       update.write(CANCELLED_JOBS).set(request.jobId, true);
       cancelJob(update, request.jobId, wallClock());
@@ -60,7 +63,12 @@
 }
 
 /** Adds a submitted job, or resumes it if a holder recorded its progress. */
-function addJob(update: Update, job: Job, wallNow: number): void {
+function addJob(
+  update: Update,
+  job: Job,
+  wallNow: number,
+  virtualDelayMillis: () => number,
+): void {
   if (update.read(JOBS).has(job.id)) {
     return;
   }
@@ -68,7 +76,8 @@
   if (durableProgress !== undefined && isFinalState(durableProgress.state)) {
     return;
   }
-  const row = newJobRow(job, durableProgress ?? newProgress(job));
+  const progress = durableProgress ?? newProgress(job);
+  const row = newJobRow(job, progress, virtualDelayMillis());
   update.write(JOBS).set(job.id, row);
   if (durableProgress === undefined) {
     recordProgress(update, row.progress);
@@ -99,14 +108,13 @@
         if (task.phase === 'placed') {
           const runId = {jobId: job.id, occurrence, step, index, run: task.run};
           const definition = job.steps[step];
-          const reserved = reservedResources(definition);
-          adoptRun(
-            update,
+          adoptRun(update, {
             runId,
-            task.worker,
-            reserved,
-            expectsProgress(definition),
-          );
+            incarnation: task.worker,
+            account: job.account,
+            reserved: reservedResources(definition),
+            expectsProgress: expectsProgress(definition),
+          });
           if (task.crashedRuns.length > 0) {
             beginTrial(update, runId);
           }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -18,6 +18,7 @@
 import {JOBS, expectsProgress, setProgress} from './DispatchState';
 import {chooseGangPlacements} from './gangPlacement';
 import {DISPATCH_EVENT, type PlacementScope} from './messages';
+import type {PlacementFunctions} from './placementFunctions';
 import {PlacementPass} from './PlacementPass';
 import {listReadySteps, stepIdOf} from './readySteps';
 import {RESERVATIONS} from './reservations';
@@ -36,6 +37,7 @@
   update: Update,
   self: string,
   scope: PlacementScope,
+  functions: PlacementFunctions,
 ): void {
   if (
     heldTerm(update) === undefined ||
@@ -43,7 +45,8 @@
   ) {
     return;
   }
-  const pass = new PlacementPass(update, self);
+  const quota = functions.createStartQuota(update);
+  const pass = new PlacementPass(update, self, quota);
   let placedSteps = 0;
   const cutSteps: ReadyStep[] = [];
   for (const readyStep of listReadySteps(update, scope)) {
@@ -52,6 +55,10 @@
       cutSteps.push(readyStep);
       break;
     }
+    if (pass.mostPlacements(readyStep) === 0) {
+      // Its account is at its limit; the room is for the steps of others.
+      continue;
+    }
     const stepId = stepIdOf(readyStep);
     const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
     if (advice.notBefore > update.now) {
@@ -66,7 +73,7 @@
       : chooseTaskPlacements(pass, readyStep, advice);
     if (placements.length > 0) {
       placedSteps++;
-      pass.allowance.take(placements.length);
+      pass.take(readyStep, placements.length);
       placeStep(update, readyStep, placements);
     }
     const isCut = placements.length >= mayPlace;
@@ -153,13 +160,13 @@
     return;
   }
   const runId = {...stepId, index, run: task.run};
-  reserveRun(
-    update,
+  reserveRun(update, {
     runId,
-    worker.incarnation,
-    readyStep.taskResources,
-    expectsProgress(readyStep.step),
-  );
+    incarnation: worker.incarnation,
+    account: job.account,
+    reserved: readyStep.taskResources,
+    expectsProgress: expectsProgress(readyStep.step),
+  });
   if (task.crashedRuns.length > 0) {
     beginTrial(update, runId);
   }
--- /dev/null
+++ b/packages/dispatch/src/placementFunctions.ts
@@ -0,0 +1,50 @@
+import type {StateReader, Update} from '@samphireramp/kernel';
+import type {Job, Resources} from '@samphireramp/jobs';
+
+/** What client accounts may still start in one placement pass. */
+export interface StartQuota {
+  /** Of a number of tasks of an account, how many may start. */
+  mostTasks(account: string, taskNeed: Resources, tasks: number): number;
+  /** Counts tasks of an account that the pass has placed. */
+  take(account: string, taskNeed: Resources, tasks: number): void;
+}
+
+/** A run that is done, from which run times are learnt. */
+export interface FinishedRun {
+  readonly job: Job;
+  /** Number of its step in the job. */
+  readonly stepNumber: number;
+  /** Incarnation of the worker. */
+  readonly worker: string;
+  /** Time from the confirmation of its start to its end, in milliseconds. */
+  readonly ranMillis: number;
+  /** Whether it resumed from a checkpoint, so that it did a part of the work. */
+  readonly isResumed: boolean;
+}
+
+/** Functions that decide what placement doesn't decide itself. */
+export interface PlacementFunctions {
+  /** Creates the quota of one placement pass. */
+  createStartQuota(state: StateReader): StartQuota;
+  /**
+   * How much later than it was received a job counts as arrived, in milliseconds,
+   * since its account sends more than it is entitled to.
+   */
+  virtualDelayMillis(update: Update, job: Job): number;
+  /** Expected run time of a task of a step on a worker of normal speed. */
+  expectedMillis(state: StateReader, job: Job, stepNumber: number): number;
+  /** Learns from a run that is done. */
+  onRunFinished(update: Update, run: FinishedRun): void;
+}
+
+/** No limits, no delay, the estimates of callers, and nothing learnt. */
+export const DEFAULT_PLACEMENT_FUNCTIONS: PlacementFunctions = {
+  createStartQuota: () => ({
+    mostTasks: (_account, _taskNeed, tasks) => tasks,
+    take: () => undefined,
+  }),
+  virtualDelayMillis: () => 0,
+  expectedMillis: (_state, job, stepNumber) =>
+    job.steps[stepNumber].estimateMillis,
+  onRunFinished: () => undefined,
+};
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -15,6 +15,7 @@
   totalResources,
 } from '@samphireramp/fleet';
 import {
+  NO_ACCOUNT,
   type Progress,
   type RunId,
   type Task,
@@ -33,6 +34,7 @@
 import {stopIncompleteGang, stopUnstartedMembers} from './gangFlow';
 import {endJob, removeDoneOccurrences} from './jobFlow';
 import {DISPATCH_EVENT} from './messages';
+import type {PlacementFunctions} from './placementFunctions';
 import {schedulePlacement} from './schedulePlacement';
 import {placeAfterStart} from './TaskAllowance';
 
@@ -52,6 +54,7 @@
     ranMillis,
   }: PayloadOf<typeof RUN_ENDED>,
   wallClock: () => number,
+  onRunFinished: PlacementFunctions['onRunFinished'],
 ): void {
   schedulePlacement(update);
   const found = findActiveTask(update, runId);
@@ -73,6 +76,15 @@
   const active = {...found, row: {...found.row, progress}};
   if (outcome === 'done' && !active.step.isService) {
     recordSuccess(update, incarnation);
+    if (ranMillis !== undefined) {
+      onRunFinished(update, {
+        job: active.row.job,
+        stepNumber: runId.step,
+        worker: incarnation,
+        ranMillis,
+        isResumed: active.task.checkpoint !== '',
+      });
+    }
     if (ranMillis !== undefined && checkpoint === '' && !active.step.isGang) {
       recordDuration(
         update,
@@ -241,13 +253,20 @@
 ): void {
   const {runId} = run;
   const active = findActiveTask(update, runId);
-  const step = update.read(JOBS).get(runId.jobId)?.job.steps[runId.step];
+  const job = update.read(JOBS).get(runId.jobId)?.job;
+  const step = job?.steps[runId.step];
   // Without its step the needs of the run aren't known, so all resources of the
   // worker are reserved for it.
   const reserved = step
     ? reservedResources(step)
     : totalResources(update, incarnation);
-  adoptRun(update, runId, incarnation, reserved, false);
+  adoptRun(update, {
+    runId,
+    incarnation,
+    account: job?.account ?? NO_ACCOUNT,
+    reserved,
+    expectsProgress: false,
+  });
   const isNeeded =
     active?.task.phase === 'placed' &&
     active.task.run === runId.run &&
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -31,7 +31,7 @@
     readyStep.openTasks.filter(index => isSuspected(readyStep, index)),
   );
   const untriedSuspects = suspected.size - placements.length;
-  const mostPlacements = pass.allowance.forStep(readyStep);
+  const mostPlacements = pass.mostPlacements(readyStep);
   for (const index of readyStep.openTasks) {
     if (placements.length >= mostPlacements) {
       break;
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -4,12 +4,7 @@
   createIndexedTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
-import {
-  type Resources,
-  NO_RESOURCES,
-  type RunId,
-  runKey,
-} from '@samphireramp/jobs';
+import {type Resources, NO_RESOURCES, runKey} from '@samphireramp/jobs';
 import type {Run} from './Run';
 import type {Worker, WorkerRecord} from './Worker';
 
@@ -52,20 +47,24 @@
   return cpuMillis < 0 || memoryMegabytes < 0 || accelerators < 0;
 }
 
+/** A run that is added to those that the holder knows. */
+export type NewRun = Pick<
+  Run,
+  'runId' | 'incarnation' | 'account' | 'reserved' | 'expectsProgress'
+>;
+
 /**
  * Reserves resources for a run whose start is ordered once the journal has
  * recorded its placement.
  */
 export function reserveRun(
   update: Update,
-  runId: RunId,
-  incarnation: string,
-  reserved: Resources,
-  expectsProgress: boolean,
+  {runId, incarnation, account, reserved, expectsProgress}: NewRun,
 ): void {
   update.write(RUNS).set(runKey(runId), {
     runId,
     incarnation,
+    account,
     reserved,
     phase: 'reserved',
     lastOrderAt: update.now,
@@ -85,15 +84,12 @@
  * or that a worker reports. It counts as running until the worker reports
  * otherwise.
  */
-export function adoptRun(
-  update: Update,
-  runId: RunId,
-  incarnation: string,
-  reserved: Resources,
-  expectsProgress: boolean,
-): void {
-  reserveRun(update, runId, incarnation, reserved, expectsProgress);
-  changeRun(update, runKey(runId), {phase: 'running', confirmedAt: update.now});
+export function adoptRun(update: Update, run: NewRun): void {
+  reserveRun(update, run);
+  changeRun(update, runKey(run.runId), {
+    phase: 'running',
+    confirmedAt: update.now,
+  });
 }
 
 /** Lists the other known lives of a worker. */
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -5,6 +5,8 @@
   readonly runId: RunId;
   /** Incarnation of the worker. */
   readonly incarnation: string;
+  /** Name of the client account of its job; empty for none. */
+  readonly account: string;
   /** Resources reserved for the run until the worker reports its end. */
   readonly reserved: Resources;
   readonly phase: RunPhase;
--- a/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
+++ b/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
@@ -12,6 +12,7 @@
   return {
     runId: {jobId: 'a', occurrence: 0, step: 0, index, run: 1},
     incarnation: 'worker@1',
+    account: '',
     reserved: NO_RESOURCES,
     phase: 'running',
     lastOrderAt: 0,
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -1,17 +1,10 @@
 import * as z from 'zod/mini';
 import {queuePolicySchema} from './Queue';
+import {type Resources, resourcesSchema} from './Resources';
 
 /** Maximum number of tasks of a step. */
 export const MAX_TASKS_PER_STEP = 10_000;
 
-/** Resources that a task needs or a worker offers. */
-export const resourcesSchema = z.object({
-  /** Thousandths of a CPU core. */
-  cpuMillis: z.number(),
-  memoryMegabytes: z.number(),
-  accelerators: z.number(),
-});
-
 /** Definition of a step: a number of identical tasks of a job. */
 export const stepSchema = z.object({
   /** Number of tasks. */
@@ -45,6 +38,8 @@
 export const jobSchema = z.object({
   id: z.string(),
   policy: queuePolicySchema,
+  /** Name of the client account that handed it in; empty for none. */
+  account: z._default(z.string(), ''),
   /** Opaque to the scheduler; passed unchanged to each task. */
   input: z.string(),
   steps: z.array(stepSchema),
@@ -70,8 +65,6 @@
   'cancelled',
 ]);
 
-/** Resources that a task needs or a worker offers. */
-export type Resources = z.infer<typeof resourcesSchema>;
 /** Definition of a step: a number of identical tasks of a job. */
 export type Step = z.infer<typeof stepSchema>;
 /** A job as submitted. */
@@ -79,13 +72,6 @@
 /** State of a job as reported to callers. */
 export type JobState = z.infer<typeof jobStateSchema>;
 
-/** No resources at all. */
-export const NO_RESOURCES: Resources = {
-  cpuMillis: 0,
-  memoryMegabytes: 0,
-  accelerators: 0,
-};
-
 /** Whether a job in this state is over. */
 export function isFinalState(state: JobState): boolean {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
--- a/packages/jobs/src/Queue.ts
+++ b/packages/jobs/src/Queue.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod/mini';
+import {clientAccountSchema} from './ClientAccount';
 
 /** Expected duration of a call to the adviser, and validity of its tickets. */
 export const adviceTermsSchema = z.object({
@@ -32,6 +33,8 @@
   hostName: z.string(),
   pathPrefix: z.string(),
   policy: queuePolicySchema,
+  /** Whether its calls need no API key. */
+  isPublic: z.boolean(),
 });
 
 /** A pool of workers, as configured. */
@@ -41,11 +44,13 @@
   guardsRoom: z.boolean(),
 });
 
-/** Configuration of a site: its queues, pools and limits. */
+/** Configuration of a site: its queues, pools, accounts and limits. */
 export const siteConfigurationSchema = z.object({
   revision: z.number(),
   routes: z.array(queueRouteSchema),
   pools: z.array(poolSchema),
+  /** Empty if the site has no accounts, so that calls need no key. */
+  clientAccounts: z.array(clientAccountSchema),
   maxBodyBytes: z.number(),
 });
 
@@ -55,7 +60,7 @@
 export type QueuePolicy = z.infer<typeof queuePolicySchema>;
 /** HTTP host name and path prefix of the requests to a queue. */
 export type QueueRoute = z.infer<typeof queueRouteSchema>;
-/** Configuration of a site: its queues, pools and limits. */
+/** Configuration of a site: its queues, pools, accounts and limits. */
 export type SiteConfiguration = z.infer<typeof siteConfigurationSchema>;
 
 /** Finds the route of a host name whose matching path prefix is the longest. */
--- /dev/null
+++ b/packages/jobs/src/Resources.ts
@@ -0,0 +1,19 @@
+import * as z from 'zod/mini';
+
+/** Resources that a task needs or a worker offers. */
+export const resourcesSchema = z.object({
+  /** Thousandths of a CPU core. */
+  cpuMillis: z.number(),
+  memoryMegabytes: z.number(),
+  accelerators: z.number(),
+});
+
+/** Resources that a task needs or a worker offers. */
+export type Resources = z.infer<typeof resourcesSchema>;
+
+/** No resources at all. */
+export const NO_RESOURCES: Resources = {
+  cpuMillis: 0,
+  memoryMegabytes: 0,
+  accelerators: 0,
+};
--- a/testing/src/site/jobFixture.ts
+++ b/testing/src/site/jobFixture.ts
@@ -48,6 +48,7 @@
   return {
     id,
     policy: buildPolicy(),
+    account: '',
     input: `input of ${id}`,
     steps: [...steps],
     occurrences: 1,
@@ -66,10 +67,12 @@
     revision: 1,
     maxBodyBytes: 262_144,
     pools: [{name: 'pool', guardsRoom: false}],
+    clientAccounts: [],
     routes: policies.map(policy => ({
       hostName: 'example',
       pathPrefix: `/${policy.name}/`,
       policy,
+      isPublic: false,
     })),
   };
 }
