Steps that can meet their objective are placed before late ones

In a burst that exceeds the free resources the order by objective spent them on jobs that were late already, so that each of the following was late in its turn. Timely steps now come first within a priority, by their latest start over the rest of the chain; every fifth place goes to a late one, so that none starves. The expected run times are a function that placement is handed.

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -145,7 +145,7 @@
     }
     discardRunsOnUnknownWorkers(update);
     endTrials(update);
-    reportWaitingSteps(update);
+    reportWaitingSteps(update, wallClock(), functions.expectedMillis);
     schedulePlacement(update);
   }
 
@@ -200,7 +200,7 @@
         beginPass(update, scope),
       ),
       kernel.registerCommand(PLACE_TASKS, (update, {scope}) =>
-        placeTasks(update, self, scope, functions),
+        placeTasks(update, self, scope, wallClock(), functions),
       ),
       kernel.registerCommand(DISPATCH_TICK, onTick),
     );
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -20,7 +20,7 @@
 import {DISPATCH_EVENT, type PlacementScope} from './messages';
 import type {PlacementFunctions} from './placementFunctions';
 import {PlacementPass} from './PlacementPass';
-import {listReadySteps, stepIdOf} from './readySteps';
+import {orderReadySteps, stepIdOf} from './readySteps';
 import {RESERVATIONS} from './reservations';
 import {schedulePlacement} from './schedulePlacement';
 import {AWAITS_STARTS} from './TaskAllowance';
@@ -37,7 +37,8 @@
   update: Update,
   self: string,
   scope: PlacementScope,
-  functions: PlacementFunctions,
+  wallNow: number,
+  {createStartQuota, expectedMillis}: PlacementFunctions,
 ): void {
   if (
     heldTerm(update) === undefined ||
@@ -45,11 +46,16 @@
   ) {
     return;
   }
-  const quota = functions.createStartQuota(update);
+  const quota = createStartQuota(update);
   const pass = new PlacementPass(update, self, quota);
   let placedSteps = 0;
   const cutSteps: ReadyStep[] = [];
-  for (const readyStep of listReadySteps(update, scope)) {
+  for (const readyStep of orderReadySteps(
+    update,
+    scope,
+    wallNow,
+    expectedMillis,
+  )) {
     const mayPlace = pass.allowance.forStep(readyStep);
     if (placedSteps >= MAX_STEPS_PER_PASS || mayPlace === 0) {
       cutSteps.push(readyStep);
--- a/packages/dispatch/src/readySteps.ts
+++ b/packages/dispatch/src/readySteps.ts
@@ -2,12 +2,12 @@
 import {type StepId, isStepReady} from '@samphireramp/jobs';
 import {type ReadyStep, URGENT_PRIORITY, makeReadyStep} from './candidates';
 import {listActiveJobs, policyOf} from './DispatchState';
+import {urgencyOf} from './jobUrgency';
 import type {PlacementScope} from './messages';
+import type {PlacementFunctions} from './placementFunctions';
+import {orderSteps} from './stepOrder';
 
-/**
- * Lists the steps of a scope with tasks that can be placed now, by priority of their queue
- * and then by the objective of their job.
- */
+/** Lists the steps of a scope with tasks that can be placed now. */
 export function listReadySteps(
   state: StateReader,
   scope: PlacementScope,
@@ -29,10 +29,20 @@
       });
     }
   }
-  return readySteps.sort(
-    (a, b) =>
-      a.policy.priority - b.policy.priority ||
-      a.row.objectiveAt - b.row.objectiveAt,
+  return readySteps;
+}
+
+/** Lists the ready steps of a scope in the order of placement. */
+export function orderReadySteps(
+  state: StateReader,
+  scope: PlacementScope,
+  wallNow: number,
+  expectedMillis: PlacementFunctions['expectedMillis'],
+): ReadyStep[] {
+  return orderSteps(
+    listReadySteps(state, scope),
+    step => urgencyOf(state, step, expectedMillis),
+    wallNow,
   );
 }
 
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -15,7 +15,8 @@
   meetsRequirements,
 } from './candidates';
 import {DISPATCH_EVENT} from './messages';
-import {listReadySteps, stepIdOf} from './readySteps';
+import type {PlacementFunctions} from './placementFunctions';
+import {orderReadySteps, stepIdOf} from './readySteps';
 import {
   RESERVATIONS,
   type Reservation,
@@ -36,7 +37,11 @@
 export const WAITING_SINCE = createTableSlice<number>('waiting-since');
 
 /** Logs what the most urgent of the long-waiting steps lack. */
-export function reportWaitingSteps(update: Update): void {
+export function reportWaitingSteps(
+  update: Update,
+  wallNow: number,
+  expectedMillis: PlacementFunctions['expectedMillis'],
+): void {
   const checkedAt = update.write(WAITS_CHECKED_AT);
   if (update.now - checkedAt.get() < CHECK_INTERVAL_MILLIS) {
     return;
@@ -44,7 +49,7 @@
   checkedAt.set(update.now);
   const sinceByStep = update.write(WAITING_SINCE);
   const readySteps = new Map(
-    listReadySteps(update, 'all').map(readyStep => [
+    orderReadySteps(update, 'all', wallNow, expectedMillis).map(readyStep => [
       stepKey(stepIdOf(readyStep)),
       readyStep,
     ]),
--- a/packages/jobs/src/Job.ts
+++ b/packages/jobs/src/Job.ts
@@ -94,17 +94,21 @@
 }
 
 /**
- * Estimated milliseconds of the longest chain of dependent steps. Steps depend
- * only on steps with lower numbers.
+ * Milliseconds of the longest chain of dependent steps, by the estimates of the
+ * caller unless `millisOf` tells otherwise. Steps depend only on steps with lower
+ * numbers.
  */
-export function criticalPathMillis(job: Job): number {
+export function criticalPathMillis(
+  job: Job,
+  millisOf = (stepNumber: number) => job.steps[stepNumber].estimateMillis,
+): number {
   const endMillisByStep: number[] = [];
-  for (const step of job.steps) {
+  job.steps.forEach((step, stepNumber) => {
     const startMillis = maximumOf(
       step.after.map(number => endMillisByStep[number] ?? 0),
     );
-    endMillisByStep.push(startMillis + step.estimateMillis);
-  }
+    endMillisByStep.push(startMillis + millisOf(stepNumber));
+  });
   return maximumOf(endMillisByStep);
 }
 
