Run times learned from finished runs, wired into the hosts

Callers' estimates are off by an unknown amount, while finished runs tell how long tasks take. Runs are learned only if this holder knows their start: an adopted run began before it. A gang gives one sample, measured from the start of its last member. Workers are compared with what was expected in place of the estimate.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -28,6 +28,10 @@
 import type {Job, RunId} from '@samphireramp/jobs';
 import {type Kernel, createKernel} from '@samphireramp/kernel';
 import {encodeJournalEntry} from '@samphireramp/record-codec';
+import {
+  createRunTimeFunctions,
+  createRunTimesPlugin,
+} from '@samphireramp/run-times';
 import {buildConfiguration, buildPolicy} from '@samphireramp/testing';
 
 const HOST = 'host-a';
@@ -77,11 +81,13 @@
       claimDelayMillis: () => -1000,
     }),
     createFleetPlugin(),
+    createRunTimesPlugin(),
     createDispatchPlugin({
       self: HOST,
       wallClock: () => Date.now(),
       partitions: 1,
       keepEndedMillis: Infinity,
+      functions: createRunTimeFunctions(true),
     }),
   ]) {
     kernel.register(plugin);
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -186,7 +186,7 @@
         schedulePlacement(update),
       ),
       kernel.registerCommand(RUN_ENDED, (update, payload) =>
-        onRunEnded(update, payload, wallClock, functions.onRunFinished),
+        onRunEnded(update, payload, wallClock, functions),
       ),
       kernel.registerCommand(RUN_DISCARDED, onRunDiscarded),
       kernel.registerCommand(RUN_CONFIRMED, onRunConfirmed),
--- a/packages/dispatch/src/placementFunctions.ts
+++ b/packages/dispatch/src/placementFunctions.ts
@@ -9,14 +9,20 @@
   take(account: string, taskNeed: Resources, tasks: number): void;
 }
 
-/** A run that is done, from which run times are learnt. */
+/**
+ * A run that is done, from which run times are learnt. A run of a gang is told once, with
+ * the first member that ended.
+ */
 export interface FinishedRun {
   readonly job: Job;
   /** Number of its step in the job. */
   readonly stepNumber: number;
   /** Incarnation of the worker. */
   readonly worker: string;
-  /** Time from the confirmation of its start to its end, in milliseconds. */
+  /**
+   * Time from the confirmation of its start to its end, in milliseconds; for a gang,
+   * from that of the last member.
+   */
   readonly ranMillis: number;
   /** Whether it resumed from a checkpoint, so that it did a part of the work. */
   readonly isResumed: boolean;
@@ -33,6 +39,11 @@
   virtualDelayMillis(update: Update, job: Job): number;
   /** Expected run time of a task of a step on a worker of normal speed. */
   expectedMillis(state: StateReader, job: Job, stepNumber: number): number;
+  /**
+   * Speed of a worker, by its incarnation: 1 for a normal one, 2 for one on which runs
+   * take half as long.
+   */
+  speedOf(update: Update, worker: string): number;
   /** Learns from a run that is done. */
   onRunFinished(update: Update, run: FinishedRun): void;
 }
@@ -46,5 +57,6 @@
   virtualDelayMillis: () => 0,
   expectedMillis: (_state, job, stepNumber) =>
     job.steps[stepNumber].estimateMillis,
+  speedOf: () => 1,
   onRunFinished: () => undefined,
 };
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -54,7 +54,7 @@
     ranMillis,
   }: PayloadOf<typeof RUN_ENDED>,
   wallClock: () => number,
-  onRunFinished: PlacementFunctions['onRunFinished'],
+  functions: Pick<PlacementFunctions, 'expectedMillis' | 'onRunFinished'>,
 ): void {
   schedulePlacement(update);
   const found = findActiveTask(update, runId);
@@ -77,21 +77,7 @@
   if (outcome === 'done' && !active.step.isService) {
     recordSuccess(update, incarnation);
     if (ranMillis !== undefined) {
-      onRunFinished(update, {
-        job: active.row.job,
-        stepNumber: runId.step,
-        worker: incarnation,
-        ranMillis,
-        isResumed: active.task.checkpoint !== '',
-      });
-    }
-    if (ranMillis !== undefined && checkpoint === '' && !active.step.isGang) {
-      recordDuration(
-        update,
-        incarnation,
-        ranMillis,
-        active.step.estimateMillis,
-      );
+      learnFrom(update, active, runId, incarnation, ranMillis, functions);
     }
     onRunDone(update, active, runId, wallClock());
     return;
@@ -104,6 +90,52 @@
   setProgress(update, active.row, reopenTask(active, runId, checkpoint));
 }
 
+/** Judges the worker of a run that is done, and has the run time learnt. */
+function learnFrom(
+  update: Update,
+  {row: {job}, step, task}: ActiveTask,
+  runId: RunId,
+  incarnation: string,
+  ranMillis: number,
+  functions: Pick<PlacementFunctions, 'expectedMillis' | 'onRunFinished'>,
+): void {
+  const isResumed = task.checkpoint !== '';
+  if (!isResumed && !step.isGang) {
+    // Before it is learnt, as the run itself must not tell what was expected.
+    const expected = functions.expectedMillis(update, job, runId.step);
+    recordDuration(update, incarnation, ranMillis, expected);
+  }
+  functions.onRunFinished(update, {
+    job,
+    stepNumber: runId.step,
+    worker: incarnation,
+    ranMillis: step.isGang
+      ? gangMillis(update, runId, step.count, ranMillis)
+      : ranMillis,
+    isResumed,
+  });
+}
+
+/**
+ * Time for which all members of a gang ran, of which one has ended: the others may have
+ * started later.
+ */
+function gangMillis(
+  update: Update,
+  runId: RunId,
+  members: number,
+  ranMillis: number,
+): number {
+  let shortest = ranMillis;
+  for (let index = 0; index < members; index++) {
+    const run = update.read(RUNS).get(runKey({...runId, index}));
+    if (run?.startedAt !== undefined) {
+      shortest = Math.min(shortest, update.now - run.startedAt);
+    }
+  }
+  return shortest;
+}
+
 function onRunDone(
   update: Update,
   {row, step, task}: ActiveTask,
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -116,7 +116,7 @@
   readonly runId: RunId;
   readonly outcome: RunOutcome;
   readonly checkpoint: string;
-  /** Time since the run was confirmed; undefined if it never was. */
+  /** Time since its start by this holder; undefined for one that it did not start. */
   readonly ranMillis: number | undefined;
 }>('run-ended');
 
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -172,8 +172,9 @@
     }
     appliedEnd = number;
     const {incarnation} = worker;
-    const confirmedAt = update.read(RUNS).get(runKey(runId))?.confirmedAt;
-    const ranMillis = confirmedAt && update.now - confirmedAt;
+    const startedAt = update.read(RUNS).get(runKey(runId))?.startedAt;
+    const ranMillis =
+      startedAt === undefined ? undefined : update.now - startedAt;
     update.write(RUNS).delete(runKey(runId));
     update.dispatch(RUN_ENDED, {
       incarnation,
--- /dev/null
+++ b/packages/run-times/src/workerSpeed.ts
@@ -0,0 +1,102 @@
+import {
+  type StateReader,
+  type Update,
+  createValueSlice,
+} from '@samphireramp/kernel';
+import {middleOf} from './predictRunTime';
+import {
+  MAX_WORKERS,
+  WORKER_SPEEDS,
+  type WorkerRow,
+  replaceRow,
+} from './runTimeState';
+
+/** Weight of the newest run in the mean of its worker, once there are many. */
+const WORKER_WEIGHT = 1 / 24;
+/** Weight of the newest run in the mean of all workers. */
+const FLEET_WEIGHT = 0.03;
+/** A run moves a mean at most as if it had taken this many times as long. */
+const MAX_STEP_FACTOR = 2;
+/** Runs at which the mean of a worker counts half. */
+const SAMPLES_OF_HALF_WEIGHT = 3;
+/** Number of newest runs that tell a worker whose speed has changed. */
+const NEWEST_SAMPLES = 5;
+/** Runs that must agree on a change of speed. */
+const MIN_CHANGE_SAMPLES = 3;
+/** A change of speed by this factor counts before the mean follows it. */
+const CHANGE_FACTOR = 2;
+/**
+ * For how long a change of speed counts without runs that confirm it. Afterwards the
+ * worker is tried again.
+ */
+const CHANGE_MILLIS = 10_000;
+/** Bounds of the factor of a worker. */
+const MAX_SPEED_FACTOR = 16;
+
+/** Mean logarithm of actual by expected duration over the runs of all workers. */
+export const FLEET_LOG_SLOWNESS = createValueSlice('fleet-log-slowness', 0);
+
+/**
+ * Returns the speed of a worker: 1 for a normal one, 2 for one on which runs take half
+ * as long.
+ */
+export function workerSpeed(
+  state: StateReader,
+  incarnation: string,
+  now: number,
+): number {
+  const row = state.read(WORKER_SPEEDS).get(incarnation);
+  if (row === undefined) {
+    return 1;
+  }
+  const slowness = Math.exp(logSlowness(row, now));
+  return Math.min(
+    MAX_SPEED_FACTOR,
+    Math.max(1 / MAX_SPEED_FACTOR, 1 / slowness),
+  );
+}
+
+function logSlowness(row: WorkerRow, now: number): number {
+  const mean =
+    (row.logSlowness * row.samples) / (row.samples + SAMPLES_OF_HALF_WEIGHT);
+  if (
+    row.newest.length < MIN_CHANGE_SAMPLES ||
+    now - row.learntAt > CHANGE_MILLIS
+  ) {
+    return mean;
+  }
+  const newest = middleOf(row.newest);
+  return Math.abs(newest - mean) > Math.log(CHANGE_FACTOR) ? newest : mean;
+}
+
+/** Learns the speed of a worker from the logarithm of actual by expected duration. */
+export function learnWorkerSpeed(
+  update: Update,
+  incarnation: string,
+  logRatio: number,
+): void {
+  const fleetMean = update.read(FLEET_LOG_SLOWNESS).get();
+  const fleetStep = clampStep(logRatio - fleetMean);
+  update.write(FLEET_LOG_SLOWNESS).set(fleetMean + fleetStep * FLEET_WEIGHT);
+  const row = update.read(WORKER_SPEEDS).get(incarnation);
+  const samples = (row?.samples ?? 0) + 1;
+  const before = row?.logSlowness ?? 0;
+  const relative = logRatio - fleetMean;
+  const weight = Math.max(1 / samples, WORKER_WEIGHT);
+  replaceRow(
+    update.write(WORKER_SPEEDS),
+    incarnation,
+    {
+      logSlowness: before + clampStep(relative - before) * weight,
+      samples,
+      newest: [...(row?.newest ?? []), relative].slice(-NEWEST_SAMPLES),
+      learntAt: update.now,
+    },
+    MAX_WORKERS,
+  );
+}
+
+function clampStep(step: number): number {
+  const limit = Math.log(MAX_STEP_FACTOR);
+  return Math.min(limit, Math.max(-limit, step));
+}
--- a/packages/site-daemon/src/DaemonSettings.ts
+++ b/packages/site-daemon/src/DaemonSettings.ts
@@ -12,6 +12,8 @@
   nodeFile: z.string().check(z.minLength(1)),
   metricsPort: z.int().check(z.minimum(1), z.maximum(MAX_PORT)),
   logLinesPerSecond: z.int().check(z.minimum(1)),
+  /** Whether run times are learned from finished runs. */
+  learnRunTimes: z.boolean(),
   /** Pattern of the logs to write, in the syntax of the `debug` library. */
   logs: z.string(),
 });
@@ -60,6 +62,11 @@
       default: DEFAULT_LOG_LINES_PER_SECOND,
       description: `maximum log lines per second [${ENVIRONMENT_PREFIX}_LOG_LINES_PER_SECOND]`,
     })
+    .option('learn-run-times', {
+      type: 'boolean',
+      default: true,
+      description: `learn run times from finished runs, instead of using callers' estimates [${ENVIRONMENT_PREFIX}_LEARN_RUN_TIMES]`,
+    })
     .option('logs', {
       type: 'string',
       requiresArg: true,
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -20,6 +20,10 @@
   startReadinessServer,
 } from '@samphireramp/platform';
 import {encodeHost} from '@samphireramp/record-codec';
+import {
+  createRunTimeFunctions,
+  createRunTimesPlugin,
+} from '@samphireramp/run-times';
 import type {StreamLog} from '@samphireramp/stream-log';
 import {type Log, createLogger, createMetrics} from '@samphireramp/telemetry';
 import {Hono} from 'hono';
@@ -77,6 +81,8 @@
   /** Current settings of the host; a reload may change them. */
   readonly settings: () => HostSettings;
   readonly metricsPort: number;
+  /** Whether run times are learned from finished runs. */
+  readonly learnRunTimes: boolean;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
   /** Number of log lines dropped since the start, by event. */
@@ -146,7 +152,14 @@
     createIntakePlugin({partitions}),
     createFleetPlugin(),
     createObserverPlugin({metrics, log}),
-    createDispatchPlugin({self, wallClock, partitions, keepEndedMillis}),
+    createRunTimesPlugin(),
+    createDispatchPlugin({
+      self,
+      wallClock,
+      partitions,
+      keepEndedMillis,
+      functions: createRunTimeFunctions(options.learnRunTimes),
+    }),
     createWorkersPlugin(createWorkerClient(httpClient), now),
     createAdvicePlugin(self, adviser, hostLinks),
   ]) {
--- a/packages/site-daemon/src/main.ts
+++ b/packages/site-daemon/src/main.ts
@@ -49,6 +49,7 @@
   const host = await createSiteHost({
     settings: () => hostSettings,
     metricsPort: daemonSettings.metricsPort,
+    learnRunTimes: daemonSettings.learnRunTimes,
     random: Math.random,
     droppedLogLines: logWriter.droppedLines,
   });
--- a/testing/src/site/ModelHost.ts
+++ b/testing/src/site/ModelHost.ts
@@ -21,6 +21,8 @@
   readonly forbiddenWorkersPerStep?: number;
   /** How long the state of an ended job is kept; defaults to ten minutes. */
   readonly keepEndedMillis?: number;
+  /** Whether the holder learns run times; defaults to true. */
+  readonly learnsRunTimes?: boolean;
   /** Returns the behaviour of a task. */
   readonly script: (job: Job, runId: RunId) => TaskScript;
 }
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -28,6 +28,10 @@
 import type {Job} from '@samphireramp/jobs';
 import {type Kernel, createKernel, mergeUnregister} from '@samphireramp/kernel';
 import {decodeWorkerEntry} from '@samphireramp/platform';
+import {
+  createRunTimeFunctions,
+  createRunTimesPlugin,
+} from '@samphireramp/run-times';
 import {
   createAdvicePlugin,
   createStreamLogPlugin,
@@ -322,11 +326,13 @@
       }),
       createIntakePlugin({partitions: PARTITIONS}),
       createFleetPlugin(),
+      createRunTimesPlugin(),
       createDispatchPlugin({
         self: name,
         wallClock: () => this.clock.now + host.clockOffsetMillis,
         partitions: PARTITIONS,
         keepEndedMillis: this.options.keepEndedMillis ?? KEEP_ENDED_MILLIS,
+        functions: createRunTimeFunctions(this.options.learnsRunTimes ?? true),
       }),
       createWorkersPlugin(
         {
