Gangs go to the faster workers first

A gang runs as long as on its slowest worker. It is packed on the fastest class of workers on which all of it fits, and asks for advice on these first.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -24,6 +24,8 @@
 /** A worker that accepts runs, with the resources still free in the pass. */
 export interface Candidate {
   readonly worker: Worker;
+  /** 1 for a normal worker, 2 for one on which runs take half as long. */
+  readonly speed: number;
   cpuMillis: number;
   memoryMegabytes: number;
   accelerators: number;
@@ -47,12 +49,17 @@
 }
 
 /** Lists the workers that accept new runs, with their free resources. */
-export function listCandidates(state: StateReader, now: number): Candidate[] {
+export function listCandidates(
+  state: StateReader,
+  now: number,
+  speedOf: (incarnation: string) => number = () => 1,
+): Candidate[] {
   const candidates: Candidate[] = [];
   for (const worker of state.read(WORKERS).values()) {
     if (acceptsRuns(worker, now)) {
       candidates.push({
         worker,
+        speed: speedOf(worker.incarnation),
         ...freeResources(state, worker),
         isClosed: false,
       });
@@ -138,7 +145,12 @@
   worker: Worker,
   readyStep: ReadyStep,
 ): number {
-  const candidate = {worker, ...worker.capacity, isClosed: false};
+  const candidate = {
+    worker,
+    speed: 1,
+    ...worker.capacity,
+    isClosed: false,
+  };
   return countFittingTasks(candidate, readyStep);
 }
 
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -14,6 +14,7 @@
   isSuspected,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
+import {SPEED_CLASSES_FROM_FAST, speedClassOf} from './speedClasses';
 
 /** Chooses workers for all tasks of a gang, or keeps free resources for it. */
 export function chooseGangPlacements(
@@ -87,7 +88,8 @@
 
 /**
  * Finds workers for all tasks of a gang, first those in `preferredIds`; undefined
- * if the tasks don't all fit.
+ * if the tasks don't all fit. A gang runs as long as on its slowest worker, so the
+ * slowest are used only if it doesn't fit on the others.
  */
 function packGang(
   candidates: readonly Candidate[],
@@ -101,7 +103,16 @@
       return onOneRack;
     }
   }
-  return packInOrder(ranked, readyStep);
+  for (const leastClass of SPEED_CLASSES_FROM_FAST) {
+    const placements = packInOrder(
+      ranked.filter(candidate => speedClassOf(candidate) >= leastClass),
+      readyStep,
+    );
+    if (placements !== undefined) {
+      return placements;
+    }
+  }
+  return undefined;
 }
 
 function packOnOneRack(
@@ -123,7 +134,7 @@
 
 /**
  * Sorts the workers on which a task fits: near the data first, then the preferred
- * ones, then those that fit the most tasks. The others follow.
+ * ones, then the faster ones, then those that fit the most tasks. The others follow.
  */
 function rankForGang(
   candidates: readonly Candidate[],
@@ -136,12 +147,14 @@
       tasks: countFittingTasks(candidate, readyStep),
       isNear: Number(isNearData(candidate, readyStep)),
       isPreferred: Number(preferredIds.has(candidate.worker.id)),
+      speedClass: speedClassOf(candidate),
     }))
     .sort(
       (a, b) =>
         Number(b.tasks > 0) - Number(a.tasks > 0) ||
         b.isNear - a.isNear ||
         b.isPreferred - a.isPreferred ||
+        b.speedClass - a.speedClass ||
         b.tasks - a.tasks ||
         freeShare(a.candidate) - freeShare(b.candidate),
     )
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -38,7 +38,7 @@
   self: string,
   scope: PlacementScope,
   wallNow: number,
-  {createStartQuota, expectedMillis}: PlacementFunctions,
+  {createStartQuota, expectedMillis, speedOf}: PlacementFunctions,
 ): void {
   if (
     heldTerm(update) === undefined ||
@@ -47,7 +47,7 @@
     return;
   }
   const quota = createStartQuota(update);
-  const pass = new PlacementPass(update, self, quota);
+  const pass = new PlacementPass(update, self, quota, speedOf);
   let placedSteps = 0;
   const cutSteps: ReadyStep[] = [];
   for (const readyStep of orderReadySteps(
