Decide by API key which calls are accepted

A configuration may list client accounts and public routes, but nothing decided by them. A pure function decides about a call from the accounts, the route, the keys and the age of the configuration. The settings revoke_fail_closed and revoke_ms are read.

--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -1,2 +1,16 @@
 /** Client accounts: who may call, what they may use, and their shares. */
 export {createAccountsPlugin} from './accountsPlugin';
+export {MAX_API_KEY_BYTES, digestApiKey} from './apiKeys';
+export {
+  type CallContext,
+  type CallDecision,
+  type RejectionReason,
+  type RevocationTerms,
+  decideCall,
+  isConfigurationOutdated,
+} from './authorization';
+export {
+  CONFIGURATION_READ,
+  CONFIGURATION_READ_AT,
+  configurationAgeMillis,
+} from './configurationAge';
--- a/packages/jobs/src/ClientAccount.ts
+++ b/packages/jobs/src/ClientAccount.ts
@@ -17,3 +17,17 @@
 
 /** Account of jobs whose route needs no key. */
 export const NO_ACCOUNT = '';
+
+/**
+ * Whether a caller may read and cancel a job. `caller` is the name of its account,
+ * or undefined if the site has no accounts. A job without an account, of a public
+ * route or from before the site had accounts, is open to every caller.
+ */
+export function mayAccessJob(
+  caller: string | undefined,
+  jobAccount: string,
+): boolean {
+  return (
+    caller === undefined || jobAccount === NO_ACCOUNT || jobAccount === caller
+  );
+}
