Record and publish the client account of a job

A later holder and every host must know whose job it is, also after its key is revoked. The progress record has the account as an optional last field, the published state as a prefix of the queue; records of jobs without an account are unchanged, and records of the earlier format are decoded as such.

--- a/packages/job-states/src/JobStates.ts
+++ b/packages/job-states/src/JobStates.ts
@@ -9,6 +9,8 @@
 /** What every host knows of a job. */
 export interface KnownJob {
   readonly queue: string;
+  /** Name of the client account that handed it in; empty for none. */
+  readonly account: string;
   readonly state: JobState;
 }
 
--- a/packages/job-states/src/__tests__/unit/publishing.test.ts
+++ b/packages/job-states/src/__tests__/unit/publishing.test.ts
@@ -11,6 +11,7 @@
   return {
     jobId: JOB_ID,
     queue: 'queue',
+    account: '',
     state,
     receivedAt: 0,
     endedAt: 0,
@@ -86,7 +87,12 @@
     const {length} = appends;
     tickAt(clock.now + 400);
     t.equal(appends.length, length);
-    const entry = {jobId: JOB_ID, queue: 'queue', state: 'queued'} as const;
+    const entry = {
+      jobId: JOB_ID,
+      queue: 'queue',
+      account: '',
+      state: 'queued',
+    } as const;
     readStates(
       [
         {kind: 'holder', record: OTHER_HOLDER},
@@ -106,7 +112,12 @@
     makeDurable(kernel, buildProgress('completed'));
     answerAppend({kind: 'appended', offset: 2, endOffset: 4});
     clock.now += 40;
-    const entry = {jobId: JOB_ID, queue: 'queue', state: 'running'} as const;
+    const entry = {
+      jobId: JOB_ID,
+      queue: 'queue',
+      account: '',
+      state: 'running',
+    } as const;
     readStates([{kind: 'state', ...entry}], 4);
     t.same(statesIn(appends.at(-1)?.entries), ['completed']);
   },
--- a/packages/job-states/src/applyStates.ts
+++ b/packages/job-states/src/applyStates.ts
@@ -12,8 +12,8 @@
 export function applyStateEntry(update: Update, entry: StateEntry): void {
   const states = update.write(JOB_STATES);
   match(entry)
-    .with({kind: 'state'}, ({jobId, queue, state}) =>
-      states.set(jobId, {queue, state}),
+    .with({kind: 'state'}, ({jobId, queue, account, state}) =>
+      states.set(jobId, {queue, account, state}),
     )
     .with({kind: 'forgotten'}, ({jobId}) => states.delete(jobId))
     .with({kind: 'standbys'}, ({hosts}) => update.write(STANDBYS).set(hosts))
--- a/packages/job-states/src/messages.ts
+++ b/packages/job-states/src/messages.ts
@@ -10,6 +10,8 @@
       readonly kind: 'state';
       readonly jobId: string;
       readonly queue: string;
+      /** Name of the client account that handed the job in; empty for none. */
+      readonly account: string;
       readonly state: JobState;
     }
   | {readonly kind: 'forgotten'; readonly jobId: string}
--- a/packages/job-states/src/publishing.ts
+++ b/packages/job-states/src/publishing.ts
@@ -14,9 +14,10 @@
   requestsAge,
 } from '@samphireramp/holding';
 import {liveHosts} from '@samphireramp/hosts';
+import type {Progress} from '@samphireramp/jobs';
 import {applyStateEntry} from './applyStates';
 import {chooseStandbys} from './chooseStandbys';
-import {JOB_STATES, STANDBYS, STATES_COPY} from './JobStates';
+import {JOB_STATES, type KnownJob, STANDBYS, STATES_COPY} from './JobStates';
 import {
   APPEND_STATES,
   READ_STATES_NOW,
@@ -63,15 +64,25 @@
   nextAppendAt: 0,
 });
 
-/** Marks a job for publication if its published state is not its durable one. */
+/** Marks a job for publication if what is published of it is not what is durable. */
 export function markIfChanged(update: Update, jobId: string): void {
   const progress = update.read(DURABLE_PROGRESS).get(jobId);
   const published = update.read(JOB_STATES).get(jobId);
-  if (progress?.state !== published?.state) {
+  if (isPublicationDue(progress, published)) {
     update.write(CHANGED_JOBS).set(jobId, true);
   }
 }
 
+function isPublicationDue(
+  progress: Progress | undefined,
+  published: KnownJob | undefined,
+): boolean {
+  return (
+    progress?.state !== published?.state ||
+    progress?.account !== published?.account
+  );
+}
+
 /** Marks every job whose published state is not its durable one. */
 export function markAllChanged(update: Update): void {
   const jobIds = [
@@ -226,9 +237,12 @@
     const published = update.read(JOB_STATES).get(jobId);
     if (progress === undefined && published !== undefined) {
       entries.push({kind: 'forgotten', jobId});
-    } else if (progress !== undefined && progress.state !== published?.state) {
-      const {queue, state} = progress;
-      entries.push({kind: 'state', jobId, queue, state});
+    } else if (
+      progress !== undefined &&
+      isPublicationDue(progress, published)
+    ) {
+      const {queue, account, state} = progress;
+      entries.push({kind: 'state', jobId, queue, account, state});
     }
   }
   return entries;
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -30,6 +30,8 @@
 export const progressSchema = z.object({
   jobId: z.string(),
   queue: z.string(),
+  /** Name of the client account that handed the job in; empty for none. */
+  account: z._default(z.string(), ''),
   state: jobStateSchema,
   /** Wall-clock milliseconds at which a host received the job. */
   receivedAt: z.number(),
@@ -86,6 +88,7 @@
   return {
     jobId: job.id,
     queue: job.policy.name,
+    account: job.account,
     state: 'queued',
     receivedAt: job.receivedAt,
     endedAt: 0,
--- a/packages/record-codec/src/__tests__/unit/codecs.test.ts
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -46,6 +46,7 @@
 const progress: fc.Arbitrary<Progress> = fc.record({
   jobId: fc.constant('00000000000000aa'),
   queue: fc.string(),
+  account: fc.string(),
   state: fc.constantFrom(
     'queued' as const,
     'running' as const,
@@ -90,6 +91,7 @@
   return {
     jobId: '0b6b65ca05d3da36',
     queue: 'r-urrxcke',
+    account: '',
     state: 'running',
     receivedAt: 1_776_251_549_270,
     endedAt: 0,
@@ -147,6 +149,7 @@
   t.same(decodeProgress('00000000000000aa', value), {
     jobId: '00000000000000aa',
     queue: 'q',
+    account: '',
     state: 'running',
     receivedAt: 7,
     endedAt: 9,
--- a/packages/record-codec/src/__tests__/unit/stateCodec.test.ts
+++ b/packages/record-codec/src/__tests__/unit/stateCodec.test.ts
@@ -16,11 +16,17 @@
     },
   },
   {kind: 'standbys', hosts: ['host-a', 'host-b']},
-  {kind: 'state', jobId: JOB_ID, queue: 'queue-1', state: 'queued'},
-  {kind: 'state', jobId: JOB_ID, queue: 'q', state: 'running'},
-  {kind: 'state', jobId: JOB_ID, queue: 'c', state: 'completed'},
-  {kind: 'state', jobId: JOB_ID, queue: 'x', state: 'failed'},
-  {kind: 'state', jobId: JOB_ID, queue: '', state: 'cancelled'},
+  {
+    kind: 'state',
+    jobId: JOB_ID,
+    queue: 'queue-1',
+    account: '',
+    state: 'queued',
+  },
+  {kind: 'state', jobId: JOB_ID, queue: 'q', account: '', state: 'running'},
+  {kind: 'state', jobId: JOB_ID, queue: 'c', account: '', state: 'completed'},
+  {kind: 'state', jobId: JOB_ID, queue: 'x', account: '', state: 'failed'},
+  {kind: 'state', jobId: JOB_ID, queue: '', account: '', state: 'cancelled'},
   {kind: 'forgotten', jobId: JOB_ID},
 ];
 
--- a/packages/record-codec/src/objectProgressCodec.ts
+++ b/packages/record-codec/src/objectProgressCodec.ts
@@ -1,5 +1,6 @@
 import {
   NEW_TASK,
+  NO_ACCOUNT,
   type Occurrence,
   type Progress,
   type Task,
@@ -53,6 +54,7 @@
   return {
     jobId,
     queue: record.queue,
+    account: NO_ACCOUNT,
     state: record.state,
     receivedAt: record.received,
     endedAt: record.ended ?? 0,
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -1,6 +1,7 @@
 import {
   type Job,
   NEW_TASK,
+  NO_ACCOUNT,
   type Occurrence,
   type Progress,
   type Task,
@@ -19,6 +20,8 @@
 const FIRST_RUN = 2;
 /** Index of the worker in the record of a task that is not placed. */
 const NO_WORKER = -1;
+/** Index of the client account, which only records of jobs with one have. */
+const ACCOUNT_FIELD = 7;
 
 /** Bytes of the record of a task that failed and crashed a worker. */
 const MAX_TASK_BYTES = 24;
@@ -63,6 +66,7 @@
       z.array(z.array(taskRecordSchema)), // tasks by step
     ]),
   ),
+  z.optional(z.string()), // client account, if there is one
 ]);
 
 type TaskRecord = z.infer<typeof taskRecordSchema>;
@@ -94,6 +98,9 @@
     [...workerIndices.keys()],
     occurrences,
   ];
+  if (progress.account !== NO_ACCOUNT) {
+    record[ACCOUNT_FIELD] = progress.account;
+  }
   return Buffer.from(JSON.stringify(record));
 }
 
@@ -112,6 +119,7 @@
     return undefined;
   }
   const [queue, state, receivedAt, endedAt, nextOccurrence, workers] = record;
+  const account = record[ACCOUNT_FIELD] ?? NO_ACCOUNT;
   const occurrences = record[6].map(([number, steps]): Occurrence => ({
     number,
     steps: steps.map(tasks => tasks.map(task => decodeTask(task, workers))),
@@ -119,6 +127,7 @@
   return {
     jobId,
     queue,
+    account,
     state,
     receivedAt,
     endedAt,
--- a/packages/record-codec/src/requestCodec.ts
+++ b/packages/record-codec/src/requestCodec.ts
@@ -10,7 +10,10 @@
 const CANCEL_PREFIX = 'cancel.';
 const TOMBSTONE = Buffer.alloc(0);
 
-const cancelSchema = z.object({receivedAt: z.optional(z.number())});
+const cancelSchema = z.object({
+  receivedAt: z.optional(z.number()),
+  account: z.optional(z.string()),
+});
 
 /** Encodes a caller's request as a record. */
 export function encodeRequest(request: Request): LogRecord {
@@ -19,9 +22,9 @@
       key: JOB_PREFIX + job.id,
       value: Buffer.from(JSON.stringify(job)),
     }))
-    .with({kind: 'cancel'}, ({jobId, receivedAt}) => ({
+    .with({kind: 'cancel'}, ({jobId, receivedAt, account}) => ({
       key: CANCEL_PREFIX + jobId,
-      value: Buffer.from(JSON.stringify({receivedAt})),
+      value: Buffer.from(JSON.stringify({receivedAt, account})),
     }))
     .exhaustive();
 }
@@ -76,7 +79,12 @@
     const cancel = decodeJson(cancelSchema, value, onInvalid);
     const jobId = key.slice(CANCEL_PREFIX.length);
     return (
-      cancel && {kind: 'cancel', jobId, receivedAt: cancel.receivedAt ?? 0}
+      cancel && {
+        kind: 'cancel',
+        jobId,
+        ...cancel,
+        receivedAt: cancel.receivedAt ?? 0,
+      }
     );
   }
   return undefined;
--- a/packages/record-codec/src/stateCodec.ts
+++ b/packages/record-codec/src/stateCodec.ts
@@ -1,18 +1,23 @@
 import type {HolderRecord} from '@samphireramp/holding';
 import type {StateEntry, StoredStateEntry} from '@samphireramp/job-states';
-import type {JobState} from '@samphireramp/jobs';
+import {type JobState, NO_ACCOUNT} from '@samphireramp/jobs';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
 import * as z from 'zod/mini';
 import {type OnMalformed, decodeEntries} from './decodeEntries';
 import {type OnInvalid, decodeJson} from './decodeJson';
 
+type PublishedState = Extract<StateEntry, {kind: 'state'}>;
+
 const HOLDER_KEY = 'holder';
 const STANDBYS_KEY = 'standbys';
 const JOB_PREFIX = 'job.';
 const TOMBSTONE = Buffer.alloc(0);
 
-/** First letter of the record of a job, which the name of its queue follows. */
+/**
+ * First letter of the record of a job, which the name of its queue follows. In upper
+ * case, the length and the name of the job's account come first: `Q5:alicequeue`.
+ */
 const LETTER_BY_STATE: Readonly<Record<JobState, string>> = {
   queued: 'q',
   running: 'r',
@@ -27,6 +32,8 @@
   ]),
 );
 
+const ACCOUNT_AND_QUEUE = /^(\d+):(.*)$/s;
+
 const standbysSchema = z.array(z.string());
 
 // Every host reads this record with each batch: without names of fields it is short.
@@ -49,9 +56,9 @@
       key: STANDBYS_KEY,
       value: Buffer.from(JSON.stringify(hosts)),
     }))
-    .with({kind: 'state'}, ({jobId, queue, state}) => ({
-      key: JOB_PREFIX + jobId,
-      value: Buffer.from(LETTER_BY_STATE[state] + queue),
+    .with({kind: 'state'}, entry => ({
+      key: JOB_PREFIX + entry.jobId,
+      value: Buffer.from(encodeState(entry)),
     }))
     .with({kind: 'forgotten'}, ({jobId}) => ({
       key: JOB_PREFIX + jobId,
@@ -90,9 +97,33 @@
   if (value.length === 0) {
     return {kind: 'forgotten', jobId};
   }
-  const text = value.toString();
-  const state = STATE_BY_LETTER.get(text[0]);
-  return state && {kind: 'state', jobId, queue: text.slice(1), state};
+  return decodeState(jobId, value.toString());
+}
+
+function encodeState({queue, account, state}: PublishedState): string {
+  const letter = LETTER_BY_STATE[state];
+  return account === NO_ACCOUNT
+    ? letter + queue
+    : `${letter.toUpperCase()}${account.length}:${account}${queue}`;
+}
+
+function decodeState(jobId: string, text: string): StateEntry | undefined {
+  const [letter = ''] = text;
+  const content = text.slice(1);
+  const state = STATE_BY_LETTER.get(letter.toLowerCase());
+  if (state === undefined) {
+    return undefined;
+  }
+  if (letter === LETTER_BY_STATE[state]) {
+    return {kind: 'state', jobId, queue: content, account: NO_ACCOUNT, state};
+  }
+  const [, digits, names] = ACCOUNT_AND_QUEUE.exec(content) ?? [];
+  const length = Number(digits);
+  if (names === undefined || length === 0 || length > names.length) {
+    return undefined;
+  }
+  const account = names.slice(0, length);
+  return {kind: 'state', jobId, queue: names.slice(length), account, state};
 }
 
 function encodeShortHolderRecord(record: HolderRecord): Buffer {
