Reject calls without a valid key, and keep jobs of other accounts apart

Calls for a job of another account are answered as for one that doesn't exist; a cancel carries the caller's account, and the holder ignores it unless that is the job's. With revoke_fail_closed, a host rejects keys once the configuration could not be read for revoke_ms, counted from when the last successful read was sent, and makes reads short enough for that.

--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -33,8 +33,12 @@
   isFinalState(row.progress.state) ? undefined : ACTIVE,
 );
 
-/** Ids of cancelled jobs. A cancellation may be read before its job. */
-export const CANCELLED_JOBS = createTableSlice<true>('cancelled');
+/**
+ * By the id of a job, the accounts whose cancels of it were read; undefined stands for
+ * a caller of a site without accounts. A cancel may be read before its job.
+ */
+export const CANCELLED_JOBS =
+  createTableSlice<ReadonlySet<string | undefined>>('cancelled');
 
 /** When this holder first saw that a job is over, by job id; monotonic clock. */
 export const END_SEEN_AT = createTableSlice<number>('end-seen-at');
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -12,6 +12,7 @@
   occurrenceDueAt,
   isFinalState,
   isOccurrenceDone,
+  mayAccessJob,
   newOccurrence,
   newProgress,
   reservedResources,
@@ -54,9 +55,14 @@
     if (request.kind === 'submit') {
       const {job} = request;
       addJob(update, job, wallClock(), () => virtualDelayMillis(update, job));
-    } else if (!update.read(CANCELLED_JOBS).has(request.jobId)) {
-      update.write(CANCELLED_JOBS).set(request.jobId, true);
-      cancelJob(update, request.jobId, wallClock());
+    } else {
+      const {jobId, account} = request;
+      const accounts = update.read(CANCELLED_JOBS).get(jobId) ?? new Set();
+      if (!accounts.has(account)) {
+        const added = new Set([...accounts, account]);
+        update.write(CANCELLED_JOBS).set(jobId, added);
+        cancelIfRequested(update, jobId, wallClock());
+      }
     }
   }
   schedulePlacement(update);
@@ -76,8 +82,9 @@
   if (durableProgress !== undefined && isFinalState(durableProgress.state)) {
     return;
   }
-  const progress = durableProgress ?? newProgress(job);
-  const row = newJobRow(job, progress, virtualDelayMillis());
+  const account = durableProgress?.account || job.account;
+  const progress = {...(durableProgress ?? newProgress(job)), account};
+  const row = newJobRow({...job, account}, progress, virtualDelayMillis());
   update.write(JOBS).set(job.id, row);
   if (durableProgress === undefined) {
     recordProgress(update, row.progress);
@@ -88,13 +95,15 @@
       Math.round(wallNow - job.receivedAt),
     );
   } else {
+    if (durableProgress.account !== account) {
+      // A holder of a build without accounts recorded it.
+      recordProgress(update, progress);
+    }
     adoptPlacedRuns(update, row);
   }
-  if (update.read(CANCELLED_JOBS).has(job.id)) {
-    cancelJob(update, job.id, wallNow);
-  } else {
-    startOccurrencesOfJob(update, job.id, wallNow);
-  }
+  cancelIfRequested(update, job.id, wallNow);
+  // Does nothing if the job is cancelled.
+  startOccurrencesOfJob(update, job.id, wallNow);
 }
 
 /**
@@ -216,10 +225,21 @@
   }
 }
 
-function cancelJob(update: Update, jobId: string, wallNow: number): void {
+/** Ends a job as cancelled if a caller that may access it has cancelled it. */
+function cancelIfRequested(
+  update: Update,
+  jobId: string,
+  wallNow: number,
+): void {
   const row = update.read(JOBS).get(jobId);
-  if (row !== undefined && !isFinalState(row.progress.state)) {
+  if (row === undefined || isFinalState(row.progress.state)) {
+    return;
+  }
+  const accounts = [...(update.read(CANCELLED_JOBS).get(jobId) ?? [])];
+  if (accounts.some(account => mayAccessJob(account, row.job.account))) {
     endJob(update, row, row.progress, 'cancelled', wallNow);
+  } else if (accounts.length > 0) {
+    emitJobEvent(update, row, 'cancel-ignored', 0, 'other-account');
   }
 }
 
--- a/packages/intake/src/IntakeState.ts
+++ b/packages/intake/src/IntakeState.ts
@@ -25,6 +25,8 @@
 /** A job that this host accepted. */
 export interface AcceptedJob {
   readonly queue: string;
+  /** Name of the client account that handed it in; empty for none. */
+  readonly account: string;
   /** Milliseconds of the runtime's monotonic clock. */
   readonly acceptedAt: number;
 }
--- a/packages/intake/src/Request.ts
+++ b/packages/intake/src/Request.ts
@@ -8,6 +8,11 @@
       readonly jobId: string;
       /** Wall-clock time in milliseconds. */
       readonly receivedAt: number;
+      /**
+       * Name of the caller's account, which must be the job's; undefined if the
+       * site has no accounts, and in records of hosts that know none.
+       */
+      readonly account?: string;
     };
 
 /** The answer to a request. */
@@ -15,6 +20,10 @@
   | {readonly kind: 'accepted'}
   /** The request is not in the log and never will be. */
   | {readonly kind: 'refused'; readonly retryAfterMillis: number}
+  /** There is no such job for this caller. */
+  | {readonly kind: 'absent'}
+  /** Another client account has handed in a job with this id. */
+  | {readonly kind: 'id-in-use'}
   /** The log can't take the request, because of its size. */
   | {readonly kind: 'too-large'}
   /** The request may be in the log. */
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,5 +1,6 @@
 /** Accepts submits and cancels on any host, and reports job status. */
 export {type IntakeOptions, createIntakePlugin} from './intakePlugin';
+export {createRefusal} from './answerCall';
 export {ACCEPTED_JOBS} from './IntakeState';
 export {
   type JobStatus,
--- a/packages/intake/src/intakePlugin.ts
+++ b/packages/intake/src/intakePlugin.ts
@@ -5,7 +5,7 @@
   mergeUnregister,
 } from '@samphireramp/kernel';
 import {JOB_STATES, STATES_COPY} from '@samphireramp/job-states';
-import {isFinalState} from '@samphireramp/jobs';
+import {isFinalState, mayAccessJob} from '@samphireramp/jobs';
 import {answerCall, createRefusal} from './answerCall';
 import {
   ACCEPTED_JOBS,
@@ -69,6 +69,10 @@
   update: Update,
   call: PayloadOf<typeof REQUEST_RECEIVED>,
 ): void {
+  if (isIdInUse(update, call.request)) {
+    answerCall(update, call, {kind: 'id-in-use'}, 'other-account');
+    return;
+  }
   if (isRedundant(update, call.request)) {
     answerCall(update, call, {kind: 'accepted'}, 'known');
     return;
@@ -97,6 +101,17 @@
   return known !== undefined && isFinalState(known.state);
 }
 
+/** Whether a submitted job has the id of a job of another client account. */
+function isIdInUse(update: Update, request: Request): boolean {
+  if (request.kind !== 'submit') {
+    return false;
+  }
+  const {id, account} = request.job;
+  const known =
+    update.read(JOB_STATES).get(id) ?? update.read(ACCEPTED_JOBS).get(id);
+  return known !== undefined && !mayAccessJob(account, known.account);
+}
+
 /** Whether this host seems cut off from the log, so that appends would fail. */
 function isLogUnreachable(update: Update): boolean {
   const {readAt, isCaughtUp} = update.read(STATES_COPY).get();
--- a/packages/intake/src/jobStatus.ts
+++ b/packages/intake/src/jobStatus.ts
@@ -1,5 +1,5 @@
 import {JOB_STATES, knowsJobsUntil} from '@samphireramp/job-states';
-import type {JobState} from '@samphireramp/jobs';
+import {type JobState, mayAccessJob} from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 import {ACCEPTED_JOBS} from './IntakeState';
 
@@ -19,19 +19,27 @@
 
 /**
  * Finds the status of a job in the published states and the jobs accepted here. A job
- * that was accepted longer than `visibleMillis` ago is never `absent`.
+ * that was accepted longer than `visibleMillis` ago is never `absent` for its account.
+ * A job that the caller's account may not access is treated as one that this host does
+ * not know.
  */
 export function jobStatus(
   state: StateReader,
   jobId: string,
   now: number,
   visibleMillis: number,
+  caller?: string,
 ): JobStatus {
   const known = state.read(JOB_STATES).get(jobId);
-  if (known !== undefined) {
+  if (known !== undefined && mayAccessJob(caller, known.account)) {
     return known.state;
   }
-  if (state.read(ACCEPTED_JOBS).has(jobId)) {
+  const accepted = state.read(ACCEPTED_JOBS).get(jobId);
+  if (
+    known === undefined &&
+    accepted !== undefined &&
+    mayAccessJob(caller, accepted.account)
+  ) {
     return 'queued';
   }
   return areJobsKnown(state, now - visibleMillis) ? 'absent' : 'unsure';
--- a/packages/intake/src/requestBatches.ts
+++ b/packages/intake/src/requestBatches.ts
@@ -204,8 +204,12 @@
   const acceptedJobs = update.write(ACCEPTED_JOBS);
   for (const {request} of batch.calls) {
     if (request.kind === 'submit') {
-      const {id, policy} = request.job;
-      acceptedJobs.set(id, {queue: policy.name, acceptedAt: update.now});
+      const {id, policy, account} = request.job;
+      acceptedJobs.set(id, {
+        queue: policy.name,
+        account,
+        acceptedAt: update.now,
+      });
     }
   }
   finishBatch(
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -1,3 +1,9 @@
+import {
+  type RevocationTerms,
+  configurationAgeMillis,
+  decideCall,
+  isConfigurationOutdated,
+} from '@samphireramp/accounts';
 import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
 import {
   ANSWER_CALL,
@@ -7,11 +13,14 @@
   type Request,
   type RequestAnswer,
   countPending,
+  createRefusal,
   jobStatus,
 } from '@samphireramp/intake';
 import type {Kernel} from '@samphireramp/kernel';
 import {greatestProgressBytes} from '@samphireramp/record-codec';
 import type {CallerService} from '@samphireramp/platform';
+import {match} from 'ts-pattern';
+import type {RejectedCall} from './rejectedCallReporter';
 
 /** Options of `createCallerService`. */
 export interface CallerServiceOptions {
@@ -24,6 +33,10 @@
   readonly maxRecordBytes: () => number;
   /** An accepted job must be known at every host within this time. */
   readonly visibleMillis: () => number;
+  /** How long keys are accepted while the configuration can't be read. */
+  readonly revocation: () => RevocationTerms;
+  /** Called with each call that is rejected for its API key. */
+  readonly onRejected: (call: RejectedCall) => void;
   /** Called with each answer that this host gives from its copy of the journal. */
   readonly onStatus: (jobId: string, status: JobStatus) => void;
   readonly onPending: (queue: string, count: PendingCount) => void;
@@ -52,8 +65,31 @@
     });
   }
 
+  function readStatus(jobId: string, account: string | undefined): JobStatus {
+    const status = jobStatus(kernel, jobId, now(), visibleMillis(), account);
+    onStatus(jobId, status);
+    return status;
+  }
+
   return {
     configuration: () => kernel.read(SITE_CONFIGURATION).get(),
+    authorize: (route, keys) => {
+      const accounts =
+        kernel.read(SITE_CONFIGURATION).get()?.clientAccounts ?? [];
+      const ageMillis = configurationAgeMillis(kernel, now());
+      const decision = decideCall({
+        accounts,
+        isPublic: route.isPublic,
+        keys,
+        isOutdated: isConfigurationOutdated(options.revocation(), ageMillis),
+      });
+      if (decision.kind === 'rejected') {
+        const {reason, account} = decision;
+        const queue = route.policy.name;
+        options.onRejected({reason, account, queue, ageMillis});
+      }
+      return decision;
+    },
     progressExcess: job => {
       const bytes = greatestProgressBytes(job);
       return bytes > options.maxRecordBytes()
@@ -62,13 +98,24 @@
         : undefined;
     },
     submit: job => dispatchRequest({kind: 'submit', job}),
-    cancel: jobId =>
-      dispatchRequest({kind: 'cancel', jobId, receivedAt: wallClock()}),
-    status: jobId => {
-      const status = jobStatus(kernel, jobId, now(), visibleMillis());
-      onStatus(jobId, status);
-      return status;
+    cancel: async (jobId, account) => {
+      // Only cancels of jobs that are known to be the caller's get into the log,
+      // where a cancel replaces an earlier one of the same job.
+      const status =
+        account === undefined ? 'known' : readStatus(jobId, account);
+      return match(status)
+        .with('absent', () => ({kind: 'absent'}) as const)
+        .with('unsure', createRefusal)
+        .otherwise(() =>
+          dispatchRequest({
+            kind: 'cancel',
+            jobId,
+            receivedAt: wallClock(),
+            account,
+          }),
+        );
     },
+    status: readStatus,
     pending: queue => {
       const count = countPending(kernel, queue, now(), visibleMillis());
       onPending(queue, count);
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -1,4 +1,5 @@
 import {serve} from '@hono/node-server';
+import {createAccountsPlugin} from '@samphireramp/accounts';
 import {SITE_CONFIGURATION, createDispatchPlugin} from '@samphireramp/dispatch';
 import {createFleetPlugin} from '@samphireramp/fleet';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
@@ -30,6 +31,7 @@
 import {createCallerService} from './callerService';
 import {createStreamLogPlugin} from './streamLogPlugin';
 import {createObserverPlugin} from './observerPlugin';
+import {createRejectedCallReporter} from './rejectedCallReporter';
 import {createTimersPlugin} from './timersPlugin';
 import {createWorkersPlugin} from './workersPlugin';
 
@@ -144,6 +146,7 @@
       followDelayMillis: () => followDelayMillis,
     }),
     createIntakePlugin({partitions}),
+    createAccountsPlugin(),
     createFleetPlugin(),
     createObserverPlugin({metrics, log}),
     createDispatchPlugin({self, wallClock, partitions, keepEndedMillis}),
@@ -158,6 +161,11 @@
     visibleMillis: () => settings().visibleMillis,
     maxRecordBytes: () => settings().maxRecordBytes,
     isStopping: () => isStopping,
+    revocation: () => ({
+      failsClosed: settings().revokeFailsClosed,
+      revokeMillis: settings().revokeMillis,
+    }),
+    onRejected: createRejectedCallReporter({log, metrics, now}),
     ...createAnswerReporter(kernel, {log, metrics, now}),
   });
   const isReady = () =>
@@ -180,6 +188,9 @@
       decodeConfiguration,
       configurationKey: CONFIGURATION_KEY,
       decodeWorker: decodeWorkerEntry,
+      maxConfigurationAgeMillis: settings().revokeFailsClosed
+        ? settings().revokeMillis
+        : undefined,
       log,
       countMalformed: stream => metrics.count('malformed_records', {stream}),
     }),
--- a/packages/site-daemon/src/malformedRecords.ts
+++ b/packages/site-daemon/src/malformedRecords.ts
@@ -13,7 +13,8 @@
 
 /**
  * Creates a function that counts each malformed record and logs the first one of
- * each key: another writer may write the same record again many times a second.
+ * each key: another writer may write the same record again many times a second. Of
+ * the configuration, which only operators write, the first one of each reason.
  */
 export function createMalformedReporter(
   log: Log,
@@ -22,7 +23,8 @@
   const loggedKeys = new Set<string>();
   return (stream, key, reason) => {
     count(stream);
-    const streamKey = `${stream} ${key}`;
+    const suffix = stream === 'configuration' ? ` ${reason}` : '';
+    const streamKey = `${stream} ${key}${suffix}`;
     if (loggedKeys.size < MAX_LOGGED_KEYS && !loggedKeys.has(streamKey)) {
       loggedKeys.add(streamKey);
       log('record-malformed', {stream, key, detail: reason});
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -1,3 +1,4 @@
+import {CONFIGURATION_READ} from '@samphireramp/accounts';
 import {
   APPEND_JOURNAL,
   DURABLE_PROGRESS,
@@ -81,6 +82,11 @@
 const HIGH_TRAFFIC_READ_WAIT_MILLIS = 400;
 /** How long the log may keep a read of a low-traffic stream open. */
 const LOW_TRAFFIC_READ_WAIT_MILLIS = 1000;
+/**
+ * Part of the greatest age of the configuration that one read may take, so that
+ * a read that fails does not make the configuration outdated.
+ */
+const CONFIGURATION_READ_SHARE = 0.25;
 
 /** Options for following a stream with few records. */
 const LOW_TRAFFIC_OPTIONS = {
@@ -98,6 +104,11 @@
   ) => SiteConfiguration | undefined;
   readonly configurationKey: string;
   readonly decodeWorker: DecodeWorker;
+  /**
+   * Age of the newest read of the configuration from which the host rejects calls;
+   * undefined if it never does.
+   */
+  readonly maxConfigurationAgeMillis?: number;
   readonly log: Log;
   /** Called for each malformed record, of which only some are logged. */
   readonly countMalformed?: (stream: StreamName) => void;
@@ -152,10 +163,16 @@
     }
 
     const configuration = streams.follow(
-      {stream: 'configuration', ...LOW_TRAFFIC_OPTIONS},
-      listenerFor('configuration')(({records}) =>
-        applyConfiguration(kernel, options, records, reportMalformed),
-      ),
+      {
+        stream: 'configuration',
+        ...configurationReadOptions(options.maxConfigurationAgeMillis),
+      },
+      listenerFor('configuration')(({records, ...read}) => {
+        applyConfiguration(kernel, options, records, reportMalformed);
+        if (reachedLogEnd(read)) {
+          kernel.dispatch(CONFIGURATION_READ, {sentAt: read.sentAt});
+        }
+      }),
     );
     /** Handles of the streams that only the holder reads. */
     let holderStreams: FollowHandle[] = [];
@@ -275,6 +292,19 @@
   };
 }
 
+/** Options of reads that are short compared to the greatest age of the result. */
+function configurationReadOptions(maxAgeMillis = Infinity) {
+  const maxReadMillis = maxAgeMillis * CONFIGURATION_READ_SHARE;
+  return {
+    partition: ONLY_PARTITION,
+    pauseMillis: () => Math.min(LOW_TRAFFIC_READ_PAUSE_MILLIS, maxReadMillis),
+    waitMillis: Math.min(
+      LOW_TRAFFIC_READ_WAIT_MILLIS,
+      Math.floor(maxReadMillis),
+    ),
+  };
+}
+
 function applyConfiguration(
   kernel: Kernel,
   {decodeConfiguration, configurationKey}: StreamLogPluginOptions,
