--- /dev/null
+++ b/packages/site-daemon/src/__tests__/unit/revocation.test.ts
@@ -0,0 +1,176 @@
+import {createAccountsPlugin, digestApiKey} from '@samphireramp/accounts';
+import {createDispatchPlugin} from '@samphireramp/dispatch';
+import {createFleetPlugin} from '@samphireramp/fleet';
+import {createHoldingPlugin} from '@samphireramp/holding';
+import {createIntakePlugin} from '@samphireramp/intake';
+import {createJobStatesPlugin} from '@samphireramp/job-states';
+import {createKernel} from '@samphireramp/kernel';
+import {decodeConfiguration} from '@samphireramp/platform';
+import type {FollowOptions, StreamListener} from '@samphireramp/stream-log';
+import {type LogFields, createMetrics} from '@samphireramp/telemetry';
+import t from 'tap';
+import {createCallerService} from '../../callerService';
+import {createRejectedCallReporter} from '../../rejectedCallReporter';
+import {createStreamLogPlugin} from '../../streamLogPlugin';
+
+const REVOKE_MILLIS = 2000;
+const KEYS = ['key-of-first', 'key-of-second'];
+
+/** Builds a host that reads the configuration when the test has it read. */
+function buildHost(failsClosed: boolean) {
+  const clock = {now: 0};
+  const now = () => clock.now;
+  const lines: Array<LogFields & {event: string}> = [];
+  const log = (event: string, fields: LogFields = {}) =>
+    void lines.push({event, ...fields});
+  const metrics = createMetrics('test');
+  let options: FollowOptions | undefined;
+  let listener: StreamListener | undefined;
+  const identity = {self: 'host', incarnation: 'i', roundTripMillis: () => 1};
+  const kernel = createKernel({
+    now,
+    onError: error => {
+      throw error;
+    },
+  });
+  for (const plugin of [
+    createHoldingPlugin({...identity, claimDelayMillis: () => 0}),
+    createJobStatesPlugin({...identity, followDelayMillis: () => 0}),
+    createIntakePlugin({partitions: 1}),
+    createAccountsPlugin(),
+    createFleetPlugin(),
+    createDispatchPlugin({
+      self: 'host',
+      wallClock: now,
+      partitions: 1,
+      keepEndedMillis: 0,
+    }),
+    createStreamLogPlugin({
+      streams: {
+        partitions: 1,
+        append: async () => ({kind: 'refused', detail: ''}),
+        follow: (followed, itsListener) => {
+          if (followed.stream === 'configuration') {
+            options = followed;
+            listener = itsListener;
+          }
+          return {stop: () => undefined, readNow: () => undefined};
+        },
+      },
+      decodeConfiguration,
+      configurationKey: 'config',
+      decodeWorker: () => undefined,
+      log,
+      maxConfigurationAgeMillis: failsClosed ? REVOKE_MILLIS : undefined,
+    }),
+  ]) {
+    kernel.register(plugin);
+  }
+  const service = createCallerService(kernel, {
+    now,
+    wallClock: now,
+    isStopping: () => false,
+    maxRecordBytes: () => 100_000,
+    visibleMillis: () => 3000,
+    revocation: () => ({failsClosed, revokeMillis: REVOKE_MILLIS}),
+    onRejected: createRejectedCallReporter({log, metrics, now}),
+    onStatus: () => undefined,
+    onPending: () => undefined,
+  });
+
+  /** Reads a configuration in which each account has one of the keys, or nothing. */
+  const read = (keys?: readonly string[], sentAt = clock.now) =>
+    listener?.onRead({
+      records: (keys === undefined ? [] : [keys]).map(list => ({
+        key: 'config',
+        offset: 0,
+        value: Buffer.from(
+          JSON.stringify({
+            version: 1,
+            routes: [{name: 'q', host: 'h', path_prefix: '/', service: 'p'}],
+            services: [{name: 'p'}],
+            tenants: list.map((key, index) => ({
+              name: `account-${index}`,
+              api_keys: [key],
+            })),
+          }),
+        ),
+      })),
+      endOffset: 1,
+      logEndOffset: 1,
+      sentAt,
+      isSnapshot: false,
+    });
+  const decide = (key: string) => {
+    const route = service.configuration()?.routes[0];
+    const decision = route && service.authorize(route, [Buffer.from(key)]);
+    return decision?.kind === 'rejected' ? decision.reason : decision?.account;
+  };
+  return {clock, lines, metrics, read, decide, options: () => options};
+}
+
+for (const failsClosed of [false, true]) {
+  void t.test(
+    `a key revoked while the host is cut off, fails closed: ${failsClosed}`,
+    async t => {
+      const {clock, lines, read, decide} = buildHost(failsClosed);
+      read(KEYS);
+      t.same(KEYS.map(decide), ['account-0', 'account-1']);
+      clock.now += REVOKE_MILLIS - 1;
+      t.equal(decide(KEYS[0]), 'account-0');
+      clock.now += 1;
+      const expected = failsClosed ? 'outdated-configuration' : 'account-0';
+      t.equal(decide(KEYS[0]), expected);
+      // The read may have been answered before the key was revoked.
+      read(undefined, 1);
+      clock.now += 1;
+      t.equal(decide(KEYS[0]), expected);
+      read([KEYS[1]]);
+      t.same(KEYS.map(decide), ['unknown-key', 'account-0']);
+      read(KEYS);
+      t.same(KEYS.map(decide), ['account-0', 'account-1'], 'given back');
+      const rejected = lines.filter(({event}) => event === 'call-rejected');
+      t.match(rejected[0], {
+        reason: failsClosed ? 'outdated-configuration' : 'unknown-key',
+        account: failsClosed ? 'account-0' : undefined,
+        queue: 'q',
+      });
+    },
+  );
+}
+
+void t.test('reads end well before the configuration is outdated', async t => {
+  const {pauseMillis, waitMillis} = buildHost(true).options() ?? {};
+  t.ok((waitMillis ?? Infinity) + (pauseMillis?.() ?? 0) < REVOKE_MILLIS / 2);
+});
+
+void t.test(
+  'rejections are counted, logged in bounds, without keys',
+  async t => {
+    const {lines, metrics, read, decide} = buildHost(false);
+    read(KEYS);
+    // An invalid configuration changes nothing; each reason is logged.
+    read([KEYS[0], KEYS[0]]);
+    read([KEYS[0], '']);
+    for (let call = 0; call < 1000; call++) {
+      decide(`stray-${call}`);
+    }
+    t.same(KEYS.map(decide), ['account-0', 'account-1']);
+    t.match(metrics.render(), /rejected_calls_total\{.*unknown-key.*\} 1000/);
+    const details = lines.map(({event, detail}) => `${event} ${detail ?? ''}`);
+    t.same(
+      [...new Set(details)],
+      [
+        'record-malformed tenants.1.api_keys.0.duplicate',
+        'record-malformed tenants.1.api_keys.0.too_small',
+        'call-rejected ',
+      ],
+    );
+    t.equal(lines.length, 12);
+    const text = JSON.stringify(lines) + metrics.render();
+    for (const key of [...KEYS, 'stray-']) {
+      t.notOk(text.includes(key));
+      t.notOk(text.includes(digestApiKey(key)));
+    }
+  },
+);
