Limits and shares of client accounts in placement

Placement asked functions that limited and delayed nothing. The accounts package sums what the runs of each account reserve once a pass, and delays the objective of jobs that an account sends beyond its weight in jobs a second. Suspected tasks are placed within the limits of the pass, too, which they ignored.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -1,3 +1,7 @@
+import {
+  createAccountFunctions,
+  createAccountsPlugin,
+} from '@samphireramp/accounts';
 import {
   REQUEST_ADVICE,
   ADVICE_RECEIVED,
@@ -7,6 +11,7 @@
   PLACE_TASKS,
   SCHEDULE_PLACEMENT,
   REQUESTS_READ,
+  clientAccountsOf,
   createDispatchPlugin,
 } from '@samphireramp/dispatch';
 import {
@@ -77,11 +82,13 @@
       claimDelayMillis: () => -1000,
     }),
     createFleetPlugin(),
+    createAccountsPlugin(),
     createDispatchPlugin({
       self: HOST,
       wallClock: () => Date.now(),
       partitions: 1,
       keepEndedMillis: Infinity,
+      functions: createAccountFunctions(clientAccountsOf),
     }),
   ]) {
     kernel.register(plugin);
--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -1,2 +1,8 @@
 /** Client accounts: who may call, what they may use, and their shares. */
+export {
+  type AccountFunctions,
+  createAccountFunctions,
+} from './accountFunctions';
 export {createAccountsPlugin} from './accountsPlugin';
+export type {ClientAccountsOf} from './accountsByName';
+export type {AccountQuota} from './startQuota';
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -7,6 +7,7 @@
 } from '@samphireramp/kernel';
 import {recordProgress} from '@samphireramp/holding';
 import {
+  type ClientAccount,
   type Job,
   type Progress,
   type QueuePolicy,
@@ -44,6 +45,13 @@
   SiteConfiguration | undefined
 >('site-configuration', undefined);
 
+const NO_ACCOUNTS: readonly ClientAccount[] = [];
+
+/** Returns the client accounts of the current configuration. */
+export function clientAccountsOf(state: StateReader): readonly ClientAccount[] {
+  return state.read(SITE_CONFIGURATION).get()?.clientAccounts ?? NO_ACCOUNTS;
+}
+
 /**
  * For each partition that this holder has read to its end: the time, on the
  * runtime's monotonic clock, until which it knows all requests in it.
--- a/packages/dispatch/src/readySteps.ts
+++ b/packages/dispatch/src/readySteps.ts
@@ -1,12 +1,12 @@
 import type {StateReader} from '@samphireramp/kernel';
 import {type StepId, isStepReady} from '@samphireramp/jobs';
 import {type ReadyStep, URGENT_PRIORITY, makeReadyStep} from './candidates';
-import {listActiveJobs, policyOf} from './DispatchState';
+import {type JobRow, listActiveJobs, policyOf} from './DispatchState';
 import type {PlacementScope} from './messages';
 
 /**
  * Lists the steps of a scope with tasks that can be placed now, by priority of their queue
- * and then by the objective of their job.
+ * and then by the objective of their job, counted from its virtual arrival.
  */
 export function listReadySteps(
   state: StateReader,
@@ -32,10 +32,15 @@
   return readySteps.sort(
     (a, b) =>
       a.policy.priority - b.policy.priority ||
-      a.row.objectiveAt - b.row.objectiveAt,
+      virtualObjectiveAt(a.row) - virtualObjectiveAt(b.row),
   );
 }
 
+/** The objective of a job, had it arrived when its account was entitled to send it. */
+function virtualObjectiveAt({objectiveAt, virtualDelayMillis}: JobRow): number {
+  return objectiveAt + virtualDelayMillis;
+}
+
 /** Returns the identity of a ready step. */
 export function stepIdOf({row, occurrence, stepNumber}: ReadyStep): StepId {
   const {id: jobId} = row.job;
--- a/packages/dispatch/src/trialPlacement.ts
+++ b/packages/dispatch/src/trialPlacement.ts
@@ -18,7 +18,7 @@
 
 /**
  * Chooses workers for the tasks of a step that are suspected to crash workers: one
- * for each, on which no other task starts meanwhile.
+ * for each, on which no other task starts meanwhile, within the limits of the pass.
  */
 export function chooseTrialPlacements(
   pass: PlacementPass,
@@ -26,13 +26,16 @@
   startable: readonly Candidate[],
 ): Placement[] {
   const placements: Placement[] = [];
+  const mostPlacements = pass.mostPlacements(readyStep);
   for (const index of readyStep.openTasks) {
     if (!isSuspected(readyStep, index)) {
       continue;
     }
-    const candidate = pass.mayBeginTrial()
-      ? chooseTrialWorker(pass.update, readyStep, startable)
-      : undefined;
+    const mayPlace = placements.length < mostPlacements;
+    const candidate =
+      mayPlace && pass.mayBeginTrial()
+        ? chooseTrialWorker(pass.update, readyStep, startable)
+        : undefined;
     if (candidate === undefined) {
       break;
     }
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -1,5 +1,13 @@
 import {serve} from '@hono/node-server';
-import {SITE_CONFIGURATION, createDispatchPlugin} from '@samphireramp/dispatch';
+import {
+  createAccountFunctions,
+  createAccountsPlugin,
+} from '@samphireramp/accounts';
+import {
+  SITE_CONFIGURATION,
+  clientAccountsOf,
+  createDispatchPlugin,
+} from '@samphireramp/dispatch';
 import {createFleetPlugin} from '@samphireramp/fleet';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
 import {ANNOUNCE_INTERVAL_MILLIS, createHostsPlugin} from '@samphireramp/hosts';
@@ -146,7 +154,14 @@
     createIntakePlugin({partitions}),
     createFleetPlugin(),
     createObserverPlugin({metrics, log}),
-    createDispatchPlugin({self, wallClock, partitions, keepEndedMillis}),
+    createAccountsPlugin(),
+    createDispatchPlugin({
+      self,
+      wallClock,
+      partitions,
+      keepEndedMillis,
+      functions: createAccountFunctions(clientAccountsOf),
+    }),
     createWorkersPlugin(createWorkerClient(httpClient), now),
     createAdvicePlugin(self, adviser, hostLinks),
   ]) {
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -1,7 +1,12 @@
+import {
+  createAccountFunctions,
+  createAccountsPlugin,
+} from '@samphireramp/accounts';
 import {
   CONFIGURATION_IN_FORCE,
   DISPATCH_EVENT,
   DISPATCH_TICK,
+  clientAccountsOf,
   createDispatchPlugin,
 } from '@samphireramp/dispatch';
 import {FLEET_EVENT, FLEET_TICK, createFleetPlugin} from '@samphireramp/fleet';
@@ -322,11 +327,13 @@
       }),
       createIntakePlugin({partitions: PARTITIONS}),
       createFleetPlugin(),
+      createAccountsPlugin(),
       createDispatchPlugin({
         self: name,
         wallClock: () => this.clock.now + host.clockOffsetMillis,
         partitions: PARTITIONS,
         keepEndedMillis: this.options.keepEndedMillis ?? KEEP_ENDED_MILLIS,
+        functions: createAccountFunctions(clientAccountsOf),
       }),
       createWorkersPlugin(
         {
