Watch over account limits in the model site; keep runs of ended jobs known

A new holder knew nothing of runs that were being stopped when a job with an account ended, so they didn't count against its limit. The record of such a job now keeps its placed tasks, and the next holder adopts them as runs being stopped. Without a configuration no task of an account starts. The invariant QUOTA checks the limits from what the workers see, in schedules with accounts whose limits change.

--- a/packages/accounts/src/accountsByName.ts
+++ b/packages/accounts/src/accountsByName.ts
@@ -1,8 +1,10 @@
 import type {ClientAccount} from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 
-/** Returns the accounts of the configuration in force; none if there is none. */
-export type ClientAccountsOf = (state: StateReader) => readonly ClientAccount[];
+/** Returns the accounts of the configuration in force; undefined if there is none. */
+export type ClientAccountsOf = (
+  state: StateReader,
+) => readonly ClientAccount[] | undefined;
 
 /** Accounts by name, for each list; a configuration never changes its list. */
 const accountsByList = new WeakMap<
--- a/packages/accounts/src/startQuota.ts
+++ b/packages/accounts/src/startQuota.ts
@@ -1,5 +1,9 @@
 import {RUNS} from '@samphireramp/fleet';
-import type {Resources} from '@samphireramp/jobs';
+import {
+  type ClientAccount,
+  NO_ACCOUNT,
+  type Resources,
+} from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 import {type ClientAccountsOf, accountsByName} from './accountsByName';
 
@@ -9,6 +13,8 @@
   'accelerators',
 ] as const satisfies ReadonlyArray<keyof Resources>;
 
+const NO_ACCOUNTS: readonly ClientAccount[] = [];
+
 /** What accounts may still start in one placement pass. */
 export interface AccountQuota {
   /** Of a number of tasks of an account, how many may start. */
@@ -29,7 +35,8 @@
   state: StateReader,
   clientAccountsOf: ClientAccountsOf,
 ): AccountQuota {
-  const accounts = accountsByName(clientAccountsOf(state));
+  const configured = clientAccountsOf(state);
+  const accounts = accountsByName(configured ?? NO_ACCOUNTS);
   let usageByAccount: Map<string, Usage> | undefined;
 
   function usageOf(account: string): Usage {
@@ -45,6 +52,10 @@
 
   return {
     mostTasks: (account, taskNeed, tasks) => {
+      if (configured === undefined && account !== NO_ACCOUNT) {
+        // Its limit isn't known before a configuration has been read.
+        return 0;
+      }
       const limit = accounts.get(account)?.limit;
       return limit === undefined || !isLimited(limit)
         ? tasks
--- a/packages/accounts/src/virtualArrivals.ts
+++ b/packages/accounts/src/virtualArrivals.ts
@@ -50,7 +50,12 @@
   if (account === NO_ACCOUNT || !Number.isFinite(receivedAt)) {
     return 0;
   }
-  const configured = accountsByName(clientAccountsOf(update)).get(account);
+  const accounts = clientAccountsOf(update);
+  if (accounts === undefined) {
+    // The weights aren't known before a configuration has been read.
+    return 0;
+  }
+  const configured = accountsByName(accounts).get(account);
   const weight = Math.max(SMALLEST_WEIGHT, configured?.weight ?? 0);
   const table = update.write(USED_SPANS);
   const earliestAt = receivedAt - BURST_MILLIS;
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -45,11 +45,11 @@
   SiteConfiguration | undefined
 >('site-configuration', undefined);
 
-const NO_ACCOUNTS: readonly ClientAccount[] = [];
-
-/** Returns the client accounts of the current configuration. */
-export function clientAccountsOf(state: StateReader): readonly ClientAccount[] {
-  return state.read(SITE_CONFIGURATION).get()?.clientAccounts ?? NO_ACCOUNTS;
+/** Returns the client accounts of the current configuration, if there is one. */
+export function clientAccountsOf(
+  state: StateReader,
+): readonly ClientAccount[] | undefined {
+  return state.read(SITE_CONFIGURATION).get()?.clientAccounts;
 }
 
 /**
--- /dev/null
+++ b/packages/dispatch/src/endedRuns.ts
@@ -0,0 +1,98 @@
+import {
+  MAY_COMMAND_WORKERS,
+  RUNS,
+  adoptRun,
+  changeRun,
+} from '@samphireramp/fleet';
+import {
+  type Job,
+  NEW_TASK,
+  NO_ACCOUNT,
+  type Occurrence,
+  type Progress,
+  type RunId,
+  type Task,
+  reservedResources,
+  runKey,
+} from '@samphireramp/jobs';
+import type {Update} from '@samphireramp/kernel';
+
+/** A placed task, and its run. */
+export interface PlacedRun {
+  readonly runId: RunId;
+  readonly task: Task;
+}
+
+/** Lists the placed tasks of a job with their runs. */
+export function listPlacedRuns({jobId, occurrences}: Progress): PlacedRun[] {
+  const placedRuns: PlacedRun[] = [];
+  for (const {number: occurrence, steps} of occurrences) {
+    steps.forEach((tasks, step) => {
+      tasks.forEach((task, index) => {
+        if (task.phase === 'placed') {
+          const runId = {jobId, occurrence, step, index, run: task.run};
+          placedRuns.push({runId, task});
+        }
+      });
+    });
+  }
+  return placedRuns;
+}
+
+/**
+ * Returns what is kept of the occurrences of a job that has ended: its placed tasks,
+ * if it has an account. Their runs count against the limit of the account until they
+ * are gone, also for the next holder.
+ */
+export function occurrencesAfterEnd(
+  {account}: Job,
+  {occurrences}: Progress,
+): Occurrence[] {
+  if (account === NO_ACCOUNT) {
+    return [];
+  }
+  return occurrences
+    .filter(({steps}) => steps.some(tasks => tasks.some(isPlaced)))
+    .map(({number, steps}) => ({
+      number,
+      steps: steps.map(tasks => tasks.map(withPlacementOnly)),
+    }));
+}
+
+/**
+ * Adopts the runs of a job that ended under an earlier holder as runs being stopped.
+ * Reports show later which of them are gone.
+ */
+export function adoptRunsOfEndedJob(
+  update: Update,
+  job: Job,
+  progress: Progress,
+): void {
+  // Once workers may be commanded, only a repeated request tells of the job again.
+  if (update.read(MAY_COMMAND_WORKERS).get()) {
+    return;
+  }
+  for (const {runId, task} of listPlacedRuns(progress)) {
+    const key = runKey(runId);
+    if (!update.read(RUNS).has(key)) {
+      adoptRun(update, {
+        runId,
+        incarnation: task.worker,
+        account: job.account,
+        reserved: reservedResources(job.steps[runId.step]),
+        expectsProgress: false,
+      });
+      // The stop is ordered at the next tick at which the worker is known.
+      changeRun(update, key, {phase: 'stopping', lastOrderAt: -Infinity});
+    }
+  }
+}
+
+function isPlaced({phase}: Task): boolean {
+  return phase === 'placed';
+}
+
+function withPlacementOnly(task: Task): Task {
+  const {phase, run, worker} = task;
+  return isPlaced(task) ? {...NEW_TASK, phase, run, worker} : NEW_TASK;
+}
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -28,6 +28,11 @@
   newJobRow,
   setProgress,
 } from './DispatchState';
+import {
+  adoptRunsOfEndedJob,
+  listPlacedRuns,
+  occurrencesAfterEnd,
+} from './endedRuns';
 import {
   DISPATCH_EVENT,
   FORGET_REQUESTS,
@@ -74,6 +79,7 @@
   }
   const durableProgress = update.read(DURABLE_PROGRESS).get(job.id);
   if (durableProgress !== undefined && isFinalState(durableProgress.state)) {
+    adoptRunsOfEndedJob(update, job, durableProgress);
     return;
   }
   const progress = durableProgress ?? newProgress(job);
@@ -102,25 +108,18 @@
  * reserved until the workers report them.
  */
 function adoptPlacedRuns(update: Update, {job, progress}: JobRow): void {
-  for (const {number: occurrence, steps} of progress.occurrences) {
-    steps.forEach((tasks, step) => {
-      tasks.forEach((task, index) => {
-        if (task.phase === 'placed') {
-          const runId = {jobId: job.id, occurrence, step, index, run: task.run};
-          const definition = job.steps[step];
-          adoptRun(update, {
-            runId,
-            incarnation: task.worker,
-            account: job.account,
-            reserved: reservedResources(definition),
-            expectsProgress: expectsProgress(definition),
-          });
-          if (task.crashedRuns.length > 0) {
-            beginTrial(update, runId);
-          }
-        }
-      });
+  for (const {runId, task} of listPlacedRuns(progress)) {
+    const definition = job.steps[runId.step];
+    adoptRun(update, {
+      runId,
+      incarnation: task.worker,
+      account: job.account,
+      reserved: reservedResources(definition),
+      expectsProgress: expectsProgress(definition),
     });
+    if (task.crashedRuns.length > 0) {
+      beginTrial(update, runId);
+    }
   }
 }
 
@@ -189,7 +188,8 @@
   state: JobState,
   wallNow: number,
 ): void {
-  const ended = {...progress, occurrences: [], state, endedAt: wallNow};
+  const occurrences = occurrencesAfterEnd(row.job, progress);
+  const ended = {...progress, occurrences, state, endedAt: wallNow};
   setProgress(update, row, ended);
   deleteAdviceOfJob(update, row.job.id);
   for (const run of runsOf(update, row.job.id)) {
@@ -212,7 +212,9 @@
 export function failJob(update: Update, jobId: string, wallNow: number): void {
   const row = update.read(JOBS).get(jobId);
   if (row !== undefined && !isFinalState(row.progress.state)) {
-    endJob(update, row, row.progress, 'failed', wallNow);
+    // Its progress may be what is too large to be recorded.
+    const progress = {...row.progress, occurrences: []};
+    endJob(update, row, progress, 'failed', wallNow);
   }
 }
 
--- a/testing/src/site/InvariantChecker.ts
+++ b/testing/src/site/InvariantChecker.ts
@@ -6,12 +6,15 @@
   type RunId,
   type Step,
   occurrenceDueAt,
+  reservedResources,
   taskKey,
 } from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
 import {CompletionLedger} from './CompletionLedger';
 import {CrashLedger} from './CrashLedger';
+import {fits} from './ModelCapacity';
 import type {ModelWorker} from './ModelWorker';
+import {QuotaLedger} from './QuotaLedger';
 
 /** Once faults are over, no run may start later than this after a cancel. */
 const CANCEL_LIMIT_MILLIS = 3000;
@@ -32,6 +35,8 @@
  *   get a checkpoint only if their step saves checkpoints.
  * - `BUDGET`: a task isn't retried beyond its maximum number of attempts, nor
  *   three times more after three workers have crashed under it.
+ * - `QUOTA`: once a run of an account is started, its runs reserve no more than 1.1
+ *   times its limit and that run, by the highest limit that may be in force.
  * - `ROUTE`: no worker runs more tasks of a step than the step allows.
  * - `GANG`: once faults are over, no gang member ends because the others didn't
  *   start in time.
@@ -48,6 +53,7 @@
   | 'ORDER'
   | 'UNASKED'
   | 'BUDGET'
+  | 'QUOTA'
   | 'ROUTE'
   | 'GANG'
   | 'MIXED'
@@ -83,6 +89,7 @@
   readonly violations: string[] = [];
   readonly jobs = new Map<string, SubmittedJob>();
   readonly crashes = new CrashLedger();
+  readonly quotas: QuotaLedger;
   /** All workers of the site; set once they are created. */
   workers: readonly ModelWorker[] = [];
   /** Whether faults have been absent for long enough that time limits apply. */
@@ -97,7 +104,9 @@
   /** Number of started runs, by job id. */
   private readonly startsByJob = new Map<string, number>();
 
-  constructor(private readonly timeline: Timeline) {}
+  constructor(private readonly timeline: Timeline) {
+    this.quotas = new QuotaLedger(timeline);
+  }
 
   /** Records a violation with the current time. */
   reportViolation(invariant: Invariant, detail: string): void {
@@ -158,6 +167,10 @@
       this.reportViolation('UNASKED', `${key} got a checkpoint but saves none`);
     }
     this.workerByTask.set(key, worker);
+    const account = this.jobs.get(runId.jobId)?.job.account ?? '';
+    this.quotas
+      .onStart(runId, worker, {account, reserved: reservedResources(step)})
+      .forEach(detail => this.reportViolation('QUOTA', detail));
     const submitted = this.jobs.get(runId.jobId);
     if (submitted === undefined) {
       this.reportViolation('UNASKED', `${key} belongs to no submitted job`);
@@ -235,6 +248,7 @@
 
   /** A run ended on a worker; the holder may not know it yet. */
   onEnd(runId: RunId, worker: string, outcome: RunOutcome): void {
+    this.quotas.onEnd(runId, worker);
     const key = taskKey(runId);
     if (this.workerByTask.get(key) === worker) {
       this.workerByTask.delete(key);
@@ -268,6 +282,7 @@
 
   /** A run vanished because its worker restarted; it reports no end. */
   onRunLost(runId: RunId, worker: string): void {
+    this.quotas.onEnd(runId, worker);
     this.crashes.onRunLost(runId);
     if (this.workerByTask.get(taskKey(runId)) === worker) {
       this.workerByTask.delete(taskKey(runId));
@@ -374,15 +389,6 @@
   }
 }
 
-/** Whether what a worker's runs reserve fits a capacity. */
-function fits(reserved: Resources, capacity: Resources): boolean {
-  return (
-    reserved.cpuMillis <= capacity.cpuMillis &&
-    reserved.memoryMegabytes <= capacity.memoryMegabytes &&
-    reserved.accelerators <= capacity.accelerators
-  );
-}
-
 /** Whether two task keys differ only in the index of the task in its step. */
 function isSameStep(a: string, b: string): boolean {
   return a.slice(0, a.lastIndexOf('.')) === b.slice(0, b.lastIndexOf('.'));
--- a/testing/src/site/ModelCapacity.ts
+++ b/testing/src/site/ModelCapacity.ts
@@ -70,3 +70,12 @@
     NO_RESOURCES,
   );
 }
+
+/** Whether what a worker's runs reserve fits a capacity. */
+export function fits(reserved: Resources, capacity: Resources): boolean {
+  return (
+    reserved.cpuMillis <= capacity.cpuMillis &&
+    reserved.memoryMegabytes <= capacity.memoryMegabytes &&
+    reserved.accelerators <= capacity.accelerators
+  );
+}
--- a/testing/src/site/ModelHost.ts
+++ b/testing/src/site/ModelHost.ts
@@ -1,4 +1,10 @@
-import type {Resources, Job, QueuePolicy, RunId} from '@samphireramp/jobs';
+import type {
+  ClientAccount,
+  Resources,
+  Job,
+  QueuePolicy,
+  RunId,
+} from '@samphireramp/jobs';
 import type {Kernel} from '@samphireramp/kernel';
 import type {TaskScript} from './ModelRun';
 import type {SiteFaultState} from './SiteFaultState';
@@ -17,6 +23,8 @@
   readonly faultState?: Partial<SiteFaultState>;
   /** Policies of the queues, each of which gets a route. */
   readonly policies: readonly QueuePolicy[];
+  /** Client accounts of the first configuration; none by default. */
+  readonly accounts?: readonly ClientAccount[];
   /** Number of workers that the adviser forbids to each step; defaults to 0. */
   readonly forbiddenWorkersPerStep?: number;
   /** How long the state of an ended job is kept; defaults to ten minutes. */
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -20,9 +20,7 @@
 } from '@samphireramp/holding';
 import {createJobStatesPlugin} from '@samphireramp/job-states';
 import {
-  ANSWER_CALL,
   INTAKE_EVENT,
-  REQUEST_RECEIVED,
   type Request,
   type RequestAnswer,
   type PendingCount,
@@ -30,7 +28,7 @@
   createIntakePlugin,
   jobStatus,
 } from '@samphireramp/intake';
-import type {Job} from '@samphireramp/jobs';
+import type {ClientAccount, Job} from '@samphireramp/jobs';
 import {type Kernel, createKernel, mergeUnregister} from '@samphireramp/kernel';
 import {decodeWorkerEntry} from '@samphireramp/platform';
 import {
@@ -46,9 +44,14 @@
 import {ModelLog} from './ModelLog';
 import type {ModelHost, ModelSiteOptions} from './ModelHost';
 import {ModelWorker} from './ModelWorker';
+import {
+  decodeModelConfiguration,
+  encodeModelConfiguration,
+} from './modelConfiguration';
 import {registerModelTimers} from './modelTimers';
 import {ModelAdviser} from './ModelAdviser';
 import {buildRegistryEntry, encodeRegistryEntry} from './registryEntry';
+import {sendRequest} from './sendRequest';
 import {NO_SITE_FAULTS, type SiteFaultState} from './SiteFaultState';
 
 /** Interval of a host's ticks; the workers tick four times as often. */
@@ -77,6 +80,7 @@
   private readonly adviser: ModelAdviser;
   private callCount = 0;
   private incarnationCount = 0;
+  private revision = 0;
 
   constructor(private readonly options: ModelSiteOptions) {
     this.faultState = {...NO_SITE_FAULTS, ...options.faultState};
@@ -102,7 +106,7 @@
       this.hosts,
       this.adviser,
     );
-    this.log.put('configuration', CONFIGURATION_KEY, Buffer.from('{}'));
+    this.configureAccounts(options.accounts ?? []);
     for (let index = 0; index < options.workers; index++) {
       this.addWorker(`worker-${index}`, `rack-${index % 2}`);
     }
@@ -176,6 +180,15 @@
     return countPending(host.kernel, queue, now, VISIBLE_LIMIT_MILLIS);
   }
 
+  /** Writes a configuration with other client accounts to the log. */
+  configureAccounts(clientAccounts: readonly ClientAccount[]): void {
+    this.checker.quotas.onConfiguration(clientAccounts);
+    this.revision++;
+    const record = {revision: this.revision, clientAccounts};
+    const value = encodeModelConfiguration(record);
+    this.log.put('configuration', CONFIGURATION_KEY, value);
+  }
+
   /** Returns the first host that considers itself the holder, if any. */
   holder(): ModelHost | undefined {
     return this.hosts.find(
@@ -227,27 +240,6 @@
     this.writeRegistryRecord(worker.id, Buffer.alloc(0));
   }
 
-  /** Sends a request to a host; undefined at once if the host is down. */
-  private send(
-    host: ModelHost,
-    request: Request,
-  ): Promise<RequestAnswer | undefined> {
-    const callId = `call-${this.callCount++}`;
-    return new Promise(resolve => {
-      if (!host.isUp) {
-        resolve(undefined);
-        return;
-      }
-      const unregister = host.kernel.registerEffect(ANSWER_CALL, answered => {
-        if (answered.callId === callId) {
-          unregister();
-          resolve(answered.answer);
-        }
-      });
-      host.kernel.dispatch(REQUEST_RECEIVED, {callId, request});
-    });
-  }
-
   /** Adds a worker and writes its entry in the worker registry. */
   addWorker(id: string, rack: string): void {
     const {capacity, random, script} = this.options;
@@ -271,6 +263,10 @@
     this.writeRegistryEntry(worker);
   }
 
+  private send(host: ModelHost, request: Request) {
+    return sendRequest(host, `call-${this.callCount++}`, request);
+  }
+
   private scheduleWorkerTick(): void {
     this.clock.after(TICK_MILLIS / 4, () => {
       for (const worker of this.workers) {
@@ -353,7 +349,8 @@
       ),
       createStreamLogPlugin({
         streams: this.log.createStreamLog(name, isAlive),
-        decodeConfiguration: () => buildConfiguration(this.options.policies),
+        decodeConfiguration: value =>
+          decodeModelConfiguration(value, this.options.policies),
         configurationKey: CONFIGURATION_KEY,
         decodeWorker: decodeWorkerEntry,
         log: () => undefined,
@@ -393,7 +390,10 @@
     };
     this.clock.after(random() * TICK_MILLIS, tick);
     kernel.dispatch(CONFIGURATION_IN_FORCE, {
-      configuration: buildConfiguration(this.options.policies),
+      configuration: {
+        ...buildConfiguration(this.options.policies),
+        revision: 0,
+      },
     });
   }
 }
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -8,6 +8,7 @@
   buildPolicy,
   buildStep,
 } from './jobFixture';
+export {buildAccount} from './modelConfiguration';
 export {
   ModelLog,
   PROMPT_READS,
@@ -26,13 +27,16 @@
 export type {TaskScript} from './ModelRun';
 export {ModelWorker} from './ModelWorker';
 export {
-  ALL_FAULTS,
-  REFUSAL_FAULTS,
-  type ScheduleFaults,
   type ScheduleReport,
   drawSteps,
   runSiteSchedule,
 } from './runSiteSchedule';
+export {
+  ACCOUNT_FAULTS,
+  ALL_FAULTS,
+  REFUSAL_FAULTS,
+  type ScheduleFaults,
+} from './ScheduleFaults';
 export {
   type HostAnswer,
   DEFAULT_POLICY,
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -1,11 +1,13 @@
 import {type Job, type Step, isFinalState} from '@samphireramp/jobs';
 import {createRandom} from '../seededRandom';
+import {drawAccount, drawAccounts, scheduleLimitChanges} from './accountFaults';
 import {readAnswers} from './answerChecks';
 import {scheduleCapacityChanges} from './capacityFaults';
 import {buildJob, buildPolicy, buildStep} from './jobFixture';
 import type {ModelHost} from './ModelHost';
 import {ModelSite} from './ModelSite';
 import type {ModelWorker} from './ModelWorker';
+import type {ScheduleFaults} from './ScheduleFaults';
 
 /** Faults are injected and jobs submitted during this phase. */
 const FAULT_PHASE_MILLIS = 12_000;
@@ -19,70 +21,9 @@
 const SETTLING_MILLIS = 5000;
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
 
-/** How often a schedule injects each kind of fault, or whether it does. */
-export interface ScheduleFaults {
-  readonly hostKills: number;
-  /** Number of rolling restarts, in which all hosts restart in turn. */
-  readonly rollingRestarts: number;
-  readonly hostLogDisconnects: number;
-  readonly hostFreezes: number;
-  /** Number of steps of a host's wall clock, which are reverted later. */
-  readonly clockSteps: number;
-  readonly logOutages: number;
-  readonly lostAppendAnswers: boolean;
-  readonly workerDisconnects: number;
-  readonly workerRestarts: number;
-  /** Number of workers that leave for good without notice. */
-  readonly workerLosses: number;
-  /** Number of workers that announce that they leave, and leave after a while. */
-  readonly workerDrains: number;
-  /** Number of times that all runs on a worker stop making progress. */
-  readonly workerStalls: number;
-  /** Number of times that all runs on a worker fail for a while. */
-  readonly workerFailures: number;
-  /** Number of times that the capacity of a worker shrinks for a while. */
-  readonly workerShrinks: number;
-  readonly lostOrderAnswers: boolean;
-  /**
-   * Number of times that a worker refuses half of its orders for a while. If not
-   * 0, answers to orders are lost more often.
-   */
-  readonly workerRefusals: number;
-  readonly cancels: number;
-  /** Number of jobs whose tasks may crash their workers; none by default. */
-  readonly crashingJobs?: number;
-}
-
 /** Time from the start of a task until it crashes its worker, if it does. */
 const CRASH_MILLIS = 10;
 
-/** A few faults of each kind, but those that have schedules of their own. */
-export const ALL_FAULTS: ScheduleFaults = {
-  hostKills: 3,
-  rollingRestarts: 1,
-  hostLogDisconnects: 2,
-  hostFreezes: 2,
-  clockSteps: 1,
-  logOutages: 1,
-  lostAppendAnswers: true,
-  workerDisconnects: 2,
-  workerRestarts: 2,
-  workerLosses: 1,
-  workerDrains: 1,
-  workerStalls: 1,
-  workerFailures: 1,
-  workerShrinks: 0,
-  lostOrderAnswers: true,
-  workerRefusals: 0,
-  cancels: 4,
-};
-
-/** Workers that refuse orders, beside a few faults of each other kind. */
-export const REFUSAL_FAULTS: ScheduleFaults = {
-  ...ALL_FAULTS,
-  workerRefusals: 20,
-};
-
 /** What a schedule led to. */
 export interface ScheduleReport {
   readonly violations: readonly string[];
@@ -276,6 +217,9 @@
   });
 
   const jobs: Job[] = [];
+  // Draws of their own, so that schedules without accounts stay as they were.
+  const accountRandom = createRandom(seed);
+  const accountCount = faults.accounts ?? 0;
   for (let index = 0; index < 24; index++) {
     const id = index.toString(16).padStart(16, '0');
     const submitAt = between(0, FAULT_PHASE_MILLIS);
@@ -283,6 +227,7 @@
     const job = buildJob(id, drawSteps(random, between), {
       policy,
       receivedAt: submitAt,
+      account: accountCount > 0 ? drawAccount(accountRandom, accountCount) : '',
       ...(random() < 0.1
         ? {occurrences: 2, firstDueAt: submitAt + 900, intervalMillis: 700}
         : {}),
@@ -321,6 +266,15 @@
     refusingWorkers.add(id);
     return () => refusingWorkers.delete(id);
   });
+  if (accountCount > 0) {
+    const accounts = drawAccounts(accountRandom, jobs);
+    site.configureAccounts(accounts);
+    scheduleLimitChanges(site, faults.limitChanges ?? 0, accounts, {
+      random,
+      between,
+      repeatAtRandomTimes,
+    });
+  }
   const readRandomAnswers = () => {
     readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
     after(READ_INTERVAL_MILLIS, readRandomAnswers);
