Tests of account limits; read the jobs of runs that are being stopped

A new holder skips the requests of ended jobs before it decodes them, so it did not adopt the runs that the record of an ended job names. It now reads those with runs left. Tests bring about a killed or cut off holder, late orders, lost workers, lowered limits, wide gangs, tasks that can never start and tasks that crash workers.

--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -162,7 +162,12 @@
 
     function isOver(jobId: string): boolean {
       const progress = kernel.read(DURABLE_PROGRESS).get(jobId);
-      return progress !== undefined && isFinalState(progress.state);
+      // One with occurrences has runs that may not be gone, which its job describes.
+      return (
+        progress !== undefined &&
+        isFinalState(progress.state) &&
+        progress.occurrences.length === 0
+      );
     }
 
     function followHolderStreams(): void {
