--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -7,7 +7,6 @@
   PLACE_TASKS,
   SCHEDULE_PLACEMENT,
   REQUESTS_READ,
-  createDispatchPlugin,
 } from '@samphireramp/dispatch';
 import {
   POLL_WORKER,
@@ -28,11 +27,8 @@
 import type {Job, RunId} from '@samphireramp/jobs';
 import {type Kernel, createKernel} from '@samphireramp/kernel';
 import {encodeJournalEntry} from '@samphireramp/record-codec';
-import {
-  createRunTimeFunctions,
-  createRunTimesPlugin,
-} from '@samphireramp/run-times';
 import {buildConfiguration, buildPolicy} from '@samphireramp/testing';
+import {createPlacementPlugins} from '@samphireramp/site-daemon';
 
 const HOST = 'host-a';
 const CAPACITY = {cpuMillis: 32_000, memoryMegabytes: 65_536, accelerators: 0};
@@ -81,13 +77,12 @@
       claimDelayMillis: () => -1000,
     }),
     createFleetPlugin(),
-    createRunTimesPlugin(),
-    createDispatchPlugin({
+    ...createPlacementPlugins({
       self: HOST,
       wallClock: () => Date.now(),
       partitions: 1,
       keepEndedMillis: Infinity,
-      functions: createRunTimeFunctions(true),
+      learnRunTimes: true,
     }),
   ]) {
     kernel.register(plugin);
--- a/packages/accounts/src/accountsPlugin.ts
+++ b/packages/accounts/src/accountsPlugin.ts
@@ -1,5 +1,7 @@
-import {type Plugin, mergeUnregister} from '@samphireramp/kernel';
+import {HOLDING_BEGAN, HOLDING_ENDED} from '@samphireramp/holding';
+import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
 import {CONFIGURATION_READ, CONFIGURATION_READ_AT} from './configurationAge';
+import {USED_SPANS} from './virtualArrivals';
 
 /** Creates the plug-in that keeps the state of client accounts. */
 export function createAccountsPlugin(): Plugin {
@@ -9,5 +11,13 @@
       kernel.registerCommand(CONFIGURATION_READ, (update, {sentAt}) =>
         update.write(CONFIGURATION_READ_AT).set(sentAt),
       ),
+      kernel.registerSlice(USED_SPANS),
+      kernel.registerCommand(HOLDING_BEGAN, clearUsedSpans),
+      kernel.registerCommand(HOLDING_ENDED, clearUsedSpans),
     );
 }
+
+/** A holder rebuilds the state from the jobs that it reads. */
+function clearUsedSpans(update: Update): void {
+  update.write(USED_SPANS).clear();
+}
--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -1,4 +1,8 @@
 /** Client accounts: who may call, what they may use, and their shares. */
+export {
+  type AccountFunctions,
+  createAccountFunctions,
+} from './accountFunctions';
 export {createAccountsPlugin} from './accountsPlugin';
 export {MAX_API_KEY_BYTES, digestApiKey} from './apiKeys';
 export {
@@ -14,3 +18,5 @@
   CONFIGURATION_READ_AT,
   configurationAgeMillis,
 } from './configurationAge';
+export type {ClientAccountsOf} from './accountsByName';
+export type {AccountQuota} from './startQuota';
--- a/packages/dispatch/src/jobUrgency.ts
+++ b/packages/dispatch/src/jobUrgency.ts
@@ -12,6 +12,7 @@
 export function urgencyOf(
   state: StateReader,
   {row, policy, occurrence}: ReadyStep,
+  wallNow: number,
   expectedMillis: PlacementFunctions['expectedMillis'],
 ): StepUrgency {
   const {job, virtualDelayMillis} = row;
@@ -25,6 +26,7 @@
     policy.stretch * criticalPathMillis(job, millisOf) + policy.targetMillis;
   return {
     priority: policy.priority,
+    isExcess: virtualDelayMillis > 0 && arrivedAt > wallNow,
     arrivedAt,
     latestStartAt: arrivedAt + objectiveMillis - remainingMillis,
   };
--- a/packages/dispatch/src/readySteps.ts
+++ b/packages/dispatch/src/readySteps.ts
@@ -32,18 +32,24 @@
   return readySteps;
 }
 
-/** Lists the ready steps of a scope in the order of placement. */
+/**
+ * Lists the ready steps of a scope in the order of placement. A pass over the urgent
+ * steps leaves out excess ones, which come after less urgent ones of other accounts.
+ */
 export function orderReadySteps(
   state: StateReader,
   scope: PlacementScope,
   wallNow: number,
   expectedMillis: PlacementFunctions['expectedMillis'],
-): ReadyStep[] {
-  return orderSteps(
+): readonly ReadyStep[] {
+  const ordered = orderSteps(
     listReadySteps(state, scope),
-    step => urgencyOf(state, step, expectedMillis),
+    step => urgencyOf(state, step, wallNow, expectedMillis),
     wallNow,
   );
+  return scope === 'urgent'
+    ? ordered.entitled
+    : [...ordered.entitled, ...ordered.excess];
 }
 
 /** Returns the identity of a ready step. */
--- a/packages/dispatch/src/stepOrder.ts
+++ b/packages/dispatch/src/stepOrder.ts
@@ -2,6 +2,11 @@
 export interface StepUrgency {
   /** Lower numbers are placed first. */
   readonly priority: number;
+  /**
+   * Whether its account has sent more than it is entitled to until now, so that the job
+   * does not count as arrived yet.
+   */
+  readonly isExcess: boolean;
   /** When its job counts as arrived, in wall-clock milliseconds. */
   readonly arrivedAt: number;
   /**
@@ -17,26 +22,40 @@
  */
 const TIMELY_STEPS_PER_LATE_STEP = 4;
 
+/** Steps in the order of placement. */
+export interface OrderedSteps<S> {
+  readonly entitled: readonly S[];
+  /** Steps that only get what the others leave, whatever their priority. */
+  readonly excess: readonly S[];
+}
+
 /**
  * Orders steps for placement. Within a priority, those that can still meet their
  * objective come first, by their latest start: in a burst that exceeds the free
  * resources, an order by objective alone would spend them on jobs that are late
  * already and make the others late one after the other. Late steps follow in order
- * of arrival.
+ * of arrival. An account that sends many times its share only delays itself: what it
+ * sends beyond comes last, by its virtual arrival.
  */
 export function orderSteps<S>(
   steps: readonly S[],
   urgencyOf: (step: S) => StepUrgency,
   wallNow: number,
-): S[] {
+): OrderedSteps<S> {
   const entries = steps.map(step => ({step, ...urgencyOf(step)}));
-  const timely = entries.filter(each => each.latestStartAt >= wallNow);
-  const late = entries.filter(each => each.latestStartAt < wallNow);
+  const entitled = entries.filter(({isExcess}) => !isExcess);
+  const excess = entries.filter(({isExcess}) => isExcess);
+  const timely = entitled.filter(each => each.latestStartAt >= wallNow);
+  const late = entitled.filter(each => each.latestStartAt < wallNow);
   timely.sort(
     (a, b) => a.priority - b.priority || a.latestStartAt - b.latestStartAt,
   );
   late.sort((a, b) => a.priority - b.priority || a.arrivedAt - b.arrivedAt);
-  return mergeByPriority(timely, late).map(({step}) => step);
+  excess.sort((a, b) => a.arrivedAt - b.arrivedAt);
+  return {
+    entitled: mergeByPriority(timely, late).map(({step}) => step),
+    excess: excess.map(({step}) => step),
+  };
 }
 
 /** Merges two lists that are sorted by priority, the timely steps first. */
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -1,6 +1,5 @@
 import {serve} from '@hono/node-server';
-import {createAccountsPlugin} from '@samphireramp/accounts';
-import {SITE_CONFIGURATION, createDispatchPlugin} from '@samphireramp/dispatch';
+import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
 import {createFleetPlugin} from '@samphireramp/fleet';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
 import {ANNOUNCE_INTERVAL_MILLIS, createHostsPlugin} from '@samphireramp/hosts';
@@ -21,10 +20,6 @@
   startReadinessServer,
 } from '@samphireramp/platform';
 import {encodeHost} from '@samphireramp/record-codec';
-import {
-  createRunTimeFunctions,
-  createRunTimesPlugin,
-} from '@samphireramp/run-times';
 import type {StreamLog} from '@samphireramp/stream-log';
 import {type Log, createLogger, createMetrics} from '@samphireramp/telemetry';
 import {Hono} from 'hono';
@@ -33,6 +28,7 @@
 import {createAdvicePlugin} from './advicePlugin';
 import {createAnswerReporter} from './answerReporter';
 import {createCallerService} from './callerService';
+import {createPlacementPlugins} from './placementPlugins';
 import {createStreamLogPlugin} from './streamLogPlugin';
 import {createObserverPlugin} from './observerPlugin';
 import {createRejectedCallReporter} from './rejectedCallReporter';
@@ -152,16 +148,14 @@
       followDelayMillis: () => followDelayMillis,
     }),
     createIntakePlugin({partitions}),
-    createAccountsPlugin(),
     createFleetPlugin(),
     createObserverPlugin({metrics, log}),
-    createRunTimesPlugin(),
-    createDispatchPlugin({
+    ...createPlacementPlugins({
       self,
       wallClock,
       partitions,
       keepEndedMillis,
-      functions: createRunTimeFunctions(options.learnRunTimes),
+      learnRunTimes: options.learnRunTimes,
     }),
     createWorkersPlugin(createWorkerClient(httpClient), now),
     createAdvicePlugin(self, adviser, hostLinks),
--- a/packages/site-daemon/src/index.ts
+++ b/packages/site-daemon/src/index.ts
@@ -7,3 +7,7 @@
 export {createAdvicePlugin} from './advicePlugin';
 export {createStreamLogPlugin} from './streamLogPlugin';
 export {createWorkersPlugin} from './workersPlugin';
+export {
+  type PlacementPluginOptions,
+  createPlacementPlugins,
+} from './placementPlugins';
--- /dev/null
+++ b/packages/site-daemon/src/placementPlugins.ts
@@ -0,0 +1,41 @@
+import {
+  createAccountFunctions,
+  createAccountsPlugin,
+} from '@samphireramp/accounts';
+import {
+  type DispatchOptions,
+  clientAccountsOf,
+  createDispatchPlugin,
+} from '@samphireramp/dispatch';
+import type {Plugin} from '@samphireramp/kernel';
+import {
+  createRunTimeFunctions,
+  createRunTimesPlugin,
+} from '@samphireramp/run-times';
+
+/** Options of the plug-ins that place tasks. */
+export interface PlacementPluginOptions extends Omit<
+  DispatchOptions,
+  'functions'
+> {
+  /** Whether run times are learned; otherwise the estimates of callers count. */
+  readonly learnRunTimes: boolean;
+}
+
+/** Creates the plug-ins of accounts, run times and dispatch, which asks the others. */
+export function createPlacementPlugins({
+  learnRunTimes,
+  ...options
+}: PlacementPluginOptions): Plugin[] {
+  return [
+    createAccountsPlugin(),
+    createRunTimesPlugin(),
+    createDispatchPlugin({
+      ...options,
+      functions: {
+        ...createAccountFunctions(clientAccountsOf),
+        ...createRunTimeFunctions(learnRunTimes),
+      },
+    }),
+  ];
+}
