--- a/packages/record-codec/src/__tests__/unit/codecs.test.ts
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -225,9 +225,11 @@
 void t.test('requests are decoded, tombstones are skipped', async t => {
   const job = buildJob('00000000000000aa', [buildStep({count: 3})]);
   const cancel = {kind: 'cancel', jobId: job.id, receivedAt: 9} as const;
+  const accountCancels = ['', 'first'].map(account => ({...cancel, account}));
   const encoded = [
     encodeRequest({kind: 'submit', job}),
     encodeRequest(cancel),
+    ...accountCancels.map(encodeRequest),
     ...encodeRequestTombstones('00000000000000ab'),
   ].map((record, offset) => ({...record, offset}));
   const decoded = decodeRequests(
@@ -235,7 +237,22 @@
     () => false,
     key => t.fail(key),
   );
-  t.same(decoded, [{kind: 'submit', job}, cancel]);
+  t.same(decoded, [{kind: 'submit', job}, cancel, ...accountCancels]);
+});
+
+void t.test('a job and progress without an account have none', async t => {
+  const {account, ...job} = buildJob('00000000000000aa', [buildStep()]);
+  const value = Buffer.from(JSON.stringify(job));
+  const decoded = decodeRequests(
+    [{key: `job.${job.id}`, value, offset: 0}],
+    () => false,
+    key => t.fail(key),
+  );
+  t.same(decoded, [{kind: 'submit', job: {...job, account}}]);
+  const earlier = '["q","running",7,0,1,[],[]]';
+  const progress = decodeProgress(job.id, Buffer.from(earlier));
+  t.equal(progress?.account, '');
+  t.equal(progress && encodeProgress(progress).toString(), earlier);
 });
 
 void t.test('bounds of leases survive encoding and decoding', async t => {
--- a/packages/record-codec/src/__tests__/unit/stateCodec.test.ts
+++ b/packages/record-codec/src/__tests__/unit/stateCodec.test.ts
@@ -27,6 +27,19 @@
   {kind: 'state', jobId: JOB_ID, queue: 'c', account: '', state: 'completed'},
   {kind: 'state', jobId: JOB_ID, queue: 'x', account: '', state: 'failed'},
   {kind: 'state', jobId: JOB_ID, queue: '', account: '', state: 'cancelled'},
+  // Names that look like parts of the format.
+  ...['a', '12:b', ':', 'Q', '\n', 'ключ', '😀'].flatMap(account =>
+    ['', 'q', '3:abc', 'Q\n'].map(
+      queue =>
+        ({
+          kind: 'state',
+          jobId: JOB_ID,
+          queue,
+          account,
+          state: 'running',
+        }) as const,
+    ),
+  ),
   {kind: 'forgotten', jobId: JOB_ID},
 ];
 
@@ -50,6 +63,9 @@
       ['standbys', '{"a":1}'],
       [`job.${JOB_ID}`, 'zqueue'],
       ['other', 'qqueue'],
+      ...['Q', 'Qqueue', 'Q0:queue', 'Q6:queue', 'Q-1:q', 'Z1:aq'].map(
+        value => [`job.${JOB_ID}`, value],
+      ),
     ];
     const records = invalid.map(([key, value], offset) => ({
       key,
@@ -67,3 +83,14 @@
     );
   },
 );
+
+void t.test('a record of the earlier format has no account', async t => {
+  const value = Buffer.from('rqueue-1');
+  const [decoded] = decodeStates(
+    [{key: `job.${JOB_ID}`, value, offset: 0}],
+    key => t.fail(key),
+  );
+  t.match(decoded.entry, {queue: 'queue-1', account: '', state: 'running'});
+  // What needs no account is written as before, so that earlier builds read it.
+  t.same(encodeStateEntry(decoded.entry).value, value);
+});
