Let a cancel wait until its job must be known, and report calls for jobs of others

With accounts, a cancel of a job that this host does not know was answered 410, also if another host had just accepted the job. It now waits until every job accepted before the call is known, at most 2.5 s, so that 410 is true and is the same for jobs of other accounts. Those calls are counted and logged with reason other-account.

--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -6,6 +6,7 @@
   type JobStatus,
   type PendingCount,
   countPending,
+  isOfOtherAccount,
   jobStatus,
 } from './jobStatus';
 export {
--- a/packages/intake/src/intakePlugin.ts
+++ b/packages/intake/src/intakePlugin.ts
@@ -5,7 +5,7 @@
   mergeUnregister,
 } from '@samphireramp/kernel';
 import {JOB_STATES, STATES_COPY} from '@samphireramp/job-states';
-import {isFinalState, mayAccessJob} from '@samphireramp/jobs';
+import {isFinalState} from '@samphireramp/jobs';
 import {answerCall, createRefusal} from './answerCall';
 import {
   ACCEPTED_JOBS,
@@ -14,6 +14,7 @@
   MEAN_APPEND_TIME,
   UNBATCHED_CALLS,
 } from './IntakeState';
+import {isOfOtherAccount} from './jobStatus';
 import {
   FLUSH_REQUESTS,
   HEDGE_REQUESTS,
@@ -103,13 +104,10 @@
 
 /** Whether a submitted job has the id of a job of another client account. */
 function isIdInUse(update: Update, request: Request): boolean {
-  if (request.kind !== 'submit') {
-    return false;
-  }
-  const {id, account} = request.job;
-  const known =
-    update.read(JOB_STATES).get(id) ?? update.read(ACCEPTED_JOBS).get(id);
-  return known !== undefined && !mayAccessJob(account, known.account);
+  return (
+    request.kind === 'submit' &&
+    isOfOtherAccount(update, request.job.id, request.job.account)
+  );
 }
 
 /** Whether this host seems cut off from the log, so that appends would fail. */
--- a/packages/intake/src/jobStatus.ts
+++ b/packages/intake/src/jobStatus.ts
@@ -30,21 +30,29 @@
   visibleMillis: number,
   caller?: string,
 ): JobStatus {
-  const known = state.read(JOB_STATES).get(jobId);
-  if (known !== undefined && mayAccessJob(caller, known.account)) {
-    return known.state;
-  }
-  const accepted = state.read(ACCEPTED_JOBS).get(jobId);
-  if (
-    known === undefined &&
-    accepted !== undefined &&
-    mayAccessJob(caller, accepted.account)
-  ) {
-    return 'queued';
+  if (!isOfOtherAccount(state, jobId, caller)) {
+    const known = state.read(JOB_STATES).get(jobId);
+    if (known !== undefined) {
+      return known.state;
+    }
+    if (state.read(ACCEPTED_JOBS).has(jobId)) {
+      return 'queued';
+    }
   }
   return areJobsKnown(state, now - visibleMillis) ? 'absent' : 'unsure';
 }
 
+/** Whether this host knows a job that the caller's account may not access. */
+export function isOfOtherAccount(
+  state: StateReader,
+  jobId: string,
+  caller: string | undefined,
+): boolean {
+  const known =
+    state.read(JOB_STATES).get(jobId) ?? state.read(ACCEPTED_JOBS).get(jobId);
+  return known !== undefined && !mayAccessJob(caller, known.account);
+}
+
 /**
  * Counts the accepted jobs of a queue that have not started a task, among them
  * all that were accepted `PENDING_AGE_MILLIS` before they must be visible.
--- a/packages/site-daemon/src/__tests__/unit/revocation.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/revocation.test.ts
@@ -2,9 +2,17 @@
 import {createDispatchPlugin} from '@samphireramp/dispatch';
 import {createFleetPlugin} from '@samphireramp/fleet';
 import {createHoldingPlugin} from '@samphireramp/holding';
-import {createIntakePlugin} from '@samphireramp/intake';
-import {createJobStatesPlugin} from '@samphireramp/job-states';
-import {createKernel} from '@samphireramp/kernel';
+import {
+  FLUSH_REQUESTS,
+  SCHEDULE_FLUSH,
+  createIntakePlugin,
+} from '@samphireramp/intake';
+import {
+  JOB_STATES,
+  STATES_COPY,
+  createJobStatesPlugin,
+} from '@samphireramp/job-states';
+import {createCommand, createKernel} from '@samphireramp/kernel';
 import {decodeConfiguration} from '@samphireramp/platform';
 import type {FollowOptions, StreamListener} from '@samphireramp/stream-log';
 import {type LogFields, createMetrics} from '@samphireramp/telemetry';
@@ -17,12 +25,13 @@
 const KEYS = ['key-of-first', 'key-of-second'];
 
 /** Builds a host that reads the configuration when the test has it read. */
-function buildHost(failsClosed: boolean) {
+function buildHost(failsClosed: boolean, onDelay = (): void => undefined) {
   const clock = {now: 0};
   const now = () => clock.now;
   const lines: Array<LogFields & {event: string}> = [];
   const log = (event: string, fields: LogFields = {}) =>
     void lines.push({event, ...fields});
+  const appended: string[] = [];
   const metrics = createMetrics('test');
   let options: FollowOptions | undefined;
   let listener: StreamListener | undefined;
@@ -48,7 +57,10 @@
     createStreamLogPlugin({
       streams: {
         partitions: 1,
-        append: async () => ({kind: 'refused', detail: ''}),
+        append: async ({records}) => {
+          appended.push(...records.map(({value}) => value.toString()));
+          return {kind: 'appended', offset: 0, endOffset: 1};
+        },
         follow: (followed, itsListener) => {
           if (followed.stream === 'configuration') {
             options = followed;
@@ -69,6 +81,10 @@
   const service = createCallerService(kernel, {
     now,
     wallClock: now,
+    delay: async millis => {
+      clock.now += millis;
+      onDelay();
+    },
     isStopping: () => false,
     maxRecordBytes: () => 100_000,
     visibleMillis: () => 3000,
@@ -106,7 +122,31 @@
     const decision = route && service.authorize(route, [Buffer.from(key)]);
     return decision?.kind === 'rejected' ? decision.reason : decision?.account;
   };
-  return {clock, lines, metrics, read, decide, options: () => options};
+  kernel.registerEffect(SCHEDULE_FLUSH, () => {
+    kernel.dispatch(FLUSH_REQUESTS, undefined);
+  });
+  /** Has the host know all jobs accepted until now, and this one of an account. */
+  const learnJob = (jobId: string, account: string) => {
+    const learn = createCommand<void>('learn');
+    kernel.registerCommand(learn, update => {
+      const copy = update.write(STATES_COPY);
+      copy.set({...copy.get(), jobsCompleteUntil: clock.now});
+      const job = {queue: 'q', account, state: 'queued'} as const;
+      update.write(JOB_STATES).set(jobId, job);
+    });
+    kernel.dispatch(learn, undefined);
+  };
+  return {
+    clock,
+    lines,
+    metrics,
+    read,
+    decide,
+    learnJob,
+    appended,
+    service,
+    options: () => options,
+  };
 }
 
 for (const failsClosed of [false, true]) {
@@ -174,3 +214,29 @@
     }
   },
 );
+
+void t.test('a cancel is answered once its job must be known', async t => {
+  for (const [owner, expected] of [
+    ['first', 'accepted'],
+    ['second', 'absent'],
+  ]) {
+    let delays = 0;
+    const host = buildHost(false, () => {
+      // The job was accepted at another host just before the call.
+      if (++delays === 3) {
+        host.learnJob('00000000000000aa', owner);
+      }
+    });
+    const answer = await host.service.cancel('00000000000000aa', 'first');
+    t.equal(answer.kind, expected, owner);
+    t.equal(delays, 3, 'it waited for that');
+    t.equal(host.appended.length, expected === 'accepted' ? 1 : 0);
+    const rejected = host.lines.map(({reason, account}) => [reason, account]);
+    t.same(rejected, owner === 'first' ? [] : [['other-account', 'first']]);
+  }
+  const {service, appended, clock} = buildHost(false);
+  const answer = await service.cancel('00000000000000aa', 'first');
+  t.equal(answer.kind, 'refused', 'a host that learns nothing can not tell');
+  t.ok(clock.now < 3000);
+  t.same(appended, []);
+});
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -14,20 +14,29 @@
   type RequestAnswer,
   countPending,
   createRefusal,
+  isOfOtherAccount,
   jobStatus,
 } from '@samphireramp/intake';
+import {knowsJobsUntil} from '@samphireramp/job-states';
 import type {Kernel} from '@samphireramp/kernel';
 import {greatestProgressBytes} from '@samphireramp/record-codec';
 import type {CallerService} from '@samphireramp/platform';
 import {match} from 'ts-pattern';
 import type {RejectedCall} from './rejectedCallReporter';
 
+/** How long a cancel waits until this host knows all jobs accepted before it. */
+const MAX_KNOWLEDGE_WAIT_MILLIS = 2500;
+/** Interval at which a waiting cancel is checked again. */
+const KNOWLEDGE_CHECK_MILLIS = 50;
+
 /** Options of `createCallerService`. */
 export interface CallerServiceOptions {
   /** Milliseconds of the monotonic clock. */
   readonly now: () => number;
   /** Milliseconds since 1970. */
   readonly wallClock: () => number;
+  /** Resolves after a time. */
+  readonly delay: (millis: number) => Promise<void>;
   readonly isStopping: () => boolean;
   /** Maximum bytes of a record in the log. */
   readonly maxRecordBytes: () => number;
@@ -35,7 +44,7 @@
   readonly visibleMillis: () => number;
   /** How long keys are accepted while the configuration can't be read. */
   readonly revocation: () => RevocationTerms;
-  /** Called with each call that is rejected for its API key. */
+  /** Called with each call that is rejected. */
   readonly onRejected: (call: RejectedCall) => void;
   /** Called with each answer that this host gives from its copy of the journal. */
   readonly onStatus: (jobId: string, status: JobStatus) => void;
@@ -67,10 +76,44 @@
 
   function readStatus(jobId: string, account: string | undefined): JobStatus {
     const status = jobStatus(kernel, jobId, now(), visibleMillis(), account);
+    reportIfOfOther(jobId, account);
     onStatus(jobId, status);
     return status;
   }
 
+  /**
+   * Finds whether an account has a job. If this host does not know the job as one of
+   * the account, it waits until it knows every job that was accepted before the call:
+   * another host may have accepted it just now. It waits alike for jobs of others.
+   */
+  async function findAccess(
+    jobId: string,
+    account: string,
+  ): Promise<'granted' | 'absent' | 'unsure'> {
+    const calledAt = now();
+    for (;;) {
+      const status = jobStatus(kernel, jobId, now(), visibleMillis(), account);
+      if (status !== 'absent' && status !== 'unsure') {
+        return 'granted';
+      }
+      const isKnown = knowsJobsUntil(kernel, calledAt);
+      if (isKnown || now() - calledAt >= MAX_KNOWLEDGE_WAIT_MILLIS) {
+        reportIfOfOther(jobId, account);
+        return isKnown ? 'absent' : 'unsure';
+      }
+      await options.delay(KNOWLEDGE_CHECK_MILLIS);
+    }
+  }
+
+  /** Reports a call for a job that the caller's account may not access. */
+  function reportIfOfOther(jobId: string, account: string | undefined): void {
+    if (isOfOtherAccount(kernel, jobId, account)) {
+      const ageMillis = configurationAgeMillis(kernel, now());
+      const reason = 'other-account';
+      options.onRejected({reason, account, job: jobId, ageMillis});
+    }
+  }
+
   return {
     configuration: () => kernel.read(SITE_CONFIGURATION).get(),
     authorize: (route, keys) => {
@@ -97,23 +140,23 @@
             `${options.maxRecordBytes()} can be recorded: hand in fewer tasks`
         : undefined;
     },
-    submit: job => dispatchRequest({kind: 'submit', job}),
+    submit: job => {
+      reportIfOfOther(job.id, job.account);
+      return dispatchRequest({kind: 'submit', job});
+    },
     cancel: async (jobId, account) => {
+      const receivedAt = wallClock();
       // Only cancels of jobs that are known to be the caller's get into the log,
       // where a cancel replaces an earlier one of the same job.
-      const status =
-        account === undefined ? 'known' : readStatus(jobId, account);
-      return match(status)
+      const access =
+        account === undefined ? 'granted' : await findAccess(jobId, account);
+      return match(access)
+        .with('granted', () =>
+          dispatchRequest({kind: 'cancel', jobId, receivedAt, account}),
+        )
         .with('absent', () => ({kind: 'absent'}) as const)
         .with('unsure', createRefusal)
-        .otherwise(() =>
-          dispatchRequest({
-            kind: 'cancel',
-            jobId,
-            receivedAt: wallClock(),
-            account,
-          }),
-        );
+        .exhaustive();
     },
     status: readStatus,
     pending: queue => {
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -160,6 +160,7 @@
     wallClock,
     visibleMillis: () => settings().visibleMillis,
     maxRecordBytes: () => settings().maxRecordBytes,
+    delay: sleep,
     isStopping: () => isStopping,
     revocation: () => ({
       failsClosed: settings().revokeFailsClosed,
--- a/packages/site-daemon/src/rejectedCallReporter.ts
+++ b/packages/site-daemon/src/rejectedCallReporter.ts
@@ -5,12 +5,13 @@
 const MAX_LINES_PER_WINDOW = 10;
 const WINDOW_MILLIS = 1000;
 
-/** A call that was rejected for its API key. */
+/** A call that was rejected for its API key, or for a job of another account. */
 export interface RejectedCall {
-  readonly reason: RejectionReason;
-  /** Name of the client account, if the key is known. */
+  readonly reason: RejectionReason | 'other-account';
+  /** Name of the caller's account, if it is known. */
   readonly account?: string;
-  readonly queue: string;
+  readonly queue?: string;
+  readonly job?: string;
   /** Age of the newest successful read of the configuration. */
   readonly ageMillis: number;
 }
@@ -34,7 +35,7 @@
 }: RejectedCallReporterOptions): (call: RejectedCall) => void {
   let windowStartedAt = -Infinity;
   let linesInWindow = 0;
-  return ({reason, account, queue, ageMillis}) => {
+  return ({reason, account, queue, job, ageMillis}) => {
     metrics.count('rejected_calls', {reason, account: account ?? ''});
     if (now() - windowStartedAt >= WINDOW_MILLIS) {
       windowStartedAt = now();
@@ -46,6 +47,7 @@
         reason,
         account,
         queue,
+        job,
         configurationMillis: Number.isFinite(ageMillis)
           ? Math.round(ageMillis)
           : undefined,
