--- a/packages/accounts/src/apiKeys.ts
+++ b/packages/accounts/src/apiKeys.ts
@@ -6,6 +6,7 @@
 
 /** Digits of a digest by which its account is looked up. */
 const INDEX_DIGITS = 16;
+const DIGITS_PER_BYTE = 2;
 
 /** The digest of an account's API key. */
 interface KeyEntry {
@@ -36,11 +37,10 @@
   if (key.length > MAX_API_KEY_BYTES) {
     return undefined;
   }
-  const digest = digestApiKey(key);
-  const bytes = Buffer.from(digest, 'hex');
+  const digest = createHash('sha256').update(key).digest();
   return indexOf(accounts)
-    .get(digest.slice(0, INDEX_DIGITS))
-    ?.find(entry => timingSafeEqual(entry.digest, bytes))?.account;
+    .get(digest.toString('hex', 0, INDEX_DIGITS / DIGITS_PER_BYTE))
+    ?.find(entry => timingSafeEqual(entry.digest, digest))?.account;
 }
 
 function indexOf(accounts: readonly ClientAccount[]): KeyIndex {
--- a/testing/src/__tests__/unit/accountJobs.test.ts
+++ b/testing/src/__tests__/unit/accountJobs.test.ts
@@ -1,5 +1,6 @@
 import {jobStatus} from '@samphireramp/intake';
-import {encodeRequest} from '@samphireramp/record-codec';
+import {newProgress} from '@samphireramp/jobs';
+import {encodeJournalEntry, encodeRequest} from '@samphireramp/record-codec';
 import t from 'tap';
 import {type ModelSite, buildJob, buildModelSite, buildStep} from '../../index';
 
@@ -110,6 +111,20 @@
   }
 });
 
+void t.test('a holder of an earlier build recorded no account', async t => {
+  const site = buildModelSite();
+  const job = buildAccountJob('d1', 'first', 0);
+  site.checker.registerJob(job);
+  const progress = {...newProgress(job), account: ''};
+  const entry = encodeJournalEntry({kind: 'progress', progress});
+  const request = encodeRequest({kind: 'submit', job});
+  site.log.put('progress', entry.key, entry.value);
+  site.log.put('requests', request.key, request.value);
+  await site.run(6000);
+  t.same(statusesOf(site, job.id, 'first'), ['completed']);
+  t.same(statusesOf(site, job.id, 'second'), ['absent']);
+});
+
 /** Advances the site until a call has its answer. */
 async function settle(
   site: ModelSite,
