--- a/testing/src/__tests__/unit/siteSensitivity.test.ts
+++ b/testing/src/__tests__/unit/siteSensitivity.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import {
+  ACCOUNT_FAULTS,
   ALL_FAULTS,
   ModelSite,
   type ModelWorker,
@@ -104,6 +105,29 @@
   t.ok(count > 0, `${count} violations were detected`);
 });
 
+void t.test('a site that knows no limits of accounts is detected', async t => {
+  const unmodified = await runSiteSchedule(FIRST_SEED, ACCOUNT_FAULTS);
+  t.same(unmodified.violations, []);
+  const {violations} = await runSiteSchedule(
+    FIRST_SEED,
+    ACCOUNT_FAULTS,
+    ({log}) => {
+      const put = log.put.bind(log);
+      log.put = (stream, key, value) =>
+        put(
+          stream,
+          key,
+          stream === 'configuration'
+            ? Buffer.from(
+                value.toString().replace(/"cpuMillis":\d+/g, '"cpuMillis":0'),
+              )
+            : value,
+        );
+    },
+  );
+  t.match(violations, [/QUOTA/]);
+});
+
 /**
  * Cuts a worker that runs a long task off from all hosts, so that its lease
  * expires and the task runs again on another worker. Returns the violations.
