--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -30,7 +30,7 @@
   createHoldingPlugin,
 } from '@samphireramp/holding';
 import {createHostsPlugin} from '@samphireramp/hosts';
-import type {Job, RunId} from '@samphireramp/jobs';
+import type {ClientAccount, Job, QueuePolicy, RunId} from '@samphireramp/jobs';
 import {type Kernel, createKernel} from '@samphireramp/kernel';
 import {encodeJournalEntry} from '@samphireramp/record-codec';
 import {buildConfiguration, buildPolicy} from '@samphireramp/testing';
@@ -45,6 +45,8 @@
   submitJobs(jobs: readonly Job[]): void;
   /** Runs scheduled placement passes until none is left, then one tick. */
   placeTasks(): void;
+  /** Runs one placement pass over all steps, and returns its duration in milliseconds. */
+  timePass(): number;
   /** Reports the end of every run that was started and has not ended. */
   endAllRuns(): void;
   /** Total bytes of the keys and values appended to the journal. */
@@ -59,7 +61,11 @@
 });
 
 /** Creates a site of one host, which holds it, and a number of workers. */
-export function createBenchSite(workers: number): BenchSite {
+export function createBenchSite(
+  workers: number,
+  policies: readonly QueuePolicy[] = [BENCH_POLICY],
+  clientAccounts: readonly ClientAccount[] = [],
+): BenchSite {
   const kernel = createKernel({
     now: () => performance.now(),
     onError: error => {
@@ -166,7 +172,10 @@
   }
 
   kernel.dispatch(CONFIGURATION_IN_FORCE, {
-    configuration: buildConfiguration([BENCH_POLICY]),
+    configuration: {
+      ...buildConfiguration(policies),
+      clientAccounts: [...clientAccounts],
+    },
   });
   kernel.dispatch(JOURNAL_READ, {
     entries: [],
@@ -213,6 +222,12 @@
       }
       kernel.dispatch(DISPATCH_TICK, undefined);
     },
+    timePass: () => {
+      kernel.dispatch(BEGIN_PASS, {scope: 'all'});
+      const startedAt = performance.now();
+      kernel.dispatch(PLACE_TASKS, {scope: 'all'});
+      return performance.now() - startedAt;
+    },
     endAllRuns: () => {
       for (const incarnation of runsByIncarnation.keys()) {
         answerPoll(incarnation, 1, reportedCounts.get(incarnation) ?? 0);
