Metrics of client accounts at the holder

Operators could not see what an account runs and waits for. Other packages add gauges through the list gaugeSources.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,5 +1,10 @@
 /** Places tasks on workers, requests advice, and follows runs and jobs. */
-export {SITE_CONFIGURATION, JOBS, listActiveJobs} from './DispatchState';
+export {
+  SITE_CONFIGURATION,
+  JOBS,
+  type JobRow,
+  listActiveJobs,
+} from './DispatchState';
 export {type DispatchOptions, createDispatchPlugin} from './dispatchPlugin';
 export type {
   FinishedRun,
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -25,6 +25,7 @@
 import {Hono} from 'hono';
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
+import {createAccountGauges} from './accountGauges';
 import {createAdvicePlugin} from './advicePlugin';
 import {createAnswerReporter} from './answerReporter';
 import {createCallerService} from './callerService';
@@ -145,7 +146,11 @@
     }),
     createIntakePlugin({partitions}),
     createFleetPlugin(),
-    createObserverPlugin({metrics, log}),
+    createObserverPlugin({
+      metrics,
+      log,
+      gaugeSources: [createAccountGauges({now, wallClock})],
+    }),
     createDispatchPlugin({self, wallClock, partitions, keepEndedMillis}),
     createWorkersPlugin(createWorkerClient(httpClient), now),
     createAdvicePlugin(self, adviser, hostLinks),
--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -19,21 +19,34 @@
   STATES_COPY,
 } from '@samphireramp/job-states';
 import {INTAKE_EVENT} from '@samphireramp/intake';
-import {type Plugin, mergeUnregister} from '@samphireramp/kernel';
-import type {Log, Metrics} from '@samphireramp/telemetry';
+import {
+  type Plugin,
+  type StateReader,
+  mergeUnregister,
+} from '@samphireramp/kernel';
+import type {GaugeSample, Log, Metrics} from '@samphireramp/telemetry';
 import {HOLDING_TICK_MILLIS} from './timersPlugin';
 
 /** A tick that is later than this is logged: timeouts of calls are late, too. */
 const LONG_LOOP_DELAY_MILLIS = 150;
 
+/** Reads gauges from the state, at each scrape. */
+export type GaugeSource = (state: StateReader) => readonly GaugeSample[];
+
 /** Options of `createObserverPlugin`. */
 export interface ObserverOptions {
   readonly metrics: Metrics;
   readonly log: Log;
+  /** Gauges beside those of the observer itself. */
+  readonly gaugeSources?: readonly GaugeSource[];
 }
 
 /** Writes logs and metrics from events and state; changes no state. */
-export function createObserverPlugin({metrics, log}: ObserverOptions): Plugin {
+export function createObserverPlugin({
+  metrics,
+  log,
+  gaugeSources = [],
+}: ObserverOptions): Plugin {
   return kernel => {
     let tickedAt: number | undefined;
 
@@ -68,6 +81,9 @@
       metrics.gauge('is_holder', () =>
         heldTerm(kernel) === undefined ? 0 : 1,
       ),
+      ...gaugeSources.map(readGauges =>
+        metrics.samples(() => readGauges(kernel)),
+      ),
       kernel.registerEffect(INTAKE_EVENT, event => {
         metrics.count('requests', {outcome: event.event});
         if (event.millis !== undefined) {
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -10,6 +10,14 @@
 /** Label values of one time series, by label name. */
 export type Labels = Readonly<Record<string, string>>;
 
+/** The value of one gauge at a scrape. */
+export interface GaugeSample {
+  /** Name without the prefix of the metrics. */
+  readonly name: string;
+  readonly labels: Labels;
+  readonly value: number;
+}
+
 /** Counters, duration histograms and gauges, rendered for Prometheus. */
 export interface Metrics {
   /** Adds `amount`, or 1 if it is omitted, to a counter. */
@@ -24,6 +32,8 @@
     label: string,
     read: () => ReadonlyMap<string, number>,
   ): () => void;
+  /** Registers gauges of any names and labels, which are read at each scrape. */
+  samples(read: () => readonly GaugeSample[]): () => void;
   /** Renders all time series in the Prometheus text format. */
   render(): string;
 }
@@ -34,6 +44,7 @@
   const histograms = new Map<string, Histogram>();
   /** Returns the values of a gauge by series, by the name of the gauge. */
   const gauges = new Map<string, () => (readonly [string, number])[]>();
+  const sampleReaders = new Set<() => readonly GaugeSample[]>();
   const registerGauge = (
     name: string,
     readSeries: (gaugeName: string) => (readonly [string, number])[],
@@ -64,12 +75,22 @@
           value,
         ]),
       ),
+    samples: read => {
+      sampleReaders.add(read);
+      return () => sampleReaders.delete(read);
+    },
     render: () =>
       [
         ...[...counters].map(([series, value]) => `${series} ${value}`),
         ...[...gauges.values()]
           .flatMap(readSeries => readSeries())
           .map(([series, value]) => `${series} ${value}`),
+        ...[...sampleReaders]
+          .flatMap(readSamples => readSamples())
+          .map(
+            ({name, labels, value}) =>
+              `${seriesName(`${prefix}_${name}`, labels)} ${value}`,
+          ),
         ...[...histograms].flatMap(([series, histogram]) =>
           renderHistogram(series, histogram),
         ),
--- a/packages/telemetry/src/__tests__/unit/textFormats.test.ts
+++ b/packages/telemetry/src/__tests__/unit/textFormats.test.ts
@@ -29,3 +29,13 @@
   unregister();
   t.notMatch(metrics.render(), /left_out/);
 });
+
+void t.test('gauges that are sampled together keep their labels', async t => {
+  const metrics = createMetrics('site');
+  const unregister = metrics.samples(() => [
+    {name: 'ratio', labels: {queue: 'q', quantile: '0.5'}, value: 1.5},
+  ]);
+  t.match(metrics.render(), /^site_ratio\{queue="q",quantile="0.5"\} 1.5$/m);
+  unregister();
+  t.notMatch(metrics.render(), /ratio/);
+});
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -20,4 +20,9 @@
   type LineWriterOptions,
   createLineWriter,
 } from './lineWriter';
-export {createMetrics, type Labels, type Metrics} from './Metrics';
+export {
+  createMetrics,
+  type GaugeSample,
+  type Labels,
+  type Metrics,
+} from './Metrics';
