status shows client accounts

The holder's gauges of accounts are shown as a line an account, and as a list in JSON. A series whose label has spaces was skipped; it is read now.

--- a/packages/operator-command/src/hostStatus.ts
+++ b/packages/operator-command/src/hostStatus.ts
@@ -1,8 +1,11 @@
 import {request} from 'undici';
 
 const ANSWER_TIMEOUT_MILLIS = 3000;
-/** A time series in the Prometheus text format: name, with labels, and value. */
-const SERIES_LINE = /^samphireramp_(\S+) (\S+)$/gm;
+/**
+ * A time series in the Prometheus text format: name, with labels, and value. The
+ * value of a label may have spaces.
+ */
+const SERIES_LINE = /^samphireramp_(\w+(?:\{.*\})?) (\S+)$/gm;
 
 /** Status of a host, from its metrics. */
 export interface HostStatus {
@@ -14,6 +17,16 @@
   readonly values: ReadonlyMap<string, number>;
 }
 
+/** Parses the time series in the text of a metrics address, without their prefix. */
+export function parseSeries(text: string): Map<string, number> {
+  return new Map(
+    [...text.matchAll(SERIES_LINE)].map(([, name, value]) => [
+      name,
+      Number(value),
+    ]),
+  );
+}
+
 /**
  * Reads the status of a host at its metrics address (HOST:PORT). A host that does
  * not answer is not an error; its status has the reason.
@@ -24,12 +37,7 @@
       signal: AbortSignal.timeout(ANSWER_TIMEOUT_MILLIS),
     });
     const text = await response.body.text();
-    const values = new Map(
-      [...text.matchAll(SERIES_LINE)].map(([, name, value]) => [
-        name,
-        Number(value),
-      ]),
-    );
+    const values = parseSeries(text);
     const failure =
       response.statusCode === 200 ? undefined : `status ${response.statusCode}`;
     return {address, failure, isHolder: values.get('is_holder') === 1, values};
--- a/packages/operator-command/src/main.ts
+++ b/packages/operator-command/src/main.ts
@@ -1,6 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {basename} from 'node:path';
 import yargs from 'yargs';
+import {formatAccount, listAccounts} from './accountStatus';
 import {CommandError, EXIT_STATUS} from './CommandError';
 import {readConfiguration, readHostSettings} from './readFiles';
 import {explainJob} from './explainJob';
@@ -74,6 +75,7 @@
   const values = hosts.map(host => ({
     ...host,
     values: Object.fromEntries(host.values),
+    accounts: listAccounts(host.values),
   }));
   print(format, hosts.map(formatStatus).join('\n'), values);
   // More than one host that considers itself the holder is a failure, too.
@@ -95,7 +97,14 @@
   const seriesTexts = STATUS_SERIES.map(
     name => `${name}=${values.get(name) ?? 0}`,
   );
-  return `${address} ${isHolder ? 'holds the site' : 'follows'} ${seriesTexts.join(' ')}`;
+  const hostLine = `${address} ${isHolder ? 'holds the site' : 'follows'} ${seriesTexts.join(' ')}`;
+  const accountLines = listAccounts(values).map(
+    account => `  ${formatAccount(account)}`,
+  );
+  const notShown = values.get('accounts_not_shown') ?? 0;
+  const restLines =
+    notShown > 0 ? [`  ${notShown} more accounts, which are less busy`] : [];
+  return [hostLine, ...accountLines, ...restLines].join('\n');
 }
 
 function checkSettings(path: string, format: string): void {
