step-waits names the limits of the account that a step waits for

A step whose account is at its limit looked like one that lacks workers. The check of waiting steps asks the start quota what the account may still start, by resource, and the log line has the account and how long each limit has been met. explain puts it into words: account at its cpu limit since 2.1 s.

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -44,6 +44,7 @@
   PARTITIONS_READ,
 } from './DispatchState';
 import {onWorkerCrashed} from './crashFlow';
+import {LIMITED_SINCE} from './accountWaits';
 import {CRASH_TRIALS, endTrials} from './crashTrials';
 import {
   applyRequests,
@@ -145,7 +146,7 @@
     }
     discardRunsOnUnknownWorkers(update);
     endTrials(update);
-    reportWaitingSteps(update);
+    reportWaitingSteps(update, functions.createStartQuota);
     schedulePlacement(update);
   }
 
@@ -168,6 +169,7 @@
       kernel.registerSlice(FORGET_CHECKED_AT),
       kernel.registerSlice(WAITS_CHECKED_AT),
       kernel.registerSlice(WAITING_SINCE),
+      kernel.registerSlice(LIMITED_SINCE),
       kernel.registerCommand(CONFIGURATION_IN_FORCE, onConfiguration),
       kernel.registerCommand(HOLDING_BEGAN, update => {
         clearHoldingState(update);
@@ -241,5 +243,6 @@
   update.write(CALLS_BY_HOST).clear();
   update.write(OPEN_ADVICE_REQUESTS).clear();
   update.write(WAITING_SINCE).clear();
+  update.write(LIMITED_SINCE).clear();
   update.write(RESERVATIONS).set([]);
 }
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -99,4 +99,8 @@
   readonly worker?: string;
   readonly detail?: string;
   readonly millis?: number;
+  /** Name of the client account of the job. */
+  readonly account?: string;
+  /** Limits of the account that a step meets, and for how many milliseconds. */
+  readonly atLimits?: string;
 }>('dispatch-event');
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -4,6 +4,7 @@
   createValueSlice,
 } from '@samphireramp/kernel';
 import {stepKey} from '@samphireramp/jobs';
+import {AccountWaits, describeLimits, forgetLimitsExcept} from './accountWaits';
 import {ADVICE, NO_ADVICE} from './adviceState';
 import {
   type Candidate,
@@ -15,6 +16,7 @@
   meetsRequirements,
 } from './candidates';
 import {DISPATCH_EVENT} from './messages';
+import type {PlacementFunctions} from './placementFunctions';
 import {listReadySteps, stepIdOf} from './readySteps';
 import {
   RESERVATIONS,
@@ -35,8 +37,14 @@
 /** Since when each step waits, by step key: when a check first found it. */
 export const WAITING_SINCE = createTableSlice<number>('waiting-since');
 
-/** Logs what the most urgent of the long-waiting steps lack. */
-export function reportWaitingSteps(update: Update): void {
+/**
+ * Logs what the most urgent of the long-waiting steps lack, and the limits of their
+ * accounts that they meet.
+ */
+export function reportWaitingSteps(
+  update: Update,
+  createStartQuota: PlacementFunctions['createStartQuota'],
+): void {
   const checkedAt = update.write(WAITS_CHECKED_AT);
   if (update.now - checkedAt.get() < CHECK_INTERVAL_MILLIS) {
     return;
@@ -54,6 +62,8 @@
       sinceByStep.delete(key);
     }
   }
+  forgetLimitsExcept(update, readySteps);
+  const accountWaits = new AccountWaits(update, createStartQuota);
   let reportedSteps = 0;
   let candidates: Candidate[] | undefined;
   const reservations = update.read(RESERVATIONS).get();
@@ -61,6 +71,7 @@
   for (const [key, readyStep] of readySteps) {
     const waitingSince = sinceByStep.get(key) ?? update.now;
     sinceByStep.set(key, waitingSince);
+    accountWaits.observe(readyStep);
     const millis = Math.round(update.now - waitingSince);
     if (millis >= LONG_WAIT_MILLIS && reportedSteps < MAX_REPORTED_STEPS) {
       reportedSteps++;
@@ -77,6 +88,8 @@
           reservations.filter(({step}) => stepsAhead.has(step)),
         ),
         millis,
+        account: readyStep.row.job.account || undefined,
+        atLimits: describeLimits(update, key),
       });
     }
     stepsAhead.add(key);
--- a/packages/operator-command/src/__tests__/unit/explainJob.test.ts
+++ b/packages/operator-command/src/__tests__/unit/explainJob.test.ts
@@ -1,4 +1,4 @@
-import {LogEvent, createLineWriter} from '@samphireramp/telemetry';
+import {LogEvent, createLineWriter, formatEvent} from '@samphireramp/telemetry';
 import t from 'tap';
 import {
   type LogLine,
@@ -89,6 +89,32 @@
   t.equal(history?.verdict, 'accepted; no holder has read it yet (tries-1)');
 });
 
+void t.test(
+  'limits of the account that a step waits for are named',
+  async t => {
+    const verdictWith = (atLimits: string) => {
+      const line = formatEvent('step-waits', {
+        subject: '00000000000000a1.0.0',
+        detail: '5 tasks',
+        account: 'team a',
+        atLimits,
+      });
+      const text = `2026-02-05T22:23:14.000Z samphireramp:host ${line}`;
+      return explainJob('00000000000000a1', parseLines(ACCEPTED, text))
+        ?.verdict;
+    };
+    t.equal(
+      verdictWith('cpu:2140'),
+      'waiting: account at its cpu limit since 2.1 s (team a: 5 tasks)',
+    );
+    t.equal(
+      verdictWith('cpu:2140,memory:50'),
+      'waiting: account at its cpu limit since 2.1 s and its memory limit since 0.1 s (team a: 5 tasks)',
+    );
+    t.match(verdictWith('account:0'), /account at its limit since 0.0 s/);
+  },
+);
+
 void t.test('a job that no line mentions has no history', async t => {
   t.equal(explainJob('00000000000000ff', parseLines(ACCEPTED)), undefined);
 });
--- a/packages/operator-command/src/explainJob.ts
+++ b/packages/operator-command/src/explainJob.ts
@@ -28,6 +28,7 @@
  * that mentions the job.
  */
 const CONTEXT_AFTER_JOB_MILLIS = 2000;
+const MILLIS_PER_SECOND = 1000;
 
 /** State of a job by the last event that mentions it. */
 const STATE_BY_EVENT: Readonly<Record<string, string>> = {
@@ -94,7 +95,22 @@
   if (last === undefined) {
     return 'unknown';
   }
-  const detail = last.fields['detail'];
+  const {detail, account, atLimits} = last.fields;
+  if (last.event === 'step-waits' && atLimits !== undefined) {
+    return `waiting: ${describeLimits(atLimits)} (${account}: ${detail})`;
+  }
   const state = STATE_BY_EVENT[last.event] ?? `last seen at ${last.event}`;
   return detail === undefined ? state : `${state} (${detail})`;
 }
+
+/** Puts the field `atLimits` of `step-waits`, such as `cpu:2100`, into words. */
+function describeLimits(atLimits: string): string {
+  const limits = atLimits.split(',').map(limit => {
+    const [name, millis] = limit.split(':');
+    const seconds = (Number(millis) / MILLIS_PER_SECOND).toFixed(1);
+    // Without a single resource that is at its limit, the name is `account`.
+    const limitName = name === 'account' ? 'limit' : `${name} limit`;
+    return `its ${limitName} since ${seconds} s`;
+  });
+  return `account at ${limits.join(' and ')}`;
+}
--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -107,6 +107,8 @@
           worker: event.worker,
           detail: event.detail,
           millis: event.millis,
+          account: event.account,
+          atLimits: event.atLimits,
           term: heldTerm(kernel),
         });
       }),
