check-configuration reports findings and differences

It said only whether hosts would accept a file. It now finds routes that never match, queues without a pool, repeated names and keys, accounts without calls and contradictory limits, works on the configuration as hosts decode it, and compares it with another file. Exit status 1 means findings; an invalid file gives the reason of the decoder and status 2. No key or digest is shown.

--- a/packages/operator-command/src/__tests__/unit/readFiles.test.ts
+++ b/packages/operator-command/src/__tests__/unit/readFiles.test.ts
@@ -24,7 +24,7 @@
     writeFileSync(bad, '{"routes": 7}');
     t.throws(() => readConfiguration(bad), {
       name: 'CommandError',
-      message: /bad\.json: not a configuration/,
+      message: /bad\.json: not a configuration \(version\.invalid_type\)/,
       exitStatus: EXIT_STATUS.invalidInput,
     });
   },
--- a/packages/operator-command/src/index.ts
+++ b/packages/operator-command/src/index.ts
@@ -1,5 +1,16 @@
 /** The operators' command: host status, job history and file checks. */
 export {CommandError, EXIT_STATUS} from './CommandError';
+export type {
+  ConfigurationFinding,
+  ConfigurationPath,
+} from './ConfigurationFinding';
+export {compareConfigurations} from './configurationDifferences';
+export {checkConfiguration} from './configurationFindings';
+export {
+  type ConfigurationReport,
+  reportConfiguration,
+  withoutKeys,
+} from './configurationReport';
 export {readConfiguration, readHostSettings} from './readFiles';
 export {type JobHistory, explainJob} from './explainJob';
 export {type LogLine, parseLogLine, parseLogLines} from './logLines';
--- a/packages/operator-command/src/main.ts
+++ b/packages/operator-command/src/main.ts
@@ -3,7 +3,8 @@
 import yargs from 'yargs';
 import {formatAccount, listAccounts} from './accountStatus';
 import {CommandError, EXIT_STATUS} from './CommandError';
-import {readConfiguration, readHostSettings} from './readFiles';
+import {reportConfiguration} from './configurationReport';
+import {readHostSettings} from './readFiles';
 import {explainJob} from './explainJob';
 import {type HostStatus, readHostStatus} from './hostStatus';
 import {type LogLine, parseLogLines} from './logLines';
@@ -113,15 +114,14 @@
   print(format, `${path}: host ${name} in ${zone}, ${region}`, settings);
 }
 
-function checkConfiguration(path: string, format: string): void {
-  const configuration = readConfiguration(path);
-  const {revision, routes, pools} = configuration;
-  const lines = routes.map(
-    ({policy, pathPrefix}) =>
-      `  ${policy.name} at ${pathPrefix} on ${policy.pool}, priority ${policy.priority}`,
-  );
-  const title = `${path}: revision ${revision}, ${routes.length} queues, ${pools.length} pools`;
-  print(format, [title, ...lines].join('\n'), configuration);
+function showConfiguration(
+  path: string,
+  againstPath: string | undefined,
+  format: string,
+): void {
+  const {text, value, exitStatus} = reportConfiguration(path, againstPath);
+  print(format, text, value);
+  process.exitCode = exitStatus;
 }
 
 const parser = yargs(process.argv.slice(2))
@@ -160,9 +160,16 @@
   )
   .command(
     'check-configuration <file>',
-    'check a configuration of queues and pools, offline',
-    command => command.positional('file', {type: 'string', demandOption: true}),
-    argv => checkConfiguration(argv.file, argv.output),
+    'check a configuration of queues, pools and accounts, offline',
+    command =>
+      command
+        .positional('file', {type: 'string', demandOption: true})
+        .option('against', {
+          type: 'string',
+          requiresArg: true,
+          description: 'configuration file to compare it with',
+        }),
+    argv => showConfiguration(argv.file, argv.against, argv.output),
   )
   .demandCommand(1, 'no command given; --help lists the commands')
   .strict()
--- a/packages/operator-command/src/readFiles.ts
+++ b/packages/operator-command/src/readFiles.ts
@@ -18,9 +18,12 @@
 
 /** Reads and validates a configuration file as the daemon does. */
 export function readConfiguration(path: string): SiteConfiguration {
-  const configuration = decodeConfiguration(readFile(path));
+  let invalidReason = 'invalid';
+  const configuration = decodeConfiguration(readFile(path), reason => {
+    invalidReason = reason;
+  });
   if (configuration === undefined) {
-    const message = `${path}: not a configuration; hosts would keep the one in force`;
+    const message = `${path}: not a configuration (${invalidReason}); hosts would keep the one in force`;
     throw new CommandError(message, EXIT_STATUS.invalidInput);
   }
   return configuration;
