--- a/packages/operator-command/src/main.ts
+++ b/packages/operator-command/src/main.ts
@@ -175,7 +175,8 @@
   .strict()
   .exitProcess(false)
   .fail((message, error) => {
-    throw error ?? new CommandError(message, EXIT_STATUS.invalidInput);
+    // There is a message if the arguments are wrong, also beside an error.
+    throw message ? new CommandError(message, EXIT_STATUS.invalidInput) : error;
   });
 
 try {
