A backlog at the limit of its account leaves room for other waits in the log

One step is reported for the same limits of an account; explain finds it for the other jobs by the account in job-taken, and says whose line it is.

--- a/packages/dispatch/src/accountWaits.ts
+++ b/packages/dispatch/src/accountWaits.ts
@@ -29,6 +29,8 @@
 /** Finds the limits of accounts that waiting steps meet, in one check of them. */
 export class AccountWaits {
   private quota: StartQuota | undefined;
+  /** Accounts and their limits of which a step has been reported. */
+  private readonly reportedLimits = new Set<string>();
 
   constructor(
     private readonly update: Update,
@@ -59,6 +61,27 @@
       table.set(key, Object.fromEntries(since) as LimitedSince);
     }
   }
+
+  /**
+   * Whether a step is the first to be reported that waits for these limits of its
+   * account, or waits for none. Otherwise an account with a long backlog would hide
+   * why others wait.
+   */
+  isReportable(readyStep: ReadyStep): boolean {
+    const limits = this.update
+      .read(LIMITED_SINCE)
+      .get(stepKey(stepIdOf(readyStep)));
+    if (limits === undefined) {
+      return true;
+    }
+    const key = JSON.stringify([
+      readyStep.row.job.account,
+      Object.keys(limits),
+    ]);
+    const isFirst = !this.reportedLimits.has(key);
+    this.reportedLimits.add(key);
+    return isFirst;
+  }
 }
 
 /** Forgets the steps that don't wait any more. */
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -280,6 +280,12 @@
   millis: number,
   detail?: string,
 ): void {
-  const queue = job.policy.name;
-  update.emit(DISPATCH_EVENT, {event, subject: job.id, queue, millis, detail});
+  update.emit(DISPATCH_EVENT, {
+    event,
+    subject: job.id,
+    queue: job.policy.name,
+    millis,
+    detail,
+    account: job.account || undefined,
+  });
 }
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -39,7 +39,8 @@
 
 /**
  * Logs what the most urgent of the long-waiting steps lack, and the limits of their
- * accounts that they meet.
+ * accounts that they meet. Of steps that wait for the same limits of one account, the
+ * most urgent one is reported.
  */
 export function reportWaitingSteps(
   update: Update,
@@ -73,7 +74,11 @@
     sinceByStep.set(key, waitingSince);
     accountWaits.observe(readyStep);
     const millis = Math.round(update.now - waitingSince);
-    if (millis >= LONG_WAIT_MILLIS && reportedSteps < MAX_REPORTED_STEPS) {
+    if (
+      millis >= LONG_WAIT_MILLIS &&
+      reportedSteps < MAX_REPORTED_STEPS &&
+      accountWaits.isReportable(readyStep)
+    ) {
       reportedSteps++;
       candidates ??= listCandidates(update, update.now);
       update.emit(DISPATCH_EVENT, {
--- a/packages/operator-command/src/__tests__/unit/explainJob.test.ts
+++ b/packages/operator-command/src/__tests__/unit/explainJob.test.ts
@@ -1,4 +1,9 @@
-import {LogEvent, createLineWriter, formatEvent} from '@samphireramp/telemetry';
+import {
+  type LogFields,
+  LogEvent,
+  createLineWriter,
+  formatEvent,
+} from '@samphireramp/telemetry';
 import t from 'tap';
 import {
   type LogLine,
@@ -115,6 +120,36 @@
   },
 );
 
+void t.test(
+  'a job that is not placed waits for what its account waits for',
+  async t => {
+    const verdictOf = (ownEvent: string, account: string) => {
+      const write = (second: number, event: string, fields: LogFields) =>
+        `2026-02-05T22:23:${second}.000Z samphireramp:host ${formatEvent(event, fields)}`;
+      const lines = parseLines(
+        write(14, ownEvent, {subject: '00000000000000a1', account: 'team a'}),
+        write(15, 'step-waits', {
+          subject: '00000000000000a2.0.0',
+          detail: '5 tasks',
+          account,
+          atLimits: 'cpu:2140',
+        }),
+      );
+      return explainJob('00000000000000a1', lines);
+    };
+    const waiting = verdictOf('job-taken', 'team a');
+    t.equal(
+      waiting?.verdict,
+      'waiting: account at its cpu limit since 2.1 s (team a: as logged for 00000000000000a2.0.0)',
+    );
+    t.match(verdictOf('step-waits', 'team a')?.verdict, /^waiting for workers/);
+    t.equal(waiting?.lines.length, 1);
+    t.match(verdictOf('job-taken', 'b')?.verdict, /none of its tasks/);
+    t.match(verdictOf('job-completed', 'team a')?.verdict, /^completed/);
+    t.match(verdictOf('step-placed', 'team a')?.verdict, /^placed/);
+  },
+);
+
 void t.test('a job that no line mentions has no history', async t => {
   t.equal(explainJob('00000000000000ff', parseLines(ACCEPTED)), undefined);
 });
--- a/packages/operator-command/src/explainJob.ts
+++ b/packages/operator-command/src/explainJob.ts
@@ -75,7 +75,44 @@
   const sorted = [...new Set([...jobLines, ...contextLines])].sort(
     (a, b) => a.at - b.at,
   );
-  return {lines: sorted, verdict: describeState(jobLines)};
+  const verdict = describeState(jobId, [
+    ...jobLines,
+    ...findWaitsOfAccount(jobLines, lines),
+  ]);
+  return {lines: sorted, verdict};
+}
+
+/**
+ * Finds what steps of other jobs wait for while a job has not been placed: hosts
+ * report only the most urgent of the steps that wait for the same limits of an account.
+ */
+function findWaitsOfAccount(
+  jobLines: readonly LogLine[],
+  lines: readonly LogLine[],
+): LogLine[] {
+  const account = jobLines.find(({fields}) => fields['account'] !== undefined)
+    ?.fields['account'];
+  const last = findLast(jobLines, ({event}) => !ANSWER_EVENTS.has(event));
+  // A step with a line of its own about another reason does not wait for the account.
+  const mayWaitForAccount =
+    last?.event === 'job-taken' || last?.fields['atLimits'] !== undefined;
+  return account === undefined || !mayWaitForAccount
+    ? []
+    : lines.filter(
+        ({at, event, fields}) =>
+          event === 'step-waits' &&
+          fields['account'] === account &&
+          fields['atLimits'] !== undefined &&
+          at >= (last?.at ?? Infinity),
+      );
+}
+
+/** The newest of the lines that fulfil a condition. */
+function findLast(
+  lines: readonly LogLine[],
+  condition: (line: LogLine) => boolean,
+): LogLine | undefined {
+  return [...lines].sort((a, b) => a.at - b.at).findLast(condition);
 }
 
 /** The id of a step, task or run begins with that of its job and a dot. */
@@ -87,17 +124,20 @@
 }
 
 /** Describes the event that ended the job, or else its last event. */
-function describeState(jobLines: readonly LogLine[]): string {
-  const sorted = [...jobLines].sort((a, b) => a.at - b.at);
-  const final = sorted.findLast(({event}) => /^job-(?!taken)/.test(event));
-  const lastChange = sorted.findLast(({event}) => !ANSWER_EVENTS.has(event));
-  const last = final ?? lastChange ?? sorted.at(-1);
+function describeState(jobId: string, jobLines: readonly LogLine[]): string {
+  const last =
+    findLast(jobLines, ({event}) => /^job-(?!taken)/.test(event)) ??
+    findLast(jobLines, ({event}) => !ANSWER_EVENTS.has(event)) ??
+    findLast(jobLines, () => true);
   if (last === undefined) {
     return 'unknown';
   }
   const {detail, account, atLimits} = last.fields;
   if (last.event === 'step-waits' && atLimits !== undefined) {
-    return `waiting: ${describeLimits(atLimits)} (${account}: ${detail})`;
+    const source = mentionsJob(last, jobId)
+      ? detail
+      : `as logged for ${last.fields['subject']}`;
+    return `waiting: ${describeLimits(atLimits)} (${account}: ${source})`;
   }
   const state = STATE_BY_EVENT[last.event] ?? `last seen at ${last.event}`;
   return detail === undefined ? state : `${state} (${detail})`;
