--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,6 +3,7 @@
   SITE_CONFIGURATION,
   JOBS,
   clientAccountsOf,
+  type JobRow,
   listActiveJobs,
 } from './DispatchState';
 export {type DispatchOptions, createDispatchPlugin} from './dispatchPlugin';
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -4,6 +4,7 @@
   createValueSlice,
 } from '@samphireramp/kernel';
 import {stepKey} from '@samphireramp/jobs';
+import {AccountWaits, describeLimits, forgetLimitsExcept} from './accountWaits';
 import {ADVICE, NO_ADVICE} from './adviceState';
 import {
   type Candidate,
@@ -36,11 +37,15 @@
 /** Since when each step waits, by step key: when a check first found it. */
 export const WAITING_SINCE = createTableSlice<number>('waiting-since');
 
-/** Logs what the most urgent of the long-waiting steps lack. */
+/**
+ * Logs what the most urgent of the long-waiting steps lack, and the limits of their
+ * accounts that they meet. Of steps that wait for the same limits of one account, the
+ * most urgent one is reported.
+ */
 export function reportWaitingSteps(
   update: Update,
   wallNow: number,
-  expectedMillis: PlacementFunctions['expectedMillis'],
+  {createStartQuota, expectedMillis}: PlacementFunctions,
 ): void {
   const checkedAt = update.write(WAITS_CHECKED_AT);
   if (update.now - checkedAt.get() < CHECK_INTERVAL_MILLIS) {
@@ -59,6 +64,8 @@
       sinceByStep.delete(key);
     }
   }
+  forgetLimitsExcept(update, readySteps);
+  const accountWaits = new AccountWaits(update, createStartQuota);
   let reportedSteps = 0;
   let candidates: Candidate[] | undefined;
   const reservations = update.read(RESERVATIONS).get();
@@ -66,8 +73,13 @@
   for (const [key, readyStep] of readySteps) {
     const waitingSince = sinceByStep.get(key) ?? update.now;
     sinceByStep.set(key, waitingSince);
+    accountWaits.observe(readyStep);
     const millis = Math.round(update.now - waitingSince);
-    if (millis >= LONG_WAIT_MILLIS && reportedSteps < MAX_REPORTED_STEPS) {
+    if (
+      millis >= LONG_WAIT_MILLIS &&
+      reportedSteps < MAX_REPORTED_STEPS &&
+      accountWaits.isReportable(readyStep)
+    ) {
       reportedSteps++;
       candidates ??= listCandidates(update, update.now);
       update.emit(DISPATCH_EVENT, {
@@ -82,6 +94,8 @@
           reservations.filter(({step}) => stepsAhead.has(step)),
         ),
         millis,
+        account: readyStep.row.job.account || undefined,
+        atLimits: describeLimits(update, key),
       });
     }
     stepsAhead.add(key);
--- a/packages/operator-command/src/main.ts
+++ b/packages/operator-command/src/main.ts
@@ -1,8 +1,10 @@
 import {readFileSync} from 'node:fs';
 import {basename} from 'node:path';
 import yargs from 'yargs';
+import {formatAccount, listAccounts} from './accountStatus';
 import {CommandError, EXIT_STATUS} from './CommandError';
-import {readConfiguration, readHostSettings} from './readFiles';
+import {reportConfiguration} from './configurationReport';
+import {readHostSettings} from './readFiles';
 import {explainJob} from './explainJob';
 import {type HostStatus, readHostStatus} from './hostStatus';
 import {type LogLine, parseLogLines} from './logLines';
@@ -74,6 +76,7 @@
   const values = hosts.map(host => ({
     ...host,
     values: Object.fromEntries(host.values),
+    accounts: listAccounts(host.values),
   }));
   print(format, hosts.map(formatStatus).join('\n'), values);
   // More than one host that considers itself the holder is a failure, too.
@@ -95,7 +98,14 @@
   const seriesTexts = STATUS_SERIES.map(
     name => `${name}=${values.get(name) ?? 0}`,
   );
-  return `${address} ${isHolder ? 'holds the site' : 'follows'} ${seriesTexts.join(' ')}`;
+  const hostLine = `${address} ${isHolder ? 'holds the site' : 'follows'} ${seriesTexts.join(' ')}`;
+  const accountLines = listAccounts(values).map(
+    account => `  ${formatAccount(account)}`,
+  );
+  const notShown = values.get('accounts_not_shown') ?? 0;
+  const restLines =
+    notShown > 0 ? [`  ${notShown} more accounts, which are less busy`] : [];
+  return [hostLine, ...accountLines, ...restLines].join('\n');
 }
 
 function checkSettings(path: string, format: string): void {
@@ -104,15 +114,14 @@
   print(format, `${path}: host ${name} in ${zone}, ${region}`, settings);
 }
 
-function checkConfiguration(path: string, format: string): void {
-  const configuration = readConfiguration(path);
-  const {revision, routes, pools} = configuration;
-  const lines = routes.map(
-    ({policy, pathPrefix}) =>
-      `  ${policy.name} at ${pathPrefix} on ${policy.pool}, priority ${policy.priority}`,
-  );
-  const title = `${path}: revision ${revision}, ${routes.length} queues, ${pools.length} pools`;
-  print(format, [title, ...lines].join('\n'), configuration);
+function showConfiguration(
+  path: string,
+  againstPath: string | undefined,
+  format: string,
+): void {
+  const {text, value, exitStatus} = reportConfiguration(path, againstPath);
+  print(format, text, value);
+  process.exitCode = exitStatus;
 }
 
 const parser = yargs(process.argv.slice(2))
@@ -151,15 +160,23 @@
   )
   .command(
     'check-configuration <file>',
-    'check a configuration of queues and pools, offline',
-    command => command.positional('file', {type: 'string', demandOption: true}),
-    argv => checkConfiguration(argv.file, argv.output),
+    'check a configuration of queues, pools and accounts, offline',
+    command =>
+      command
+        .positional('file', {type: 'string', demandOption: true})
+        .option('against', {
+          type: 'string',
+          requiresArg: true,
+          description: 'configuration file to compare it with',
+        }),
+    argv => showConfiguration(argv.file, argv.against, argv.output),
   )
   .demandCommand(1, 'no command given; --help lists the commands')
   .strict()
   .exitProcess(false)
   .fail((message, error) => {
-    throw error ?? new CommandError(message, EXIT_STATUS.invalidInput);
+    // There is a message if the arguments are wrong, also beside an error.
+    throw message ? new CommandError(message, EXIT_STATUS.invalidInput) : error;
   });
 
 try {
