Decision about jobs that can't be served in time; notes on limits and shares

The decision rejects a job only if the site is known to be full and the backlog of its own account, at the rate it is entitled to, takes too long. No host calls it yet.

--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -5,4 +5,9 @@
 } from './accountFunctions';
 export {createAccountsPlugin} from './accountsPlugin';
 export type {ClientAccountsOf} from './accountsByName';
+export {
+  type HandInDecision,
+  type HandInSituation,
+  decideHandIn,
+} from './handInDecision';
 export type {AccountQuota} from './startQuota';
--- a/packages/accounts/src/virtualArrivals.ts
+++ b/packages/accounts/src/virtualArrivals.ts
@@ -2,7 +2,7 @@
 import {type Update, createTableSlice} from '@samphireramp/kernel';
 import {type ClientAccountsOf, accountsByName} from './accountsByName';
 
-const MILLIS_PER_SECOND = 1000;
+export const MILLIS_PER_SECOND = 1000;
 /** An account may send the jobs of this time at once without a delay. */
 export const BURST_MILLIS = 2000;
 /**
