--- a/packages/dispatch/src/readySteps.ts
+++ b/packages/dispatch/src/readySteps.ts
@@ -1,10 +1,11 @@
 import type {StateReader} from '@samphireramp/kernel';
-import {type StepId, isStepReady} from '@samphireramp/jobs';
-import {type ReadyStep, URGENT_PRIORITY, makeReadyStep} from './candidates';
+import type {StepId} from '@samphireramp/jobs';
+import {type ReadyStep, URGENT_PRIORITY} from './candidates';
 import {listActiveJobs, policyOf} from './DispatchState';
 import {urgencyOf} from './jobUrgency';
 import type {PlacementScope} from './messages';
 import type {PlacementFunctions} from './placementFunctions';
+import {listReadyStepsOfJob} from './readyStepsOfJob';
 import {orderSteps} from './stepOrder';
 
 /** Lists the steps of a scope with tasks that can be placed now. */
@@ -18,16 +19,7 @@
     if (scope === 'urgent' && policy.priority !== URGENT_PRIORITY) {
       continue;
     }
-    for (const occurrence of row.progress.occurrences) {
-      row.job.steps.forEach((_, stepNumber) => {
-        if (isStepReady(row.job, occurrence, stepNumber)) {
-          const readyStep = makeReadyStep(row, policy, occurrence, stepNumber);
-          if (readyStep !== undefined) {
-            readySteps.push(readyStep);
-          }
-        }
-      });
-    }
+    readySteps.push(...listReadyStepsOfJob(row, policy));
   }
   return readySteps;
 }
