Worker speeds are learned against the newest runs of the queue

A tenfold change of all durations was taken for a slow worker where one worker ran most tasks, so that its runs were no longer learned (500 runs at 400 ms, then 64 at 4 s: still expected 0.1 of the duration). A run is now compared to the newest 15 runs of its queue on any worker.

--- a/packages/run-times/src/learnRunTime.ts
+++ b/packages/run-times/src/learnRunTime.ts
@@ -59,7 +59,7 @@
   }
   const logSpeed = Math.log(workerSpeed(update, worker, update.now));
   const expectedLog = prediction?.logMillis ?? Math.log(step.estimateMillis);
-  learnWorkerSpeed(update, worker, logMillis - expectedLog);
+  learnWorkerSpeed(update, job.policy.name, worker, logMillis - expectedLog);
   if (isSound(update, worker) && logSpeed >= Math.log(MIN_SOUND_SPEED)) {
     learnTask(update, run, prediction, logMillis + logSpeed);
   }
--- a/packages/run-times/src/runTimeState.ts
+++ b/packages/run-times/src/runTimeState.ts
@@ -33,7 +33,7 @@
 
 /** What is known of the speed of a worker. */
 export interface WorkerRow {
-  /** Mean logarithm of actual by expected duration, compared to all workers. */
+  /** Mean logarithm of actual by expected duration, compared to other workers. */
   readonly logSlowness: number;
   readonly samples: number;
   /** The newest logarithms of actual by expected duration. */
@@ -48,6 +48,8 @@
   createTableSlice<RunTimeModel>('shape-run-times');
 /** What is known, by job and step. */
 export const STEP_RUN_TIMES = createTableSlice<StepRow>('step-run-times');
+/** The newest logarithms of actual by expected duration, by the name of the queue. */
+export const QUEUE_ERRORS = createTableSlice<readonly number[]>('queue-errors');
 /** What is known, by incarnation of the worker. */
 export const WORKER_SPEEDS = createTableSlice<WorkerRow>('worker-speeds');
 
--- a/packages/run-times/src/runTimesPlugin.ts
+++ b/packages/run-times/src/runTimesPlugin.ts
@@ -1,13 +1,13 @@
 import {HOLDING_BEGAN, HOLDING_ENDED} from '@samphireramp/holding';
 import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
 import {
+  QUEUE_ERRORS,
   QUEUE_RUN_TIMES,
   SHAPE_RUN_TIMES,
   STEP_RUN_TIMES,
   WORKER_SPEEDS,
 } from './runTimeState';
 import {SAMPLE_RECORDER} from './SampleWindows';
-import {FLEET_LOG_SLOWNESS} from './workerSpeed';
 
 /** Creates the plug-in that keeps what has been learnt of run times. */
 export function createRunTimesPlugin(): Plugin {
@@ -18,7 +18,7 @@
       kernel.registerSlice(SHAPE_RUN_TIMES),
       kernel.registerSlice(STEP_RUN_TIMES),
       kernel.registerSlice(WORKER_SPEEDS),
-      kernel.registerSlice(FLEET_LOG_SLOWNESS),
+      kernel.registerSlice(QUEUE_ERRORS),
       kernel.registerCommand(HOLDING_BEGAN, clearRunTimes),
       kernel.registerCommand(HOLDING_ENDED, clearRunTimes),
     );
@@ -30,5 +30,5 @@
   update.write(SHAPE_RUN_TIMES).clear();
   update.write(STEP_RUN_TIMES).clear();
   update.write(WORKER_SPEEDS).clear();
-  update.write(FLEET_LOG_SLOWNESS).set(0);
+  update.write(QUEUE_ERRORS).clear();
 }
--- a/packages/run-times/src/workerSpeed.ts
+++ b/packages/run-times/src/workerSpeed.ts
@@ -1,11 +1,9 @@
-import {
-  type StateReader,
-  type Update,
-  createValueSlice,
-} from '@samphireramp/kernel';
+import type {StateReader, Update} from '@samphireramp/kernel';
 import {middleOf} from './predictRunTime';
 import {
+  MAX_QUEUES,
   MAX_WORKERS,
+  QUEUE_ERRORS,
   WORKER_SPEEDS,
   type WorkerRow,
   replaceRow,
@@ -13,8 +11,10 @@
 
 /** Weight of the newest run in the mean of its worker, once there are many. */
 const WORKER_WEIGHT = 1 / 24;
-/** Weight of the newest run in the mean of all workers. */
-const FLEET_WEIGHT = 0.03;
+/** Number of newest runs of a queue that tell what is common to all workers. */
+const QUEUE_SAMPLES = 15;
+/** Runs of a queue that must be known for a run to tell about its worker. */
+const MIN_QUEUE_SAMPLES = 5;
 /** A run moves a mean at most as if it had taken this many times as long. */
 const MAX_STEP_FACTOR = 2;
 /** Runs at which the mean of a worker counts half. */
@@ -33,9 +33,6 @@
 /** Bounds of the factor of a worker. */
 const MAX_SPEED_FACTOR = 16;
 
-/** Mean logarithm of actual by expected duration over the runs of all workers. */
-export const FLEET_LOG_SLOWNESS = createValueSlice('fleet-log-slowness', 0);
-
 /**
  * Returns the speed of a worker: 1 for a normal one, 2 for one on which runs take half
  * as long.
@@ -69,19 +66,28 @@
   return Math.abs(newest - mean) > Math.log(CHANGE_FACTOR) ? newest : mean;
 }
 
-/** Learns the speed of a worker from the logarithm of actual by expected duration. */
+/**
+ * Learns the speed of a worker from the logarithm of actual by expected duration of a
+ * run. It is compared to the newest runs of the queue on any worker: what all of them
+ * have in common tells about the tasks.
+ */
 export function learnWorkerSpeed(
   update: Update,
+  queue: string,
   incarnation: string,
   logRatio: number,
 ): void {
-  const fleetMean = update.read(FLEET_LOG_SLOWNESS).get();
-  const fleetStep = clampStep(logRatio - fleetMean);
-  update.write(FLEET_LOG_SLOWNESS).set(fleetMean + fleetStep * FLEET_WEIGHT);
+  const queueErrors = update.write(QUEUE_ERRORS);
+  const known = queueErrors.get(queue) ?? [];
+  const newest = [...known, logRatio].slice(-QUEUE_SAMPLES);
+  replaceRow(queueErrors, queue, newest, MAX_QUEUES);
+  if (known.length < MIN_QUEUE_SAMPLES) {
+    return;
+  }
   const row = update.read(WORKER_SPEEDS).get(incarnation);
   const samples = (row?.samples ?? 0) + 1;
   const before = row?.logSlowness ?? 0;
-  const relative = logRatio - fleetMean;
+  const relative = logRatio - middleOf(newest);
   const weight = Math.max(1 / samples, WORKER_WEIGHT);
   replaceRow(
     update.write(WORKER_SPEEDS),
