Workers are judged by expected run times, and tried again with few runs

A worker that was avoided got as many runs as any other at once, so that each trial of a slow one cost a full load. A run counts as slow only against the newest runs on all workers, too, as all of them slow down when tasks change. chooseBestFit prefers faster workers, up to a bound, through PlacementFunctions.speedOf; PlacementPass takes it as an optional argument, which placement.ts does not pass yet.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -69,6 +69,7 @@
   let totalBytes = 0;
   let startCount = 0;
   let isPlacementScheduled = false;
+  const runTimes = createRunTimeFunctions(true);
   const runsByIncarnation = new Map<string, RunId[]>();
   const reportedCounts = new Map<string, number>();
   for (const plugin of [
@@ -80,14 +81,14 @@
       // Negative, so that the first tick claims the site.
       claimDelayMillis: () => -1000,
     }),
-    createFleetPlugin(),
+    createFleetPlugin(runTimes),
     createRunTimesPlugin(),
     createDispatchPlugin({
       self: HOST,
       wallClock: () => Date.now(),
       partitions: 1,
       keepEndedMillis: Infinity,
-      functions: createRunTimeFunctions(true),
+      functions: runTimes,
     }),
   ]) {
     kernel.register(plugin);
--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -11,7 +11,7 @@
   meetsRequirements,
 } from './candidates';
 import {countFreeTrials, workersOnTrial} from './crashTrials';
-import type {StartQuota} from './placementFunctions';
+import type {PlacementFunctions, StartQuota} from './placementFunctions';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
 import {TaskAllowance} from './TaskAllowance';
@@ -53,9 +53,12 @@
     /** The name of this host. */
     readonly self: string,
     private readonly quota: StartQuota,
+    speedOf: PlacementFunctions['speedOf'] = () => 1,
   ) {
     this.allowance = new TaskAllowance(update);
-    const candidates = listCandidates(update, update.now);
+    const candidates = listCandidates(update, update.now, worker =>
+      speedOf(update, worker),
+    );
     const onTrial = workersOnTrial(update, update.now);
     this.trialsLeft = countFreeTrials(update);
     this.candidates = candidates.filter(
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -1,6 +1,7 @@
 import {
   type Worker,
   WORKERS,
+  countStartableRuns,
   freeResources,
   isOverCapacity,
 } from '@samphireramp/fleet';
@@ -29,6 +30,10 @@
   accelerators: number;
   /** Whether it gets no more tasks in the pass, as a suspected task starts on it. */
   isClosed: boolean;
+  /** Number of tasks that may be placed on it: few on a worker on probation. */
+  startableRuns: number;
+  /** 1 for a normal worker, 2 for one on which runs take half as long. */
+  readonly speed: number;
 }
 
 /** A step with tasks that can be placed now. */
@@ -47,7 +52,11 @@
 }
 
 /** Lists the workers that accept new runs, with their free resources. */
-export function listCandidates(state: StateReader, now: number): Candidate[] {
+export function listCandidates(
+  state: StateReader,
+  now: number,
+  speedOf: (worker: string) => number = () => 1,
+): Candidate[] {
   const candidates: Candidate[] = [];
   for (const worker of state.read(WORKERS).values()) {
     if (acceptsRuns(worker, now)) {
@@ -55,6 +64,8 @@
         worker,
         ...freeResources(state, worker),
         isClosed: false,
+        startableRuns: countStartableRuns(state, worker, now),
+        speed: speedOf(worker.incarnation),
       });
     }
   }
@@ -120,7 +131,12 @@
         (readyStep.placedByWorker.get(candidate.worker.incarnation) ?? 0);
   return Math.max(
     0,
-    Math.min(byResources, byLimit, readyStep.openTasks.length),
+    Math.min(
+      byResources,
+      byLimit,
+      candidate.startableRuns,
+      readyStep.openTasks.length,
+    ),
   );
 }
 
@@ -138,7 +154,13 @@
   worker: Worker,
   readyStep: ReadyStep,
 ): number {
-  const candidate = {worker, ...worker.capacity, isClosed: false};
+  const candidate = {
+    worker,
+    ...worker.capacity,
+    isClosed: false,
+    startableRuns: Infinity,
+    speed: 1,
+  };
   return countFittingTasks(candidate, readyStep);
 }
 
@@ -167,6 +189,7 @@
   candidate.memoryMegabytes -=
     readyStep.taskResources.memoryMegabytes * taskCount;
   candidate.accelerators -= readyStep.taskResources.accelerators * taskCount;
+  candidate.startableRuns -= taskCount;
 }
 
 /**
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -59,8 +59,11 @@
   return placements;
 }
 
-/** Chooses a worker near the data if one fits, then the least free one. */
-function chooseBestFit(
+/**
+ * Chooses a worker near the data if one fits, then the least free one; a faster one
+ * counts as less free.
+ */
+export function chooseBestFit(
   startable: readonly Candidate[],
   readyStep: ReadyStep,
   placedOn: ReadonlyMap<Candidate, number>,
@@ -77,7 +80,8 @@
       continue;
     }
     const score =
-      freeShare(candidate) +
+      freeShare(candidate) -
+      speedBonus(candidate) +
       (isNearData(candidate, readyStep) ? 0 : REMOTE_DATA_PENALTY);
     if (score < bestScore) {
       bestCandidate = candidate;
@@ -87,5 +91,17 @@
   return bestCandidate;
 }
 
+/** What the speed of a worker is worth, in free shares of a worker. */
+function speedBonus({speed}: Candidate): number {
+  return Math.min(MAX_SPEED_BONUS, Math.log2(speed) * SPEED_WEIGHT);
+}
+
+/** Worth of a worker of twice the speed. */
+const SPEED_WEIGHT = 1;
+/**
+ * Bounds the worth of fast workers, so that they don't get all tasks. That of slow ones
+ * isn't bounded: the slowest get what doesn't fit elsewhere.
+ */
+const MAX_SPEED_BONUS = 0.5;
 /** Added to the score on a rack without the data; exceeds any free share. */
 const REMOTE_DATA_PENALTY = 10;
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -61,7 +61,7 @@
   /** Job of the last run that was counted as a failure. */
   readonly lastFailedJobId: string;
   /**
-   * Moving average of log2(actual duration / estimated duration) over the runs
+   * Moving average of log2(actual duration / expected duration) over the runs
    * on this worker.
    */
   readonly logSlowdown: number;
@@ -79,6 +79,8 @@
   readonly isCrashReported: boolean;
   /** No new run is placed on it before this time. */
   readonly avoidedUntil: number;
+  /** Only a few new runs are placed on it before this time. */
+  readonly probationUntil: number;
 }
 
 /**
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -31,27 +31,37 @@
   WORKER_REGISTRY_READ,
   WORKER_REPORTED,
 } from './messages';
+import type {Run} from './Run';
 import {
   onStartAnswered,
   onStopAnswered,
   sendStartOrder,
   resendStopOrders,
 } from './runOrders';
-import {stopStalledRuns} from './stalledRuns';
+import {type RunExpectation, stopStalledRuns} from './stalledRuns';
 import {UNANSWERED_ORDERS, forgetUnansweredOrders} from './unansweredOrders';
-import {FLEET_LOG_SLOWDOWN} from './workerHealth';
+import {FLEET_LOG_SLOWDOWN, NEWEST_LOG_SLOWDOWNS} from './workerHealth';
 import {onWorkerRegistryRead} from './workerRegistry';
 import {discardLostRuns} from './workerRemoval';
 
+/** Options of the fleet plug-in. */
+export interface FleetOptions {
+  /** Returns what is expected of a run; undefined if nothing is known. */
+  readonly expectRun?: (update: Update, run: Run) => RunExpectation | undefined;
+}
+
 /**
  * Keeps the state of the workers and their runs, and polls and commands the
  * workers while this host is the holder.
  */
-export function createFleetPlugin(): Plugin {
+export function createFleetPlugin({
+  expectRun = () => undefined,
+}: FleetOptions = {}): Plugin {
   return kernel =>
     mergeUnregister(
       kernel.registerSlice(MAY_COMMAND_WORKERS),
       kernel.registerSlice(FLEET_LOG_SLOWDOWN),
+      kernel.registerSlice(NEWEST_LOG_SLOWDOWNS),
       kernel.registerSlice(WORKERS),
       kernel.registerSlice(RUNS),
       kernel.registerSlice(GRANTS_LEASES),
@@ -67,14 +77,17 @@
       kernel.registerCommand(START_RESERVED_RUN, sendStartOrder),
       kernel.registerCommand(START_ANSWERED, onStartAnswered),
       kernel.registerCommand(STOP_ANSWERED, onStopAnswered),
-      kernel.registerCommand(FLEET_TICK, onTick),
+      kernel.registerCommand(FLEET_TICK, update => onTick(update, expectRun)),
       kernel.registerCommand(LEASE_BOUND_LIFTED, onLeaseBoundLifted),
       kernel.registerCommand(HOLDING_BEGAN, takeOverBounds),
       kernel.registerCommand(HOLDING_ENDED, clearFleetState),
     );
 }
 
-function onTick(update: Update): void {
+function onTick(
+  update: Update,
+  expectRun: NonNullable<FleetOptions['expectRun']>,
+): void {
   if (heldTerm(update) === undefined) {
     return;
   }
@@ -86,7 +99,7 @@
   maintainLeaseBounds(update);
   forgetUnansweredOrders(update);
   resendStopOrders(update);
-  stopStalledRuns(update);
+  stopStalledRuns(update, expectRun);
 }
 
 /** Clears the state at the end of a holding; the next holder rebuilds it. */
@@ -96,6 +109,7 @@
   update.write(UNANSWERED_ORDERS).clear();
   update.write(LATEST_LIVES).clear();
   update.write(BOUNDED_LEASES).clear();
+  update.write(NEWEST_LOG_SLOWDOWNS).set([]);
   update.write(GRANTS_LEASES).set(true);
   update.write(MAY_COMMAND_WORKERS).set(false);
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,7 +10,7 @@
   isOverCapacity,
   totalResources,
 } from './FleetState';
-export {createFleetPlugin} from './fleetPlugin';
+export {type FleetOptions, createFleetPlugin} from './fleetPlugin';
 export {CLOCK_DRIFT_BOUND, LEASE_MILLIS, leasesExpiredAt} from './leaseTiming';
 export * from './messages';
 export type {
@@ -20,12 +20,14 @@
   StartOrder,
   StartRefusal,
 } from './Run';
+export type {RunExpectation} from './stalledRuns';
 export {discardRun} from './workerRemoval';
 export {stopRun} from './runOrders';
 export {CRASH_SUSPICION_MILLIS} from './workerCrashes';
 export type {ClockReading, RunOutcome, Worker, WorkerRecord} from './Worker';
 export {
   avoidWorker,
+  countStartableRuns,
   recordDuration,
   recordFailure,
   recordSuccess,
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -43,6 +43,7 @@
     endedBy: undefined,
     isCrashReported: false,
     avoidedUntil: 0,
+    probationUntil: 0,
   });
 }
 
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -131,6 +131,7 @@
     random() * CLAIM_JITTER_MILLIS;
   const followDelayMillis = random() * MAX_FOLLOW_DELAY_MILLIS;
   const incarnation = randomUUID();
+  const runTimes = createRunTimeFunctions(options.learnRunTimes);
   const keepEndedMillis = settings().keepEndedMillis + KEEP_MARGIN_MILLIS;
 
   // The observer is registered before the dispatch plug-in: it compares a new
@@ -150,7 +151,7 @@
       followDelayMillis: () => followDelayMillis,
     }),
     createIntakePlugin({partitions}),
-    createFleetPlugin(),
+    createFleetPlugin(runTimes),
     createObserverPlugin({metrics, log}),
     createRunTimesPlugin(),
     createDispatchPlugin({
@@ -158,7 +159,7 @@
       wallClock,
       partitions,
       keepEndedMillis,
-      functions: createRunTimeFunctions(options.learnRunTimes),
+      functions: runTimes,
     }),
     createWorkersPlugin(createWorkerClient(httpClient), now),
     createAdvicePlugin(self, adviser, hostLinks),
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -307,9 +307,10 @@
   /** Registers the product's plug-ins, with models in place of transports. */
   private registerPlugins(host: ModelHost): void {
     const {kernel, name} = host;
-    const {random} = this.options;
+    const {random, learnsRunTimes = true} = this.options;
     const incarnation = ++this.incarnationCount;
     const isAlive = () => host.isUp && host.kernel === kernel;
+    const runTimes = createRunTimeFunctions(learnsRunTimes);
     const plugins = [
       createHostsPlugin(),
       createHoldingPlugin({
@@ -325,14 +326,14 @@
         followDelayMillis: () => 0,
       }),
       createIntakePlugin({partitions: PARTITIONS}),
-      createFleetPlugin(),
+      createFleetPlugin(runTimes),
       createRunTimesPlugin(),
       createDispatchPlugin({
         self: name,
         wallClock: () => this.clock.now + host.clockOffsetMillis,
         partitions: PARTITIONS,
         keepEndedMillis: this.options.keepEndedMillis ?? KEEP_ENDED_MILLIS,
-        functions: createRunTimeFunctions(this.options.learnsRunTimes ?? true),
+        functions: runTimes,
       }),
       createWorkersPlugin(
         {
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -39,6 +39,8 @@
   isGone = false;
   /** Whether its runs are stalled: they report no progress and don't end. */
   isStalled = false;
+  /** Work that a run does in a millisecond. */
+  speed = 1;
   /** Whether runs whose work is done end as failed. */
   failsAllRuns = false;
   /** Whether its own lease, not that in a start order, decides if that is late. */
@@ -351,7 +353,7 @@
       return 0;
     }
     const doneMillis =
-      run.resumedMillis + this.timeline.now - run.workStartedAt;
+      run.resumedMillis + (this.timeline.now - run.workStartedAt) * this.speed;
     return Math.min(1, doneMillis / run.script.workMillis);
   }
 
