--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -14,7 +14,6 @@
   START_ANSWERED,
   WORKER_REGISTRY_READ,
   WORKER_REPORTED,
-  createFleetPlugin,
 } from '@samphireramp/fleet';
 import {
   APPEND_JOURNAL,
@@ -82,7 +81,6 @@
       // Negative, so that the first tick claims the site.
       claimDelayMillis: () => -1000,
     }),
-    createFleetPlugin(),
     ...createPlacementPlugins({
       self: HOST,
       wallClock: () => Date.now(),
--- a/packages/accounts/src/virtualArrivals.ts
+++ b/packages/accounts/src/virtualArrivals.ts
@@ -4,7 +4,12 @@
 
 export const MILLIS_PER_SECOND = 1000;
 /** An account may send the jobs of this time at once without a delay. */
-export const BURST_MILLIS = 2000;
+export const BURST_MILLIS = 5000;
+/**
+ * An account may send this many jobs at once without a delay: with a small weight, jobs
+ * that come at random exceed the rate again and again for a moment.
+ */
+export const BURST_JOBS = 20;
 /**
  * Jobs a second of an account with a weight of 0, or that the configuration
  * doesn't name.
@@ -58,11 +63,16 @@
   const configured = accountsByName(accounts).get(account);
   const weight = Math.max(SMALLEST_WEIGHT, configured?.weight ?? 0);
   const table = update.write(USED_SPANS);
-  const earliestAt = receivedAt - BURST_MILLIS;
+  const millisPerJob = MILLIS_PER_SECOND / weight;
+  const burstMillis = Math.min(
+    MAX_DELAY_MILLIS,
+    Math.max(BURST_MILLIS, BURST_JOBS * millisPerJob),
+  );
+  const earliestAt = receivedAt - burstMillis;
   const {usedAt, spans} = useTime(
     table.get(account) ?? [],
     earliestAt,
-    MILLIS_PER_SECOND / weight,
+    millisPerJob,
   );
   if (!table.has(account) && table.size >= MAX_ACCOUNTS) {
     const [oldest] = table.keys();
@@ -83,7 +93,7 @@
   );
   if (
     current !== undefined &&
-    current.end - earliestAt > MAX_DELAY_MILLIS + BURST_MILLIS
+    current.end - earliestAt > 2 * MAX_DELAY_MILLIS
   ) {
     return {usedAt: current.end, spans};
   }
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -1,6 +1,7 @@
 import {
   type Worker,
   WORKERS,
+  countStartableRuns,
   freeResources,
   isOverCapacity,
 } from '@samphireramp/fleet';
@@ -24,13 +25,15 @@
 /** A worker that accepts runs, with the resources still free in the pass. */
 export interface Candidate {
   readonly worker: Worker;
-  /** 1 for a normal worker, 2 for one on which runs take half as long. */
-  readonly speed: number;
   cpuMillis: number;
   memoryMegabytes: number;
   accelerators: number;
   /** Whether it gets no more tasks in the pass, as a suspected task starts on it. */
   isClosed: boolean;
+  /** Number of tasks that may be placed on it: few on a worker on probation. */
+  startableRuns: number;
+  /** 1 for a normal worker, 2 for one on which runs take half as long. */
+  readonly speed: number;
 }
 
 /** A step with tasks that can be placed now. */
@@ -59,9 +62,10 @@
     if (acceptsRuns(worker, now)) {
       candidates.push({
         worker,
-        speed: speedOf(worker.incarnation),
         ...freeResources(state, worker),
         isClosed: false,
+        startableRuns: countStartableRuns(state, worker, now),
+        speed: speedOf(worker.incarnation),
       });
     }
   }
@@ -127,7 +131,12 @@
         (readyStep.placedByWorker.get(candidate.worker.incarnation) ?? 0);
   return Math.max(
     0,
-    Math.min(byResources, byLimit, readyStep.openTasks.length),
+    Math.min(
+      byResources,
+      byLimit,
+      candidate.startableRuns,
+      readyStep.openTasks.length,
+    ),
   );
 }
 
@@ -147,9 +156,10 @@
 ): number {
   const candidate = {
     worker,
-    speed: 1,
     ...worker.capacity,
     isClosed: false,
+    startableRuns: Infinity,
+    speed: 1,
   };
   return countFittingTasks(candidate, readyStep);
 }
@@ -179,6 +189,7 @@
   candidate.memoryMegabytes -=
     readyStep.taskResources.memoryMegabytes * taskCount;
   candidate.accelerators -= readyStep.taskResources.accelerators * taskCount;
+  candidate.startableRuns -= taskCount;
 }
 
 /**
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -4,6 +4,7 @@
   type Candidate,
   type Placement,
   type ReadyStep,
+  URGENT_PRIORITY,
   countFittingTasks,
   deductTasks,
   freeShare,
@@ -62,8 +63,12 @@
   return placements;
 }
 
-/** Chooses a worker near the data if one fits, then the least free one. */
-function chooseBestFit(
+/**
+ * Chooses a worker near the data if one fits, then the least free one. For an urgent
+ * step the fastest comes first; for others a faster one counts as less free, or as more
+ * free if their jobs may take long.
+ */
+export function chooseBestFit(
   startable: readonly Candidate[],
   readyStep: ReadyStep,
   placedOn: ReadonlyMap<Candidate, number>,
@@ -80,7 +85,8 @@
       continue;
     }
     const score =
-      freeShare(candidate) +
+      freeShare(candidate) -
+      speedBonus(candidate, readyStep) +
       (isNearData(candidate, readyStep) ? 0 : REMOTE_DATA_PENALTY);
     if (score < bestScore) {
       bestCandidate = candidate;
@@ -90,5 +96,32 @@
   return bestCandidate;
 }
 
+/** What the speed of a worker is worth to a step, in free shares of a worker. */
+function speedBonus({speed}: Candidate, {policy}: ReadyStep): number {
+  if (policy.priority === URGENT_PRIORITY) {
+    return Math.log2(speed) * URGENT_SPEED_WEIGHT;
+  }
+  if (policy.stretch >= TOLERANT_STRETCH && speed >= LEAST_SOUND_SPEED) {
+    return -Math.log2(speed) * SPEED_WEIGHT;
+  }
+  return Math.min(MAX_SPEED_BONUS, Math.log2(speed) * SPEED_WEIGHT);
+}
+
+/** Worth of a worker of twice the speed to urgent steps: more than any free share. */
+const URGENT_SPEED_WEIGHT = 6;
+/** Worth of a worker of twice the speed to other steps. */
+const SPEED_WEIGHT = 1;
+/**
+ * Bounds the worth of fast workers, so that they don't get all tasks. That of slow ones
+ * isn't bounded: the slowest get what doesn't fit elsewhere.
+ */
+const MAX_SPEED_BONUS = 0.5;
+/**
+ * Jobs with an objective of this many times their run time leave the fast workers to
+ * others.
+ */
+const TOLERANT_STRETCH = 3;
+/** A slower worker may be sick, so that no step prefers it. */
+const LEAST_SOUND_SPEED = 0.7;
 /** Added to the score on a rack without the data; exceeds any free share. */
 const REMOTE_DATA_PENALTY = 10;
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -1,6 +1,5 @@
 import {serve} from '@hono/node-server';
 import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
-import {createFleetPlugin} from '@samphireramp/fleet';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
 import {ANNOUNCE_INTERVAL_MILLIS, createHostsPlugin} from '@samphireramp/hosts';
 import {RESIGN, createHoldingPlugin, heldTerm} from '@samphireramp/holding';
@@ -149,7 +148,6 @@
       followDelayMillis: () => followDelayMillis,
     }),
     createIntakePlugin({partitions}),
-    createFleetPlugin(),
     createObserverPlugin({
       metrics,
       log,
--- a/packages/site-daemon/src/placementPlugins.ts
+++ b/packages/site-daemon/src/placementPlugins.ts
@@ -7,6 +7,7 @@
   clientAccountsOf,
   createDispatchPlugin,
 } from '@samphireramp/dispatch';
+import {createFleetPlugin} from '@samphireramp/fleet';
 import type {Plugin} from '@samphireramp/kernel';
 import {
   createRunTimeFunctions,
@@ -22,19 +23,21 @@
   readonly learnRunTimes: boolean;
 }
 
-/** Creates the plug-ins of accounts, run times and dispatch, which asks the others. */
+/** Creates the plug-ins of accounts, workers, run times and dispatch, which asks the others. */
 export function createPlacementPlugins({
   learnRunTimes,
   ...options
 }: PlacementPluginOptions): Plugin[] {
+  const runTimes = createRunTimeFunctions(learnRunTimes);
   return [
     createAccountsPlugin(),
+    createFleetPlugin(runTimes),
     createRunTimesPlugin(),
     createDispatchPlugin({
       ...options,
       functions: {
         ...createAccountFunctions(clientAccountsOf),
-        ...createRunTimeFunctions(learnRunTimes),
+        ...runTimes,
       },
     }),
   ];
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -3,7 +3,7 @@
   DISPATCH_EVENT,
   DISPATCH_TICK,
 } from '@samphireramp/dispatch';
-import {FLEET_EVENT, FLEET_TICK, createFleetPlugin} from '@samphireramp/fleet';
+import {FLEET_EVENT, FLEET_TICK} from '@samphireramp/fleet';
 import {HOSTS_READ, createHostsPlugin} from '@samphireramp/hosts';
 import {
   HOLDING_EVENT,
@@ -317,7 +317,6 @@
         followDelayMillis: () => 0,
       }),
       createIntakePlugin({partitions: PARTITIONS}),
-      createFleetPlugin(),
       ...createPlacementPlugins({
         self: name,
         wallClock: () => this.clock.now + host.clockOffsetMillis,
