--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -87,6 +87,8 @@
  * a read that fails does not make the configuration outdated.
  */
 const CONFIGURATION_READ_SHARE = 0.25;
+/** Lower bound of that time, which bounds the call rate. */
+const MIN_CONFIGURATION_READ_MILLIS = 50;
 
 /** Options for following a stream with few records. */
 const LOW_TRAFFIC_OPTIONS = {
@@ -294,7 +296,10 @@
 
 /** Options of reads that are short compared to the greatest age of the result. */
 function configurationReadOptions(maxAgeMillis = Infinity) {
-  const maxReadMillis = maxAgeMillis * CONFIGURATION_READ_SHARE;
+  const maxReadMillis = Math.max(
+    MIN_CONFIGURATION_READ_MILLIS,
+    maxAgeMillis * CONFIGURATION_READ_SHARE,
+  );
   return {
     partition: ONLY_PARTITION,
     pauseMillis: () => Math.min(LOW_TRAFFIC_READ_PAUSE_MILLIS, maxReadMillis),
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -1,3 +1,4 @@
+import {createAccountsPlugin} from '@samphireramp/accounts';
 import {
   CONFIGURATION_IN_FORCE,
   DISPATCH_EVENT,
@@ -321,6 +322,7 @@
         followDelayMillis: () => 0,
       }),
       createIntakePlugin({partitions: PARTITIONS}),
+      createAccountsPlugin(),
       createFleetPlugin(),
       createDispatchPlugin({
         self: name,
