--- a/testing/src/__tests__/unit/accountJobs.test.ts
+++ b/testing/src/__tests__/unit/accountJobs.test.ts
@@ -60,6 +60,7 @@
   await site.run(TAKE_OVER_MILLIS);
   check('completed', 'as the next holder tells');
   t.same(site.checker.violations, []);
+  t.same(site.errors, []);
 });
 
 void t.test('the holder ignores cancels of other accounts', async t => {
@@ -93,6 +94,7 @@
   t.same(statusesOf(site, queued.id, 'first'), ['completed']);
   t.same(statusesOf(site, cancelled.id, 'first'), ['cancelled']);
   t.same(site.checker.violations, []);
+  t.same(site.errors, []);
 });
 
 void t.test('a job id of another account can not be taken', async t => {
