--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -1,3 +1,4 @@
+import {createAccountsPlugin} from '@samphireramp/accounts';
 import {
   CONFIGURATION_IN_FORCE,
   DISPATCH_EVENT,
