--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -19,9 +19,4 @@
   configurationAgeMillis,
 } from './configurationAge';
 export type {ClientAccountsOf} from './accountsByName';
-export {
-  type HandInDecision,
-  type HandInSituation,
-  decideHandIn,
-} from './handInDecision';
 export type {AccountQuota} from './startQuota';
--- a/packages/accounts/src/virtualArrivals.ts
+++ b/packages/accounts/src/virtualArrivals.ts
@@ -2,14 +2,14 @@
 import {type Update, createTableSlice} from '@samphireramp/kernel';
 import {type ClientAccountsOf, accountsByName} from './accountsByName';
 
-export const MILLIS_PER_SECOND = 1000;
+const MILLIS_PER_SECOND = 1000;
 /** An account may send the jobs of this time at once without a delay. */
-export const BURST_MILLIS = 5000;
+const BURST_MILLIS = 5000;
 /**
  * An account may send this many jobs at once without a delay: with a small weight, jobs
  * that come at random exceed the rate again and again for a moment.
  */
-export const BURST_JOBS = 20;
+const BURST_JOBS = 20;
 /**
  * Jobs a second of an account with a weight of 0, or that the configuration
  * doesn't name.
@@ -63,16 +63,11 @@
   const configured = accountsByName(accounts).get(account);
   const weight = Math.max(SMALLEST_WEIGHT, configured?.weight ?? 0);
   const table = update.write(USED_SPANS);
-  const millisPerJob = MILLIS_PER_SECOND / weight;
-  const burstMillis = Math.min(
-    MAX_DELAY_MILLIS,
-    Math.max(BURST_MILLIS, BURST_JOBS * millisPerJob),
-  );
-  const earliestAt = receivedAt - burstMillis;
+  const earliestAt = receivedAt - burstMillisOf(weight);
   const {usedAt, spans} = useTime(
     table.get(account) ?? [],
     earliestAt,
-    millisPerJob,
+    MILLIS_PER_SECOND / weight,
   );
   if (!table.has(account) && table.size >= MAX_ACCOUNTS) {
     const [oldest] = table.keys();
@@ -82,6 +77,12 @@
   return Math.min(MAX_DELAY_MILLIS, Math.max(0, usedAt - receivedAt));
 }
 
+/** How much of its time an account may use up in advance. */
+export function burstMillisOf(weight: number): number {
+  const byJobs = (BURST_JOBS * MILLIS_PER_SECOND) / weight;
+  return Math.min(MAX_DELAY_MILLIS, Math.max(BURST_MILLIS, byJobs));
+}
+
 /** Uses up a time at the first moment from `earliestAt` on that is free. */
 function useTime(
   spans: readonly Span[],
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -1,4 +1,3 @@
-import {createAccountsPlugin} from '@samphireramp/accounts';
 import {
   CONFIGURATION_IN_FORCE,
   DISPATCH_EVENT,
