--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -28,6 +28,7 @@
 import {createAdvicePlugin} from './advicePlugin';
 import {createAnswerReporter} from './answerReporter';
 import {createCallerService} from './callerService';
+import {createRunTimeGauges} from './runTimeGauges';
 import {createPlacementPlugins} from './placementPlugins';
 import {createStreamLogPlugin} from './streamLogPlugin';
 import {createObserverPlugin} from './observerPlugin';
@@ -151,7 +152,10 @@
     createObserverPlugin({
       metrics,
       log,
-      gaugeSources: [createAccountGauges({now, wallClock})],
+      gaugeSources: [
+        createAccountGauges({now, wallClock}),
+        createRunTimeGauges(now),
+      ],
     }),
     ...createPlacementPlugins({
       self,
