Review of limits and learned run times: findings mended

A gang at the limit of its account keeps what is left of it from smaller steps behind. Advice is asked for tasks within the limit only. A later occurrence pays no delay of its job's submission again. A run is taken for stuck only beyond the caller's estimate, too, as one that is stopped teaches nothing. Ends that are heard of after a silence teach nothing. A worker that was slow counts as less slow with time, or it would never get the runs that show its recovery. Urgent steps don't choose by differences of speed within the noise, and nearness to data goes before speed. Gangs keep the workers they have tickets for. Expected run times are computed once a pass.

--- a/packages/accounts/src/startQuota.ts
+++ b/packages/accounts/src/startQuota.ts
@@ -19,6 +19,8 @@
 export interface AccountQuota {
   /** Of a number of tasks of an account, how many may start. */
   mostTasks(account: string, taskNeed: Resources, tasks: number): number;
+  /** Whether a number of tasks fits the limits of an account that runs nothing else. */
+  fitsLimit(account: string, taskNeed: Resources, tasks: number): boolean;
   /** Counts tasks of an account that the pass has placed. */
   take(account: string, taskNeed: Resources, tasks: number): void;
 }
@@ -61,6 +63,13 @@
         ? tasks
         : countWithinLimit(limit, usageOf(account), taskNeed, tasks);
     },
+    fitsLimit: (account, taskNeed, tasks) => {
+      const limit = accounts.get(account)?.limit;
+      return (
+        limit === undefined ||
+        countWithinLimit(limit, noUsage(), taskNeed, tasks) === tasks
+      );
+    },
     take: (account, taskNeed, tasks) => {
       if (accounts.has(account)) {
         addUsage(usageOf(account), taskNeed, tasks);
--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -80,18 +80,31 @@
    * of the step's account; for a gang, all or none.
    */
   mostPlacements(readyStep: ReadyStep): number {
-    const {row, step, openTasks, taskResources} = readyStep;
-    const withinQuota = this.quota.mostTasks(
-      row.job.account,
-      taskResources,
-      openTasks.length,
-    );
+    const {step, openTasks} = readyStep;
+    const withinQuota = this.tasksWithinQuota(readyStep);
     if (step.isGang && withinQuota < openTasks.length) {
       return 0;
     }
     return Math.min(withinQuota, this.allowance.forStep(readyStep));
   }
 
+  /** Counts the open tasks of a step that the limits of its account allow. */
+  tasksWithinQuota({row, openTasks, taskResources}: ReadyStep): number {
+    const {account} = row.job;
+    return this.quota.mostTasks(account, taskResources, openTasks.length);
+  }
+
+  /**
+   * Keeps what is left of an account's limits for a gang that does not fit within them
+   * now. Otherwise smaller steps of the account behind it could take that again and again.
+   */
+  keepQuotaFor({row, openTasks, taskResources}: ReadyStep): void {
+    const {account} = row.job;
+    if (this.quota.fitsLimit(account, taskResources, openTasks.length)) {
+      this.quota.take(account, taskResources, openTasks.length);
+    }
+  }
+
   /** Counts placed tasks of a step. */
   take({row, taskResources}: ReadyStep, tasks: number): void {
     this.allowance.take(tasks);
--- a/packages/dispatch/src/__tests__/unit/waitingSteps.test.ts
+++ b/packages/dispatch/src/__tests__/unit/waitingSteps.test.ts
@@ -53,6 +53,7 @@
           need[name] === 0 ? Infinity : Math.floor(limits[name] / need[name]),
         ),
       ),
+    fitsLimit: () => true,
     take: () => undefined,
   };
 }
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -105,7 +105,11 @@
   }
   for (const leastClass of SPEED_CLASSES_FROM_FAST) {
     const placements = packInOrder(
-      ranked.filter(candidate => speedClassOf(candidate) >= leastClass),
+      ranked.filter(
+        candidate =>
+          speedClassOf(candidate) >= leastClass ||
+          preferredIds.has(candidate.worker.id),
+      ),
       readyStep,
     );
     if (placements !== undefined) {
--- a/packages/dispatch/src/jobUrgency.ts
+++ b/packages/dispatch/src/jobUrgency.ts
@@ -21,7 +21,7 @@
     isStepDone(occurrence, step) ? 0 : millisOf(step),
   );
   const dueAt = occurrenceDueAt(job, occurrence.number);
-  const arrivedAt = Math.max(job.receivedAt, dueAt) + virtualDelayMillis;
+  const arrivedAt = Math.max(job.receivedAt + virtualDelayMillis, dueAt);
   const objectiveMillis =
     policy.stretch * criticalPathMillis(job, millisOf) + policy.targetMillis;
   return {
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -63,6 +63,9 @@
     }
     if (pass.mostPlacements(readyStep) === 0) {
       // Its account is at its limit; the room is for the steps of others.
+      if (readyStep.step.isGang) {
+        pass.keepQuotaFor(readyStep);
+      }
       continue;
     }
     if (pass.isUnfitting(readyStep)) {
@@ -74,7 +77,7 @@
       continue;
     }
     if (advice.permits.size === 0 && advice.openRequestId !== undefined) {
-      pass.addAwaited(readyStep, readyStep.openTasks.length);
+      pass.addAwaited(readyStep, pass.tasksWithinQuota(readyStep));
       continue;
     }
     const placements = readyStep.step.isGang
--- a/packages/dispatch/src/placementFunctions.ts
+++ b/packages/dispatch/src/placementFunctions.ts
@@ -5,6 +5,8 @@
 export interface StartQuota {
   /** Of a number of tasks of an account, how many may start. */
   mostTasks(account: string, taskNeed: Resources, tasks: number): number;
+  /** Whether a number of tasks fits the limits of an account that runs nothing else. */
+  fitsLimit(account: string, taskNeed: Resources, tasks: number): boolean;
   /** Counts tasks of an account that the pass has placed. */
   take(account: string, taskNeed: Resources, tasks: number): void;
 }
@@ -52,6 +54,7 @@
 export const DEFAULT_PLACEMENT_FUNCTIONS: PlacementFunctions = {
   createStartQuota: () => ({
     mostTasks: (_account, _taskNeed, tasks) => tasks,
+    fitsLimit: () => true,
     take: () => undefined,
   }),
   virtualDelayMillis: () => 0,
--- a/packages/dispatch/src/readySteps.ts
+++ b/packages/dispatch/src/readySteps.ts
@@ -1,5 +1,5 @@
 import type {StateReader} from '@samphireramp/kernel';
-import type {StepId} from '@samphireramp/jobs';
+import type {Job, StepId} from '@samphireramp/jobs';
 import {type ReadyStep, URGENT_PRIORITY} from './candidates';
 import {listActiveJobs, policyOf} from './DispatchState';
 import {urgencyOf} from './jobUrgency';
@@ -34,9 +34,10 @@
   wallNow: number,
   expectedMillis: PlacementFunctions['expectedMillis'],
 ): readonly ReadyStep[] {
+  const expectedOnce = rememberExpected(expectedMillis);
   const ordered = orderSteps(
     listReadySteps(state, scope),
-    step => urgencyOf(state, step, wallNow, expectedMillis),
+    step => urgencyOf(state, step, wallNow, expectedOnce),
     wallNow,
   );
   return scope === 'urgent'
@@ -44,6 +45,19 @@
     : [...ordered.entitled, ...ordered.excess];
 }
 
+/** Has each expectation computed once: the state does not change while steps are ordered. */
+function rememberExpected(
+  expectedMillis: PlacementFunctions['expectedMillis'],
+): PlacementFunctions['expectedMillis'] {
+  const millisByJob = new Map<Job, number[]>();
+  return (state, job, stepNumber) => {
+    const millis = millisByJob.get(job) ?? [];
+    millisByJob.set(job, millis);
+    millis[stepNumber] ??= expectedMillis(state, job, stepNumber);
+    return millis[stepNumber];
+  };
+}
+
 /** Returns the identity of a ready step. */
 export function stepIdOf({row, occurrence, stepNumber}: ReadyStep): StepId {
   const {id: jobId} = row.job;
--- a/packages/dispatch/src/stepOrder.ts
+++ b/packages/dispatch/src/stepOrder.ts
@@ -46,7 +46,7 @@
   const entitled = entries.filter(({isExcess}) => !isExcess);
   const excess = entries.filter(({isExcess}) => isExcess);
   const timely = entitled.filter(each => each.latestStartAt >= wallNow);
-  const late = entitled.filter(each => each.latestStartAt < wallNow);
+  const late = entitled.filter(each => !(each.latestStartAt >= wallNow));
   timely.sort(
     (a, b) => a.priority - b.priority || a.latestStartAt - b.latestStartAt,
   );
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -13,6 +13,7 @@
   isSuspected,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
+import {speedBeyondNoise} from './speedClasses';
 import {chooseTrialPlacements} from './trialPlacement';
 
 /** Chooses workers for the tasks of a step, one by one until none fits. */
@@ -54,7 +55,7 @@
   // Suspected tasks that wait for the trials of others need no advice.
   const waitingSuspects = pass.mayBeginTrial() ? 0 : untriedSuspects;
   const tasksLeft =
-    readyStep.openTasks.length - placements.length - waitingSuspects;
+    pass.tasksWithinQuota(readyStep) - placements.length - waitingSuspects;
   if (tasksLeft > 0) {
     requestMoreAdvice(pass, readyStep, advice, tasksLeft, () =>
       spreadOver(pass.suitableFor(readyStep), readyStep),
@@ -97,9 +98,13 @@
 }
 
 /** What the speed of a worker is worth to a step, in free shares of a worker. */
-function speedBonus({speed}: Candidate, {policy}: ReadyStep): number {
+function speedBonus(candidate: Candidate, {policy}: ReadyStep): number {
+  const speed = speedBeyondNoise(candidate);
   if (policy.priority === URGENT_PRIORITY) {
-    return Math.log2(speed) * URGENT_SPEED_WEIGHT;
+    return Math.max(
+      -MAX_URGENT_PENALTY,
+      Math.log2(speed) * URGENT_SPEED_WEIGHT,
+    );
   }
   if (policy.stretch >= TOLERANT_STRETCH && speed >= LEAST_SOUND_SPEED) {
     return -Math.log2(speed) * SPEED_WEIGHT;
@@ -109,6 +114,8 @@
 
 /** Worth of a worker of twice the speed to urgent steps: more than any free share. */
 const URGENT_SPEED_WEIGHT = 6;
+/** Bounds what a slow worker costs an urgent step, so that its data decide first. */
+const MAX_URGENT_PENALTY = 6;
 /** Worth of a worker of twice the speed to other steps. */
 const SPEED_WEIGHT = 1;
 /**
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -110,6 +110,7 @@
   update.write(LATEST_LIVES).clear();
   update.write(BOUNDED_LEASES).clear();
   update.write(NEWEST_LOG_SLOWDOWNS).set([]);
+  update.write(FLEET_LOG_SLOWDOWN).set(0);
   update.write(GRANTS_LEASES).set(true);
   update.write(MAY_COMMAND_WORKERS).set(false);
 }
--- a/packages/fleet/src/stalledRuns.ts
+++ b/packages/fleet/src/stalledRuns.ts
@@ -71,6 +71,7 @@
     const ranMillis = lastAnswerAt - confirmedAt;
     const workMillis = progressedAt - confirmedAt;
     return (
+      workMillis > 0 &&
       ranMillis > workMillis * COMPLETE_FACTOR &&
       ranMillis > (expect()?.tailMillis ?? Infinity)
     );
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -173,8 +173,11 @@
     appliedEnd = number;
     const {incarnation} = worker;
     const startedAt = update.read(RUNS).get(runKey(runId))?.startedAt;
+    // An end that is heard of after a silence says nothing about the run time.
     const ranMillis =
-      startedAt === undefined ? undefined : update.now - startedAt;
+      startedAt === undefined || worker.isSilent
+        ? undefined
+        : update.now - startedAt;
     update.write(RUNS).delete(runKey(runId));
     update.dispatch(RUN_ENDED, {
       incarnation,
--- a/packages/run-times/src/__tests__/unit/runTimes.test.ts
+++ b/packages/run-times/src/__tests__/unit/runTimes.test.ts
@@ -252,3 +252,27 @@
     'a queue in use stays known',
   );
 });
+
+// Guards against sound runs that are stopped again and again at a wrong prediction.
+void t.test('the tail is not below what the caller expects', async t => {
+  const {learn, tail} = buildLearner();
+  for (let run = 0; run < 200; run++) {
+    learn(buildTaskJob(100 + run), 100);
+  }
+  t.ok(tail(buildTaskJob(60_000)) >= 600_000);
+  t.equal(tail(buildTaskJob(0)), Infinity);
+});
+
+// Guards against a slow worker that gets no runs, and so never shows its recovery.
+void t.test('a slow worker without runs counts as less slow', async t => {
+  const {learn, speed, clock} = buildLearner();
+  for (let run = 0; run < 300; run++) {
+    learn(buildTaskJob(1000), run % 6 === 0 ? 4000 : 1000, {
+      worker: run % 6 === 0 ? 'slow' : `normal-${run % 6}`,
+    });
+  }
+  const before = speed('slow');
+  clock.now += 120_000;
+  t.ok(before < 0.5);
+  t.ok(speed('slow') > 0.8);
+});
--- a/packages/run-times/src/predictRunTime.ts
+++ b/packages/run-times/src/predictRunTime.ts
@@ -62,16 +62,23 @@
   job: Job,
   stepNumber: number,
 ): number {
+  const {estimateMillis} = job.steps[stepNumber];
   const errors = state.read(QUEUE_RUN_TIMES).get(job.policy.name)?.errors;
-  if (errors === undefined || countSamples(errors) < MIN_TAIL_SAMPLES) {
+  if (
+    errors === undefined ||
+    countSamples(errors) < MIN_TAIL_SAMPLES ||
+    estimateMillis <= 0
+  ) {
     return Infinity;
   }
   const learntFactor =
     (quantile(errors, TAIL_SHARE) / RATIO_UNIT) * TAIL_MARGIN;
-  return (
-    expectedMillis(state, job, stepNumber) *
-    Math.max(MIN_TAIL_FACTOR, learntFactor)
+  // A run that is stopped teaches nothing, so a wrong prediction would not be mended.
+  const leastMillis = Math.max(
+    estimateMillis,
+    expectedMillis(state, job, stepNumber),
   );
+  return leastMillis * Math.max(MIN_TAIL_FACTOR, learntFactor);
 }
 
 /** Predicts the run time of a task; undefined if nothing is known of its queue. */
--- a/packages/run-times/src/workerSpeed.ts
+++ b/packages/run-times/src/workerSpeed.ts
@@ -30,6 +30,8 @@
  * worker is tried again.
  */
 const CHANGE_MILLIS = 10_000;
+/** Time without runs after which a worker counts as half as slow. */
+const SLOWNESS_HALF_LIFE_MILLIS = 30_000;
 /** Bounds of the factor of a worker. */
 const MAX_SPEED_FACTOR = 16;
 
@@ -54,8 +56,10 @@
 }
 
 function logSlowness(row: WorkerRow, now: number): number {
-  const mean =
+  const learnt =
     (row.logSlowness * row.samples) / (row.samples + SAMPLES_OF_HALF_WEIGHT);
+  // A slow worker gets few runs that could show that it has recovered.
+  const mean = learnt > 0 ? learnt * decayOf(now - row.learntAt) : learnt;
   if (
     row.newest.length < MIN_CHANGE_SAMPLES ||
     now - row.learntAt > CHANGE_MILLIS
@@ -66,6 +70,10 @@
   return Math.abs(newest - mean) > Math.log(CHANGE_FACTOR) ? newest : mean;
 }
 
+function decayOf(millis: number): number {
+  return 0.5 ** (Math.max(0, millis) / SLOWNESS_HALF_LIFE_MILLIS);
+}
+
 /**
  * Learns the speed of a worker from the logarithm of actual by expected duration of a
  * run. It is compared to the newest runs of the queue on any worker: what all of them
--- a/testing/src/__tests__/unit/accountLimits.test.ts
+++ b/testing/src/__tests__/unit/accountLimits.test.ts
@@ -216,3 +216,17 @@
   }
   checkNoViolations(t, site);
 });
+
+// Guards against small steps that take what is left of the limit again and again.
+void t.test('a gang is placed beside a stream of small jobs', async t => {
+  const site = await buildSite();
+  submit(site, 'account', {count: 3, estimateMillis: 1500});
+  await site.run(500);
+  const gang = submit(site, 'account', {count: 3, isGang: true});
+  for (let passed = 0; passed < 12_000; passed += 300) {
+    submit(site, 'account', {count: 1, estimateMillis: 900});
+    await site.run(300);
+  }
+  t.ok(site.checker.countStarts(gang.id) >= 3);
+  checkNoViolations(t, site);
+});
