A new holder sends no storm of stop orders for runs of ended jobs

Runs of jobs that had ended were adopted as being stopped, however long ago, and a stop was ordered for each at the first tick. Only those of the last 20 s are adopted now, and the first report of their worker shows which are gone before a stop is ordered.

--- a/packages/dispatch/src/endedRuns.ts
+++ b/packages/dispatch/src/endedRuns.ts
@@ -17,6 +17,12 @@
 } from '@samphireramp/jobs';
 import type {Update} from '@samphireramp/kernel';
 
+/**
+ * Runs of a job that ended longer ago are gone: stopped, or their lease has expired, which
+ * takes 11 s at most. The rest allows for clocks that differ.
+ */
+const MAX_RUN_AFTER_END_MILLIS = 20_000;
+
 /** A placed task, and its run. */
 export interface PlacedRun {
   readonly runId: RunId;
@@ -60,14 +66,19 @@
 }
 
 /**
- * Adopts the runs of a job that ended under an earlier holder as runs being stopped.
- * Reports show later which of them are gone.
+ * Adopts the runs of a job that ended lately under an earlier holder as runs being
+ * stopped. Most of them are gone, which the first report of each worker shows; stop orders
+ * for the others follow after it, as thousands of jobs may have been cancelled.
  */
 export function adoptRunsOfEndedJob(
   update: Update,
   job: Job,
   progress: Progress,
+  wallNow: number,
 ): void {
+  if (wallNow - progress.endedAt > MAX_RUN_AFTER_END_MILLIS) {
+    return;
+  }
   // Once workers may be commanded, only a repeated request tells of the job again.
   if (update.read(MAY_COMMAND_WORKERS).get()) {
     return;
@@ -82,8 +93,7 @@
         reserved: reservedResources(job.steps[runId.step]),
         expectsProgress: false,
       });
-      // The stop is ordered at the next tick at which the worker is known.
-      changeRun(update, key, {phase: 'stopping', lastOrderAt: -Infinity});
+      changeRun(update, key, {phase: 'stopping', lastOrderAt: update.now});
     }
   }
 }
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -85,7 +85,7 @@
   }
   const durableProgress = update.read(DURABLE_PROGRESS).get(job.id);
   if (durableProgress !== undefined && isFinalState(durableProgress.state)) {
-    adoptRunsOfEndedJob(update, job, durableProgress);
+    adoptRunsOfEndedJob(update, job, durableProgress, wallNow);
     return;
   }
   const account = durableProgress?.account || job.account;
