--- a/packages/run-times/src/workerSpeed.ts
+++ b/packages/run-times/src/workerSpeed.ts
@@ -31,7 +31,7 @@
  */
 const CHANGE_MILLIS = 10_000;
 /** Time without runs after which a worker counts as half as slow. */
-const SLOWNESS_HALF_LIFE_MILLIS = 30_000;
+const SLOWNESS_HALF_LIFE_MILLIS = 3000;
 /** Bounds of the factor of a worker. */
 const MAX_SPEED_FACTOR = 16;
 
