--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -1,4 +1,5 @@
 import type {Update} from '@samphireramp/kernel';
+import {RUNS} from '@samphireramp/fleet';
 import {type AdviceTerms, stepKey} from '@samphireramp/jobs';
 import {chooseHost} from './adviserCalls';
 import type {StepAdvice} from './adviceState';
@@ -10,7 +11,7 @@
   listCandidates,
   meetsRequirements,
 } from './candidates';
-import {countFreeTrials, workersOnTrial} from './crashTrials';
+import {KEPT_WORKERS, keepForTrial, readTrials} from './crashTrials';
 import type {StartQuota} from './placementFunctions';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
@@ -44,6 +45,12 @@
   private readonly totalCpuMillis: number;
   /** Number of workers on which suspected tasks may still be placed. */
   private trialsLeft: number;
+  /** Number of workers that trials may occupy at a time. */
+  readonly maxTrials: number;
+  /** Workers with runs of suspected tasks, by incarnation. */
+  private readonly withSuspects: Set<string>;
+  /** Workers that are kept for trials, and not used in this pass yet. */
+  private readonly kept = new Set<Candidate>();
   private gatheredCpuMillis = 0;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
@@ -56,11 +63,18 @@
   ) {
     this.allowance = new TaskAllowance(update);
     const candidates = listCandidates(update, update.now);
-    const onTrial = workersOnTrial(update, update.now);
-    this.trialsLeft = countFreeTrials(update);
+    const trials = readTrials(update, update.now);
+    this.trialsLeft = trials.freeTrials;
+    this.maxTrials = trials.maxTrials;
+    this.withSuspects = new Set(trials.withSuspects);
     this.candidates = candidates.filter(
-      ({worker}) => !onTrial.has(worker.incarnation),
+      ({worker}) => !trials.exclusive.has(worker.incarnation),
     );
+    for (const candidate of this.candidates) {
+      if (update.read(KEPT_WORKERS).has(candidate.worker.incarnation)) {
+        this.keep(candidate);
+      }
+    }
     this.cpuMillisAtStart = new Map(
       this.candidates.map(candidate => [candidate, candidate.cpuMillis]),
     );
@@ -93,16 +107,63 @@
     this.quota.take(row.job.account, taskResources, tasks);
   }
 
-  /** Whether a suspected task may be placed. */
+  /** Whether a trial may occupy a further worker, or one that is kept. */
   mayBeginTrial(): boolean {
-    return this.trialsLeft > 0;
+    return this.trialsLeft > 0 || this.kept.size > 0;
+  }
+
+  /** Takes a worker for suspected tasks, so that no other starts beside them. */
+  beginTrial(candidate: Candidate): void {
+    if (!this.kept.delete(candidate)) {
+      this.trialsLeft--;
+    }
+    candidate.isClosed = true;
+    this.update.write(KEPT_WORKERS).delete(candidate.worker.incarnation);
+  }
+
+  /** Has a worker get no tasks until a suspected one can be tried on it alone. */
+  keepForTrial(candidate: Candidate): void {
+    if (!this.kept.has(candidate)) {
+      this.trialsLeft--;
+    }
+    keepForTrial(this.update, candidate.worker.incarnation);
+    this.keep(candidate);
+  }
+
+  /** Takes a kept worker for a task that waits for it in this pass. */
+  claimKept(candidate: Candidate): void {
+    keepForTrial(this.update, candidate.worker.incarnation);
+    this.kept.delete(candidate);
   }
 
-  /** Takes a worker for one suspected task, so that no other starts beside it. */
-  beginTrial(candidate: Candidate, readyStep: ReadyStep): void {
-    deductTasks(candidate, readyStep, 1);
+  private keep(candidate: Candidate): void {
     candidate.isClosed = true;
-    this.trialsLeft--;
+    this.kept.add(candidate);
+  }
+
+  /** Whether a worker is kept for trials, and not used in this pass yet. */
+  isKept(candidate: Candidate): boolean {
+    return this.kept.has(candidate);
+  }
+
+  /** How many further workers trials may occupy. */
+  countFreeTrials(): number {
+    return Math.max(0, this.trialsLeft);
+  }
+
+  /** Whether a worker has runs of suspected tasks. */
+  hasSuspects({worker}: Candidate): boolean {
+    return this.withSuspects.has(worker.incarnation);
+  }
+
+  /** Records that a suspected task is placed on a worker. */
+  addSuspect({worker}: Candidate): void {
+    this.withSuspects.add(worker.incarnation);
+  }
+
+  /** Counts the runs on a worker. */
+  countRuns({worker}: Candidate): number {
+    return this.update.read(RUNS).withKey(worker.incarnation).length;
   }
 
   /**
--- a/packages/dispatch/src/__tests__/unit/crashSuspects.test.ts
+++ b/packages/dispatch/src/__tests__/unit/crashSuspects.test.ts
@@ -1,48 +1,69 @@
 import {NEW_TASK, type Task} from '@samphireramp/jobs';
 import t from 'tap';
 import {
-  chooseCharged,
+  YOUNG_RUN_MILLIS,
+  chooseTrial,
+  isCharged,
   isGivenUp,
-  isOnlySuspect,
   withCrash,
 } from '../../crashSuspects';
 
+const OLD = YOUNG_RUN_MILLIS + 1;
+
 function buildTask(crashedRuns: number[]): Task {
   return {...NEW_TASK, phase: 'placed', run: 9, crashedRuns};
 }
 
-function buildSuspect(key: string, crashedRuns: number[]) {
-  return {key, task: buildTask(crashedRuns)};
+function crashInTrial(run: number, ageMillis: number | undefined) {
+  return {run, ageMillis, isTriedAlone: true};
 }
 
-void t.test('a crash is charged to those suspected most often', async t => {
-  const fresh = buildSuspect('a', []);
-  const suspected = buildSuspect('b', [1]);
-  const other = buildSuspect('c', [3]);
-  t.same(chooseCharged([fresh, suspected, other]), [suspected, other]);
-  t.same(chooseCharged([fresh, buildSuspect('d', [])]).length, 2);
-  t.same(chooseCharged([]), []);
+void t.test('a task is never given up for crashes beside others', async t => {
+  let task = buildTask([]);
+  for (let run = 1; run <= 20; run++) {
+    task = withCrash(task, {run, ageMillis: 1, isTriedAlone: false});
+    t.notOk(isGivenUp(task), `after ${run} crashes`);
+  }
 });
 
-void t.test('one task or one gang is the only suspect', async t => {
-  const member = buildSuspect('gang', []);
-  t.ok(isOnlySuspect([member, member], false));
-  t.notOk(isOnlySuspect([member, buildSuspect('a', [])], false));
-  t.notOk(isOnlySuspect([member], true));
-  t.notOk(isOnlySuspect([], false));
+void t.test('no task is given up for one crash', async t => {
+  t.notOk(isGivenUp(withCrash(buildTask([]), crashInTrial(1, 1))));
 });
 
-void t.test('no task is given up for one crash', async t => {
-  t.notOk(isGivenUp(buildTask([1]), true));
-  t.ok(isGivenUp(buildTask([1, 2]), true));
-  t.notOk(isGivenUp(buildTask([1, 2]), false));
-  t.ok(isGivenUp(buildTask([1, 2, 4]), false));
+void t.test(
+  'a task is given up for two crashes of workers of its own',
+  async t => {
+    const once = withCrash(buildTask([1]), crashInTrial(2, OLD));
+    t.notOk(isGivenUp(once));
+    t.ok(isGivenUp(withCrash(once, crashInTrial(3, undefined))));
+    const youngOnce = withCrash(buildTask([1]), crashInTrial(2, 10));
+    t.ok(isGivenUp(youngOnce), 'one just after its start counts twice');
+  },
+);
+
+void t.test('the second crash of a task has it tried alone', async t => {
+  t.equal(chooseTrial(buildTask([])), 'none');
+  t.equal(chooseTrial(buildTask([1])), 'apart');
+  t.equal(chooseTrial(buildTask([1, 1])), 'quiet');
+  t.equal(chooseTrial(buildTask([1, 2])), 'alone');
 });
 
-void t.test('a crash under one run counts once', async t => {
-  const charged = withCrash(buildTask([1]), 2);
-  t.same(charged.crashedRuns, [1, 2]);
-  t.equal(withCrash(charged, 2), charged);
+void t.test(
+  'the entries of a task are bounded, the strongest stay',
+  async t => {
+    let task = buildTask([-1]);
+    for (let run = 2; run <= 20; run++) {
+      task = withCrash(task, {run, ageMillis: 1, isTriedAlone: false});
+    }
+    t.equal(task.crashedRuns.length, 6);
+    t.ok(task.crashedRuns.includes(-1));
+    t.ok(isCharged(task, 1));
+    t.ok(isCharged(task, 20));
+    t.notOk(isCharged(task, 2));
+  },
+);
+
+void t.test('a task that is done is not charged', async t => {
   const done: Task = {...NEW_TASK, phase: 'done'};
-  t.equal(withCrash(done, 2), done);
+  t.equal(withCrash(done, crashInTrial(2, 1)), done);
 });
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -15,6 +15,7 @@
 import type {StateReader} from '@samphireramp/kernel';
 import type {JobRow} from './DispatchState';
 import type {StepAdvice} from './adviceState';
+import {type Trial, chooseTrial} from './crashSuspects';
 
 /** Share of the CPU and memory of a worker that only urgent steps may use. */
 const URGENT_RESERVE_SHARE = 0.1;
@@ -27,7 +28,10 @@
   cpuMillis: number;
   memoryMegabytes: number;
   accelerators: number;
-  /** Whether it gets no more tasks in the pass, as a suspected task starts on it. */
+  /**
+   * Whether it gets no more tasks in the pass, as a suspected task starts on it or
+   * it is kept for one.
+   */
   isClosed: boolean;
 }
 
@@ -194,10 +198,10 @@
   return (advice.permits.get(worker.id)?.validUntil ?? 0) > now;
 }
 
-/** Whether a task of a step is suspected to crash its workers. */
-export function isSuspected(readyStep: ReadyStep, index: number): boolean {
+/** Tells how a task of a step is tried that is suspected to crash its workers. */
+export function trialOf(readyStep: ReadyStep, index: number): Trial {
   const tasks = readyStep.occurrence.steps[readyStep.stepNumber];
-  return tasks[index].crashedRuns.length > 0;
+  return chooseTrial(tasks[index]);
 }
 
 /** Returns a step with its open tasks; undefined if none can be placed now. */
--- a/packages/dispatch/src/crashFlow.ts
+++ b/packages/dispatch/src/crashFlow.ts
@@ -1,78 +1,77 @@
 import type {PayloadOf, Update} from '@samphireramp/kernel';
-import type {WORKER_CRASHED} from '@samphireramp/fleet';
+import type {CrashSuspectRun, WORKER_CRASHED} from '@samphireramp/fleet';
 import {
   type RunId,
   findTask,
+  runKey,
   stepKey,
   taskKey,
   updateTasksOfRun,
 } from '@samphireramp/jobs';
-import {type ActiveTask, findActiveTask} from './activeTask';
-import {
-  type CrashSuspect,
-  chooseCharged,
-  isGivenUp,
-  isOnlySuspect,
-  withCrash,
-} from './crashSuspects';
+import {findActiveTask} from './activeTask';
+import {CRASH_TRIALS} from './crashTrials';
+import {isCharged, isGivenUp, withCrash} from './crashSuspects';
 import {setProgress} from './DispatchState';
 import {endJob} from './jobFlow';
 import {DISPATCH_EVENT} from './messages';
 
-/** A suspect of a crash, with its run and job. */
-interface SuspectRun extends CrashSuspect, ActiveTask {
-  readonly runId: RunId;
-}
-
-/** Charges the crash of a worker to the tasks that may have caused it. */
+/**
+ * Charges the crash of a worker to all tasks that it ran: little to each, as any may
+ * have caused it. It is evidence against a task only if that was tried alone there.
+ */
 export function onWorkerCrashed(
   update: Update,
-  {incarnation, suspects, unanswered}: PayloadOf<typeof WORKER_CRASHED>,
+  {incarnation, suspects, isCausedByTask}: PayloadOf<typeof WORKER_CRASHED>,
   wallClock: () => number,
 ): void {
-  const known = suspects.flatMap(runId => findSuspect(update, runId));
-  const hasOthers = known.length < suspects.length || unanswered > 0;
-  const isAlone = isOnlySuspect(known, hasOthers);
-  for (const {runId} of chooseCharged(known)) {
-    chargeRun(update, runId, incarnation, isAlone, wallClock());
+  if (!isCausedByTask) {
+    return;
+  }
+  const keys = new Set(suspects.map(({runId}) => suspectKey(update, runId)));
+  for (const suspect of suspects) {
+    const isTried = update.read(CRASH_TRIALS).has(runKey(suspect.runId));
+    const isTriedAlone = isTried && keys.size === 1;
+    chargeRun(update, suspect, incarnation, isTriedAlone, wallClock());
   }
 }
 
-function findSuspect(update: Update, runId: RunId): SuspectRun[] {
-  const active = findActiveTask(update, runId);
-  if (active === undefined || active.task.phase === 'done') {
-    return [];
-  }
-  const key = active.step.isGang ? stepKey(runId) : taskKey(runId);
-  return [{...active, key, runId}];
+/** Identifies what may have crashed a worker: a task, or a gang as a whole. */
+function suspectKey(update: Update, runId: RunId): string {
+  const isGang = findActiveTask(update, runId)?.step.isGang ?? false;
+  return isGang ? stepKey(runId) : taskKey(runId);
 }
 
 function chargeRun(
   update: Update,
-  runId: RunId,
+  {runId, ageMillis}: CrashSuspectRun,
   worker: string,
-  isAlone: boolean,
+  isTriedAlone: boolean,
   wallNow: number,
 ): void {
   // The charge of another suspect may have ended the job.
   const active = findActiveTask(update, runId);
-  if (active === undefined || active.task.crashedRuns.includes(runId.run)) {
+  if (active === undefined || active.task.phase === 'done') {
     return;
   }
   const {row, step} = active;
+  // The tasks of a gang share one run, which may have ended on several workers.
+  if (step.isGang && isCharged(active.task, runId.run)) {
+    return;
+  }
+  const crashedRun = {run: runId.run, ageMillis, isTriedAlone};
   const progress = updateTasksOfRun(row.progress, step, runId, task =>
-    withCrash(task, runId.run),
+    withCrash(task, crashedRun),
   );
   const task = findTask(progress, runId) ?? active.task;
-  const isOver = isGivenUp(task, isAlone && !step.isService);
+  const isOver = isGivenUp(task);
   update.emit(DISPATCH_EVENT, {
     event: isOver ? 'task-given-up' : 'task-suspected',
     subject: taskKey(runId),
     queue: row.job.policy.name,
     worker,
     detail:
-      `crashed-runs-${task.crashedRuns.join('-')}` +
-      `, ${isAlone ? 'alone' : 'beside others'}`,
+      `crashed-runs-${task.crashedRuns.map(Math.abs).join('-')}` +
+      `, ${isTriedAlone ? 'alone' : 'beside others'}`,
   });
   if (isOver) {
     endJob(update, row, progress, 'failed', wallNow);
--- a/packages/dispatch/src/crashSuspects.ts
+++ b/packages/dispatch/src/crashSuspects.ts
@@ -1,53 +1,83 @@
 import type {Task} from '@samphireramp/jobs';
 
-/** Crashes after which a task is given up if it alone can have caused the last. */
-const MAX_CRASHES_ALONE = 2;
-/** Crashes after which a task is given up in any case. */
-const MAX_CRASHES = 3;
-
-/** What is known of a task that may have crashed a worker. */
-export interface CrashSuspect {
-  readonly task: Task;
-  /** Identifies the task; the tasks of a gang share it. */
-  readonly key: string;
-}
+/** A crash within this time of the start of a run is strong evidence against it. */
+export const YOUNG_RUN_MILLIS = 250;
+/** Number of crashed runs without which no task is given up. */
+const MIN_CRASHED_RUNS = 2;
+/** Evidence from runs that were alone on their workers that gives a task up. */
+const MIN_EVIDENCE_ALONE = 2;
+/** Entries that are kept of a task; bounds its record in the journal. */
+const MAX_ENTRIES = 6;
 
 /**
- * Chooses the suspects that a crash is charged to: those that were suspected most
- * often before. Without an earlier suspicion that is each of them.
+ * How a task is tried again after crashes. `none`: it is not suspected; `apart`: on
+ * a worker without other suspects, if there is one; `quiet`: on a worker with few
+ * runs, where no other run starts at about the same time; `alone`: on a worker
+ * without other runs, where none starts until it ends.
  */
-export function chooseCharged<Suspect extends CrashSuspect>(
-  suspects: readonly Suspect[],
-): Suspect[] {
-  const counts = suspects.map(({task}) => task.crashedRuns.length);
-  const highest = Math.max(0, ...counts);
-  return suspects.filter(({task}) => task.crashedRuns.length === highest);
+export type Trial = 'none' | 'apart' | 'quiet' | 'alone';
+
+/** A run on a worker that crashed, and what else it had. */
+export interface CrashedRun {
+  readonly run: number;
+  /** Time from its start to the crash; undefined if it isn't known. */
+  readonly ageMillis: number | undefined;
+  /** Whether it was a trial, and its worker had no other run. */
+  readonly isTriedAlone: boolean;
+}
+
+/** Chooses how a task is tried again, by the runs whose workers crashed. */
+export function chooseTrial({crashedRuns}: Task): Trial {
+  if (crashedRuns.length === 0) {
+    return 'none';
+  }
+  if (countRuns(crashedRuns) >= MIN_CRASHED_RUNS) {
+    return 'alone';
+  }
+  return crashedRuns.length > 1 ? 'quiet' : 'apart';
 }
 
 /**
- * Whether no other task can have caused a crash: the suspects are one task, or the
- * tasks of one gang, and no other run may have begun.
+ * Returns a task with a crash under one of its runs: an entry, and another one if
+ * the run had just begun. The oldest entry that is no evidence from a trial alone
+ * is dropped if there are too many.
  */
-export function isOnlySuspect(
-  suspects: readonly CrashSuspect[],
-  hasOthers: boolean,
-): boolean {
-  const keys = new Set(suspects.map(({key}) => key));
-  return keys.size === 1 && !hasOthers;
+export function withCrash(
+  task: Task,
+  {run, ageMillis, isTriedAlone}: CrashedRun,
+): Task {
+  if (task.phase === 'done') {
+    return task;
+  }
+  const entry = isTriedAlone ? -run : run;
+  const isYoung = ageMillis !== undefined && ageMillis <= YOUNG_RUN_MILLIS;
+  const crashedRuns = [
+    ...task.crashedRuns,
+    ...(isYoung ? [entry, entry] : [entry]),
+  ];
+  while (crashedRuns.length > MAX_ENTRIES) {
+    const weakest = crashedRuns.findIndex(each => each > 0);
+    crashedRuns.splice(Math.max(0, weakest), 1);
+  }
+  return {...task, crashedRuns};
+}
+
+/** Whether a crash under a run is recorded already. */
+export function isCharged({crashedRuns}: Task, run: number): boolean {
+  return crashedRuns.some(entry => Math.abs(entry) === run);
 }
 
 /**
- * Whether a task is given up after a crash that was charged to it. It has crashed
- * a worker that it alone had begun on, or more workers than chance explains.
+ * Whether a task is given up: at least two workers crashed under it, and it alone
+ * can have crashed two of them, or one just after its start.
  */
-export function isGivenUp(task: Task, isAlone: boolean): boolean {
-  const limit = isAlone ? MAX_CRASHES_ALONE : MAX_CRASHES;
-  return task.crashedRuns.length >= limit;
+export function isGivenUp({crashedRuns}: Task): boolean {
+  const evidence = crashedRuns.filter(entry => entry < 0).length;
+  return (
+    countRuns(crashedRuns) >= MIN_CRASHED_RUNS && evidence >= MIN_EVIDENCE_ALONE
+  );
 }
 
-/** Returns a task with a crash under one of its runs; a run counts once. */
-export function withCrash(task: Task, run: number): Task {
-  return task.phase === 'done' || task.crashedRuns.includes(run)
-    ? task
-    : {...task, crashedRuns: [...task.crashedRuns, run]};
+function countRuns(crashedRuns: readonly number[]): number {
+  return new Set(crashedRuns.map(Math.abs)).size;
 }
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -44,7 +44,7 @@
   PARTITIONS_READ,
 } from './DispatchState';
 import {onWorkerCrashed} from './crashFlow';
-import {CRASH_TRIALS, endTrials} from './crashTrials';
+import {CRASH_TRIALS, KEPT_WORKERS, endTrials} from './crashTrials';
 import {
   applyRequests,
   failJob,
@@ -157,6 +157,7 @@
       kernel.registerSlice(SITE_CONFIGURATION),
       kernel.registerSlice(PARTITIONS_READ),
       kernel.registerSlice(CRASH_TRIALS),
+      kernel.registerSlice(KEPT_WORKERS),
       kernel.registerSlice(ADVICE),
       kernel.registerSlice(CALLS_BY_HOST),
       kernel.registerSlice(OPEN_ADVICE_REQUESTS),
@@ -237,6 +238,7 @@
   update.write(END_SEEN_AT).clear();
   update.write(PARTITIONS_READ).clear();
   update.write(CRASH_TRIALS).clear();
+  update.write(KEPT_WORKERS).clear();
   update.write(ADVICE).clear();
   update.write(CALLS_BY_HOST).clear();
   update.write(OPEN_ADVICE_REQUESTS).clear();
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -11,9 +11,10 @@
   freeShare,
   hasRequiredTicket,
   isNearData,
-  isSuspected,
+  trialOf,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
+import {beginGangTrial, chooseGangTrial} from './trialPlacement';
 
 /** Chooses workers for all tasks of a gang, or keeps free resources for it. */
 export function chooseGangPlacements(
@@ -27,14 +28,23 @@
   const startable = permitted.filter(({worker}) =>
     hasRequiredTicket(worker, readyStep, advice, update.now),
   );
-  const placements = packGang(startable, readyStep);
+  const trial = trialOf(readyStep, readyStep.openTasks[0]);
+  const pack = (candidates: readonly Candidate[]) =>
+    packGang(candidates, readyStep);
+  const placements =
+    trial === 'alone'
+      ? chooseGangTrial(pass, readyStep, startable, pack)
+      : pack(startable);
   if (placements !== undefined) {
-    for (const {index, candidate} of placements) {
+    for (const {candidate} of placements) {
       deductTasks(candidate, readyStep, 1);
-      candidate.isClosed ||= isSuspected(readyStep, index);
     }
+    beginGangTrial(pass, placements, trial);
     return placements;
   }
+  if (trial === 'alone' && readyStep.policy.advice === undefined) {
+    return [];
+  }
   const tasks = readyStep.openTasks.length;
   const withTicket = new Set([
     ...startable.map(({worker}) => worker.id),
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -115,9 +115,7 @@
             reserved: reservedResources(definition),
             expectsProgress: expectsProgress(definition),
           });
-          if (task.crashedRuns.length > 0) {
-            beginTrial(update, runId);
-          }
+          beginTrial(update, runId, task);
         }
       });
     });
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -167,9 +167,7 @@
     reserved: readyStep.taskResources,
     expectsProgress: expectsProgress(readyStep.step),
   });
-  if (task.crashedRuns.length > 0) {
-    beginTrial(update, runId);
-  }
+  beginTrial(update, runId, task);
   const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
   const order: StartOrder = {
     runId,
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -9,7 +9,7 @@
   freeShare,
   hasRequiredTicket,
   isNearData,
-  isSuspected,
+  trialOf,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
 import {chooseTrialPlacements} from './trialPlacement';
@@ -28,7 +28,9 @@
   const placements = chooseTrialPlacements(pass, readyStep, startable);
   const placedOn = new Map<Candidate, number>();
   const suspected = new Set(
-    readyStep.openTasks.filter(index => isSuspected(readyStep, index)),
+    readyStep.openTasks.filter(index =>
+      ['quiet', 'alone'].includes(trialOf(readyStep, index)),
+    ),
   );
   const untriedSuspects = suspected.size - placements.length;
   const mostPlacements = pass.mostPlacements(readyStep);
@@ -39,10 +41,19 @@
     if (suspected.has(index)) {
       continue;
     }
-    const candidate = chooseBestFit(startable, readyStep, placedOn);
+    const isSuspect = trialOf(readyStep, index) === 'apart';
+    const candidate = chooseBestFit(
+      startable,
+      readyStep,
+      placedOn,
+      each => isSuspect && pass.hasSuspects(each),
+    );
     if (candidate === undefined) {
       break;
     }
+    if (isSuspect) {
+      pass.addSuspect(candidate);
+    }
     deductTasks(candidate, readyStep, 1);
     placements.push({index, candidate});
     placedOn.set(candidate, (placedOn.get(candidate) ?? 0) + 1);
@@ -59,11 +70,15 @@
   return placements;
 }
 
-/** Chooses a worker near the data if one fits, then the least free one. */
+/**
+ * Chooses a worker that is not avoided if one fits, one near the data, then the least
+ * free one.
+ */
 function chooseBestFit(
   startable: readonly Candidate[],
   readyStep: ReadyStep,
   placedOn: ReadonlyMap<Candidate, number>,
+  isAvoided: (candidate: Candidate) => boolean,
 ): Candidate | undefined {
   let bestCandidate: Candidate | undefined;
   let bestScore = Infinity;
@@ -78,7 +93,8 @@
     }
     const score =
       freeShare(candidate) +
-      (isNearData(candidate, readyStep) ? 0 : REMOTE_DATA_PENALTY);
+      (isNearData(candidate, readyStep) ? 0 : REMOTE_DATA_PENALTY) +
+      (isAvoided(candidate) ? SUSPECTS_PENALTY : 0);
     if (score < bestScore) {
       bestCandidate = candidate;
       bestScore = score;
@@ -89,3 +105,5 @@
 
 /** Added to the score on a rack without the data; exceeds any free share. */
 const REMOTE_DATA_PENALTY = 10;
+/** Added to the score for a worker to be avoided; exceeds the other penalty. */
+const SUSPECTS_PENALTY = 20;
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -54,6 +54,8 @@
   readonly nextPollAt: number;
   /** Whether its last poll failed, or a later incarnation answered it. */
   readonly isSilent: boolean;
+  /** When the first poll failed since it last answered; undefined while it answers. */
+  readonly silentSince: number | undefined;
   /** Whether its last poll failed as its address refused the connection. */
   readonly refusesConnections: boolean;
   /** Failed runs here since the last success; repeats by one job count once. */
--- a/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
+++ b/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
@@ -2,11 +2,13 @@
 import t from 'tap';
 import type {Run} from '../../Run';
 import type {Worker} from '../../Worker';
-import {CRASH_SUSPICION_MILLIS, findCrashSuspects} from '../../workerCrashes';
+import {listCrashSuspects} from '../../workerCrashes';
 
 /** When the last poll was answered, in the cases below. */
 const ANSWERED_AT = 10_000;
-const WORKER = {answeredAt: ANSWERED_AT} as Worker;
+/** When the first poll failed. */
+const SILENT_SINCE = 10_400;
+const WORKER = {answeredAt: ANSWERED_AT, silentSince: SILENT_SINCE} as Worker;
 
 function buildRun(index: number, overrides: Partial<Run>): Run {
   return {
@@ -28,25 +30,34 @@
   };
 }
 
-void t.test('only runs that began last are suspected of a crash', async t => {
-  const earlier = ANSWERED_AT - CRASH_SUSPICION_MILLIS - 1;
-  const runs = [
-    buildRun(0, {startedAt: earlier}),
-    buildRun(1, {startedAt: ANSWERED_AT - 1}),
-    buildRun(2, {startedAt: undefined, startOrders: 0}),
-    buildRun(3, {startedAt: undefined, lastOrderAt: ANSWERED_AT}),
-    buildRun(4, {startedAt: undefined, lastOrderAt: earlier}),
-  ];
-  const {started, unanswered} = findCrashSuspects(WORKER, runs);
-  t.same(started, [runs[1]]);
-  t.same(unanswered, [runs[3]]);
-});
+void t.test(
+  'all runs that may have begun are suspected of a crash',
+  async t => {
+    const runs = [
+      buildRun(0, {startedAt: 2000}),
+      buildRun(1, {startedAt: SILENT_SINCE - 10}),
+      buildRun(2, {startedAt: undefined, phase: 'reserved', startOrders: 0}),
+      buildRun(3, {startedAt: undefined, phase: 'ordered'}),
+      buildRun(4, {startedAt: undefined, phase: 'stopping'}),
+    ];
+    const suspects = listCrashSuspects(WORKER, runs);
+    t.same(
+      suspects.map(({runId, ageMillis}) => [runId.index, ageMillis]),
+      [
+        [3, undefined],
+        [4, undefined],
+        [1, 10],
+        [0, SILENT_SINCE - 2000],
+      ],
+    );
+  },
+);
 
-void t.test('the start of a later run clears an earlier one', async t => {
-  const startedAt = ANSWERED_AT + CRASH_SUSPICION_MILLIS + 1;
-  const runs = [
-    buildRun(0, {startedAt: ANSWERED_AT}),
-    buildRun(1, {startedAt}),
-  ];
-  t.same(findCrashSuspects(WORKER, runs).started, [runs[1]]);
+void t.test('a run is as old as when the polls began to fail', async t => {
+  const started = [buildRun(0, {startedAt: ANSWERED_AT - 100})];
+  t.equal(listCrashSuspects(WORKER, started)[0].ageMillis, 500);
+  const unpolled = {...WORKER, silentSince: undefined};
+  t.equal(listCrashSuspects(unpolled, started)[0].ageMillis, 100);
+  const startedLater = [buildRun(0, {startedAt: SILENT_SINCE + 1})];
+  t.equal(listCrashSuspects(WORKER, startedLater)[0].ageMillis, 0);
 });
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -8,6 +8,7 @@
   onWorkerReported,
   onPollFailed,
 } from './workerPolling';
+import {CRASHED_WORKERS} from './commonCauses';
 import {LATEST_LIVES} from './fence';
 import {
   BOUNDED_LEASES,
@@ -57,6 +58,7 @@
       kernel.registerSlice(GRANTS_LEASES),
       kernel.registerSlice(UNANSWERED_ORDERS),
       kernel.registerSlice(LATEST_LIVES),
+      kernel.registerSlice(CRASHED_WORKERS),
       kernel.registerSlice(BOUNDED_LEASES),
       kernel.registerSlice(UNLISTED_CHECKED_AT),
       kernel.registerCommand(WORKER_REGISTRY_READ, onWorkerRegistryRead),
@@ -95,6 +97,7 @@
   update.write(RUNS).clear();
   update.write(UNANSWERED_ORDERS).clear();
   update.write(LATEST_LIVES).clear();
+  update.write(CRASHED_WORKERS).clear();
   update.write(BOUNDED_LEASES).clear();
   update.write(GRANTS_LEASES).set(true);
   update.write(MAY_COMMAND_WORKERS).set(false);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -22,7 +22,7 @@
 } from './Run';
 export {discardRun} from './workerRemoval';
 export {stopRun} from './runOrders';
-export {CRASH_SUSPICION_MILLIS} from './workerCrashes';
+export {countRecentCrashes} from './commonCauses';
 export type {ClockReading, RunOutcome, Worker, WorkerRecord} from './Worker';
 export {
   avoidWorker,
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -128,13 +128,20 @@
   readonly reason: StartRefusal | 'missing' | 'worker-gone' | 'lapsed-silent';
 }>('run-void');
 
+/** A run on a worker that crashed. */
+export interface CrashSuspectRun {
+  readonly runId: RunId;
+  /** Time from its start to the crash; undefined if this holder doesn't know it. */
+  readonly ageMillis: number | undefined;
+}
+
 /** The process of a worker crashed. Its runs are discarded afterwards. */
 export const WORKER_CRASHED = createCommand<{
   readonly incarnation: string;
-  /** The runs that began shortly before, one of which may have caused it. */
-  readonly suspects: readonly RunId[];
-  /** Number of runs that may have begun shortly before. */
-  readonly unanswered: number;
+  /** The runs that it had or, without an answer to their order, may have had. */
+  readonly suspects: readonly CrashSuspectRun[];
+  /** Whether a run may be the cause, rather than its rack or the worker itself. */
+  readonly isCausedByTask: boolean;
 }>('worker-crashed');
 
 /** A worker confirmed to this holder for the first time that a run started. */
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -32,6 +32,7 @@
     isPollOpen: false,
     nextPollAt: 0,
     isSilent: false,
+    silentSince: undefined,
     refusesConnections: false,
     consecutiveFailures: 0,
     lastFailedJobId: '',
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -132,6 +132,7 @@
     address,
     hasReported: true,
     isSilent: false,
+    silentSince: undefined,
     refusesConnections: false,
     isGone: false,
     doubtedAt: sentAt >= (worker.doubtedAt ?? 0) ? undefined : worker.doubtedAt,
@@ -313,6 +314,7 @@
   changeWorker(update, incarnation, {
     isPollOpen: false,
     isSilent: true,
+    silentSince: worker.silentSince ?? update.now,
     refusesConnections: failure === 'closed',
     nextPollAt: update.now + pollRetryMillis(worker, hasRuns),
   });
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -8,7 +8,10 @@
   run: z.number(),
   /** Numbers of the runs that failed; in a gang, those of any of its tasks. */
   failedRuns: z.array(z.number()),
-  /** Numbers of the runs that are suspected to have crashed their workers. */
+  /**
+   * Numbers of the runs whose workers crashed, twice for stronger evidence; negative
+   * if the run was alone on its worker, in a trial.
+   */
   crashedRuns: z.array(z.number()),
   /** Checkpoint from which the next run resumes; empty to start over. */
   checkpoint: z.string(),
