A run that may not have begun, or whose rack was lost, is weak evidence

An order without an answer is charged, but is no crash under the task; a lost rack and a flapping worker make no new suspects.

--- a/packages/dispatch/src/crashFlow.ts
+++ b/packages/dispatch/src/crashFlow.ts
@@ -10,7 +10,12 @@
 } from '@samphireramp/jobs';
 import {findActiveTask} from './activeTask';
 import {CRASH_TRIALS} from './crashTrials';
-import {isCharged, isGivenUp, withCrash} from './crashSuspects';
+import {
+  type CrashedRun,
+  isCharged,
+  isGivenUp,
+  withCrash,
+} from './crashSuspects';
 import {setProgress} from './DispatchState';
 import {endJob} from './jobFlow';
 import {DISPATCH_EVENT} from './messages';
@@ -24,28 +29,52 @@
   {incarnation, suspects, isCausedByTask}: PayloadOf<typeof WORKER_CRASHED>,
   wallClock: () => number,
 ): void {
-  if (!isCausedByTask) {
-    return;
+  const byKey = groupByCause(update, suspects);
+  for (const group of byKey.values()) {
+    const {runId, hasBegun, ageMillis} = strongestOf(group);
+    const isTried = update.read(CRASH_TRIALS).has(runKey(runId));
+    const crashedRun = {
+      run: runId.run,
+      hasBegun,
+      ageMillis,
+      isTriedAlone: isTried && byKey.size === 1,
+      hasOtherCause: !isCausedByTask,
+    };
+    chargeRun(update, runId, crashedRun, incarnation, wallClock());
   }
-  const keys = new Set(suspects.map(({runId}) => suspectKey(update, runId)));
+}
+
+/** Groups the suspects by what may have crashed the worker: a task, or a gang. */
+function groupByCause(
+  update: Update,
+  suspects: readonly CrashSuspectRun[],
+): Map<string, CrashSuspectRun[]> {
+  const byKey = new Map<string, CrashSuspectRun[]>();
   for (const suspect of suspects) {
-    const isTried = update.read(CRASH_TRIALS).has(runKey(suspect.runId));
-    const isTriedAlone = isTried && keys.size === 1;
-    chargeRun(update, suspect, incarnation, isTriedAlone, wallClock());
+    const {runId} = suspect;
+    const isGang = findActiveTask(update, runId)?.step.isGang ?? false;
+    const key = isGang ? stepKey(runId) : taskKey(runId);
+    byKey.set(key, [...(byKey.get(key) ?? []), suspect]);
   }
+  return byKey;
 }
 
-/** Identifies what may have crashed a worker: a task, or a gang as a whole. */
-function suspectKey(update: Update, runId: RunId): string {
-  const isGang = findActiveTask(update, runId)?.step.isGang ?? false;
-  return isGang ? stepKey(runId) : taskKey(runId);
+/** Chooses the run of a group that has begun last for sure. */
+function strongestOf(group: readonly CrashSuspectRun[]): CrashSuspectRun {
+  const [strongest] = [...group].sort(
+    (a, b) =>
+      Number(b.hasBegun) - Number(a.hasBegun) ||
+      (a.ageMillis ?? Infinity) - (b.ageMillis ?? Infinity) ||
+      0,
+  );
+  return strongest;
 }
 
 function chargeRun(
   update: Update,
-  {runId, ageMillis}: CrashSuspectRun,
+  runId: RunId,
+  crashedRun: CrashedRun,
   worker: string,
-  isTriedAlone: boolean,
   wallNow: number,
 ): void {
   // The charge of another suspect may have ended the job.
@@ -58,11 +87,13 @@
   if (step.isGang && isCharged(active.task, runId.run)) {
     return;
   }
-  const crashedRun = {run: runId.run, ageMillis, isTriedAlone};
   const progress = updateTasksOfRun(row.progress, step, runId, task =>
     withCrash(task, crashedRun),
   );
   const task = findTask(progress, runId) ?? active.task;
+  if (task.crashedRuns.length === 0) {
+    return;
+  }
   const isOver = isGivenUp(task);
   update.emit(DISPATCH_EVENT, {
     event: isOver ? 'task-given-up' : 'task-suspected',
@@ -71,7 +102,7 @@
     worker,
     detail:
       `crashed-runs-${task.crashedRuns.map(Math.abs).join('-')}` +
-      `, ${isTriedAlone ? 'alone' : 'beside others'}`,
+      `, ${crashedRun.isTriedAlone ? 'alone' : 'beside others'}`,
   });
   if (isOver) {
     endJob(update, row, progress, 'failed', wallNow);
--- a/packages/dispatch/src/crashSuspects.ts
+++ b/packages/dispatch/src/crashSuspects.ts
@@ -20,10 +20,14 @@
 /** A run on a worker that crashed, and what else it had. */
 export interface CrashedRun {
   readonly run: number;
+  /** Whether it is known to have begun. */
+  readonly hasBegun: boolean;
   /** Time from its start to the crash; undefined if it isn't known. */
   readonly ageMillis: number | undefined;
   /** Whether it was a trial, and its worker had no other run. */
   readonly isTriedAlone: boolean;
+  /** Whether its rack or the worker itself is the likely cause. */
+  readonly hasOtherCause: boolean;
 }
 
 /** Chooses how a task is tried again, by the runs whose workers crashed. */
@@ -34,29 +38,34 @@
   if (countRuns(crashedRuns) >= MIN_CRASHED_RUNS) {
     return 'alone';
   }
-  return crashedRuns.length > 1 ? 'quiet' : 'apart';
+  const isDoubled = new Set(crashedRuns).size < crashedRuns.length;
+  return isDoubled && !crashedRuns.includes(0) ? 'quiet' : 'apart';
 }
 
 /**
  * Returns a task with a crash under one of its runs: an entry, and another one if
- * the run had just begun. The oldest entry that is no evidence from a trial alone
- * is dropped if there are too many.
+ * the run had just begun. With another likely cause only a task that is suspected
+ * already is charged, as many tasks would be otherwise. The oldest entry that is no
+ * evidence from a trial alone is dropped if there are too many.
  */
 export function withCrash(
   task: Task,
-  {run, ageMillis, isTriedAlone}: CrashedRun,
+  {run, hasBegun, ageMillis, isTriedAlone, hasOtherCause}: CrashedRun,
 ): Task {
-  if (task.phase === 'done') {
+  const isNew = task.crashedRuns.length === 0;
+  if (task.phase === 'done' || (hasOtherCause && isNew)) {
     return task;
   }
-  const entry = isTriedAlone ? -run : run;
-  const isYoung = ageMillis !== undefined && ageMillis <= YOUNG_RUN_MILLIS;
+  const shared = hasBegun ? run : 0;
+  const entry = isTriedAlone ? -run : shared;
+  const isYoung =
+    ageMillis !== undefined && ageMillis <= YOUNG_RUN_MILLIS && !hasOtherCause;
   const crashedRuns = [
     ...task.crashedRuns,
     ...(isYoung ? [entry, entry] : [entry]),
   ];
   while (crashedRuns.length > MAX_ENTRIES) {
-    const weakest = crashedRuns.findIndex(each => each > 0);
+    const weakest = crashedRuns.findIndex(each => each >= 0);
     crashedRuns.splice(Math.max(0, weakest), 1);
   }
   return {...task, crashedRuns};
@@ -79,5 +88,6 @@
 }
 
 function countRuns(crashedRuns: readonly number[]): number {
-  return new Set(crashedRuns.map(Math.abs)).size;
+  const begun = crashedRuns.filter(entry => entry !== 0);
+  return new Set(begun.map(Math.abs)).size;
 }
--- a/packages/fleet/src/commonCauses.ts
+++ b/packages/fleet/src/commonCauses.ts
@@ -10,9 +10,9 @@
 /** Workers of a rack that are lost within this time are lost together. */
 const TOGETHER_MILLIS = 1000;
 /** Number of workers that must be lost together with their rack. */
-const MIN_LOST_WORKERS = 3;
+const MIN_LOST_WORKERS = 4;
 /** Share of the workers of a rack that must be lost together with it. */
-const MIN_LOST_SHARE = 0.5;
+const MIN_LOST_SHARE = 0.75;
 /** How long a crash of a worker counts. */
 const KEEP_CRASHES_MILLIS = 60_000;
 /** Number of crashes of a worker that are kept. */
@@ -82,7 +82,7 @@
 }
 
 /**
- * Whether half of the workers of a rack were lost at the same time, and no step had
+ * Whether most workers of a rack were lost at the same time, and no step had
  * tasks on all of them: its power or its switch failed, and no task is the cause.
  */
 export function isCommonCause(state: StateReader, worker: Worker): boolean {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -131,6 +131,8 @@
 /** A run on a worker that crashed. */
 export interface CrashSuspectRun {
   readonly runId: RunId;
+  /** Whether it is known to have begun, rather than ordered without an answer. */
+  readonly hasBegun: boolean;
   /** Time from its start to the crash; undefined if this holder doesn't know it. */
   readonly ageMillis: number | undefined;
 }
--- a/packages/fleet/src/workerCrashes.ts
+++ b/packages/fleet/src/workerCrashes.ts
@@ -20,8 +20,9 @@
   const endedAt = crashedAt(worker, runs);
   return runs
     .filter(({phase}) => phase !== 'reserved')
-    .map(({runId, startedAt}) => ({
+    .map(({runId, startedAt, isReported}) => ({
       runId,
+      hasBegun: startedAt !== undefined || isReported,
       ageMillis:
         startedAt === undefined ? undefined : Math.max(0, endedAt - startedAt),
     }))
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -10,7 +10,7 @@
   failedRuns: z.array(z.number()),
   /**
    * Numbers of the runs whose workers crashed, twice for stronger evidence; negative
-   * if the run was alone on its worker, in a trial.
+   * if the run was alone on its worker, in a trial; 0 for one that may not have begun.
    */
   crashedRuns: z.array(z.number()),
   /** Checkpoint from which the next run resumes; empty to start over. */
