--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -134,7 +134,7 @@
   }
 
   /** Ends its process, which begins again after a while under the same id. */
-  private crash(): void {
+  crash(): void {
     this.restart();
     this.isUp = false;
     this.refusesConnections = true;
