--- a/packages/record-codec/src/__tests__/unit/codecs.test.ts
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -15,7 +15,7 @@
 const startedTask = fc.record({
   run: fc.integer({min: 1, max: 9}),
   failedRuns: fc.array(fc.integer({min: 1, max: 9}), {maxLength: 3}),
-  crashedRuns: fc.array(fc.integer({min: 1, max: 9}), {maxLength: 3}),
+  crashedRuns: fc.array(fc.integer({min: -9, max: 9}), {maxLength: 6}),
   checkpoint: fc.string(),
   worker: fc.constantFrom('', 'i-1@7', 'i-2@8', 'i-3@9'),
 });
