--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -4,7 +4,6 @@
   type Candidate,
   type Placement,
   type ReadyStep,
-  URGENT_PRIORITY,
   countFittingTasks,
   deductTasks,
   freeShare,
@@ -13,7 +12,7 @@
   isSuspected,
 } from './candidates';
 import type {PlacementPass} from './PlacementPass';
-import {speedBeyondNoise} from './speedClasses';
+import {speedBonus} from './speedBonus';
 import {chooseTrialPlacements} from './trialPlacement';
 
 /** Chooses workers for the tasks of a step, one by one until none fits. */
@@ -97,38 +96,5 @@
   return bestCandidate;
 }
 
-/** What the speed of a worker is worth to a step, in free shares of a worker. */
-function speedBonus(candidate: Candidate, {policy}: ReadyStep): number {
-  const speed = speedBeyondNoise(candidate);
-  if (policy.priority === URGENT_PRIORITY) {
-    return Math.max(
-      -MAX_URGENT_PENALTY,
-      Math.log2(speed) * URGENT_SPEED_WEIGHT,
-    );
-  }
-  if (policy.stretch >= TOLERANT_STRETCH && speed >= LEAST_SOUND_SPEED) {
-    return -Math.log2(speed) * SPEED_WEIGHT;
-  }
-  return Math.min(MAX_SPEED_BONUS, Math.log2(speed) * SPEED_WEIGHT);
-}
-
-/** Worth of a worker of twice the speed to urgent steps: more than any free share. */
-const URGENT_SPEED_WEIGHT = 6;
-/** Bounds what a slow worker costs an urgent step, so that its data decide first. */
-const MAX_URGENT_PENALTY = 6;
-/** Worth of a worker of twice the speed to other steps. */
-const SPEED_WEIGHT = 1;
-/**
- * Bounds the worth of fast workers, so that they don't get all tasks. That of slow ones
- * isn't bounded: the slowest get what doesn't fit elsewhere.
- */
-const MAX_SPEED_BONUS = 0.5;
-/**
- * Jobs with an objective of this many times their run time leave the fast workers to
- * others.
- */
-const TOLERANT_STRETCH = 3;
-/** A slower worker may be sick, so that no step prefers it. */
-const LEAST_SOUND_SPEED = 0.7;
 /** Added to the score on a rack without the data; exceeds any free share. */
 const REMOTE_DATA_PENALTY = 10;
