--- /dev/null
+++ b/testing/src/__tests__/crowd/crowdFixture.ts
@@ -0,0 +1,168 @@
+import {readFileSync} from 'node:fs';
+import type {Test} from 'tap';
+import {
+  type CrowdScript,
+  type Platform,
+  type SiteProcessHost,
+  DEFAULT_POLICY,
+  buildJob,
+  buildStep,
+  encodeConfiguration,
+  peakResidentBytes,
+  readJobState,
+  readReadiness,
+  startCrowd,
+  startPlatform,
+  startSiteProcesses,
+  submitAt,
+  waitFor,
+  waitForHolder,
+  watchSockets,
+} from '../../index';
+
+const PROGRAM = 'dist/samphireramp-site.mjs';
+const DEPLOY_FILE = 'deploy/system.toml';
+const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
+const TASK_MILLIS = 200;
+/** Limit of a body in the platform's configuration. */
+export const MAX_BODY_BYTES = 262_144;
+/** Memory of the smallest host of the platform. */
+const MEMORY_MEGABYTES = 250;
+const BYTES_PER_MEGABYTE = 1024 * 1024;
+/** Descriptors of the smallest host of the platform. */
+export const DESCRIPTORS = 4100;
+/** Descriptors that the platform reserves for files; sockets get the rest. */
+const FILE_DESCRIPTORS = 200;
+/** How long a crowd may take to send what it sends. */
+const CROWD_MILLIS = 30_000;
+/** Long enough for any machine: no test here is about times. */
+const SERVE_MILLIS = 60_000;
+
+/** A host that runs as a process with the limits of a small machine. */
+export interface LimitedHost {
+  readonly platform: Platform;
+  readonly host: SiteProcessHost;
+  readonly processId: number;
+}
+
+/** Starts a site of one host, which becomes the holder. */
+export async function startLimitedHost(
+  t: Test,
+  descriptors = DESCRIPTORS,
+): Promise<LimitedHost> {
+  const platform = await startPlatform({
+    workers: 2,
+    hosts: 1,
+    capacity: CAPACITY,
+    configuration: {
+      ...encodeConfiguration([DEFAULT_POLICY], 1),
+      limits: {max_body_bytes: MAX_BODY_BYTES},
+    },
+    script: (job, runId) => ({
+      step: job.steps[runId.step],
+      workMillis: TASK_MILLIS,
+      fails: () => false,
+    }),
+  });
+  t.teardown(() => platform.stop());
+  const site = await startSiteProcesses(platform, 1, PROGRAM, undefined, {
+    memoryMegabytes: MEMORY_MEGABYTES,
+    descriptors,
+    nodeFlags: readDeployedFlags(),
+  });
+  t.teardown(() => site.stop());
+  const [host] = site.hosts;
+  const isReady = async () => (await readReadiness(host)) === 200;
+  t.ok(await waitFor(isReady, SERVE_MILLIS), 'the host is ready');
+  t.ok(await waitForHolder(site, SERVE_MILLIS), 'the host is the holder');
+  return {platform, host, processId: host.process.pid ?? 0};
+}
+
+/** Options of `playCrowd`. */
+export interface CrowdOptions {
+  readonly script: CrowdScript;
+  /** Limit of open descriptors of the process. */
+  readonly descriptors?: number;
+  /** Address to which the crowd connects; that for callers by default. */
+  readonly addressOf?: (host: SiteProcessHost) => string;
+}
+
+/**
+ * Plays a crowd against a host and checks what must hold: the process lives, keeps
+ * within the memory and the sockets of its machine, and does an ordinary job while
+ * the connections of the crowd are still open. Returns what the crowd was answered.
+ */
+export async function playCrowd(
+  t: Test,
+  {script, descriptors = DESCRIPTORS, addressOf}: CrowdOptions,
+): Promise<readonly string[]> {
+  const limitedHost = await startLimitedHost(t, descriptors);
+  const {host, processId} = limitedHost;
+  const watch = watchSockets(processId);
+  t.teardown(watch.stop);
+  const address = (addressOf ?? (each => each.callerAddress))(host);
+  const crowd = await startCrowd(address, script);
+  t.teardown(crowd.close);
+  await crowd.finish(CROWD_MILLIS);
+  await checkServes(t, limitedHost);
+  t.ok(isAlive(host), 'the process lives');
+  if (isAlive(host)) {
+    const megabytes = peakResidentBytes(processId) / BYTES_PER_MEGABYTE;
+    t.ok(megabytes <= MEMORY_MEGABYTES, `memory: ${Math.round(megabytes)} MB`);
+  }
+  const sockets = watch.peak();
+  t.ok(sockets <= descriptors - FILE_DESCRIPTORS, `sockets: ${sockets}`);
+  return crowd.answers();
+}
+
+/** Checks that an ordinary job is accepted and done. */
+async function checkServes(
+  t: Test,
+  {platform, host}: LimitedHost,
+): Promise<void> {
+  const job = buildJob('00000000000000a1', [buildStep()], {
+    policy: DEFAULT_POLICY,
+  });
+  const isAccepted = () =>
+    submitAt(platform, host.callerAddress, job).then(
+      ({status}) => status === 200,
+      () => false,
+    );
+  const isDone = async () =>
+    (await readJobState(host.callerAddress, job).catch(() => '')) ===
+    'completed';
+  const hasEnded = () => !isAlive(host);
+  t.ok(
+    await waitFor(async () => hasEnded() || isAccepted(), SERVE_MILLIS),
+    'an ordinary request is answered',
+  );
+  t.ok(
+    await waitFor(async () => hasEnded() || isDone(), SERVE_MILLIS),
+    'its job is done',
+  );
+}
+
+function isAlive({process: {exitCode, signalCode}}: SiteProcessHost): boolean {
+  return exitCode === null && signalCode === null;
+}
+
+/** Flags that the deploy file gives to Node.js. */
+function readDeployedFlags(): string[] {
+  const text = readFileSync(DEPLOY_FILE, 'utf8');
+  const command = /^run = "node (.*)"$/m.exec(text)?.[1] ?? '';
+  return command.split(' ').filter(word => word.startsWith('--'));
+}
+
+/** Returns the path of a job of a crowd's client. */
+export function pathOfClient(client: number): string {
+  const jobId = (0xc000 + client).toString(16).padStart(16, '0');
+  return `/${DEFAULT_POLICY.name}/${jobId}`;
+}
+
+/** Returns the distinct statuses of the first answers of a crowd, in order. */
+export function statusesOf(answers: readonly string[]): string[] {
+  const statuses = answers
+    .filter(answer => answer.length > 0)
+    .map(answer => answer.split(' ')[1]);
+  return [...new Set(statuses)].sort();
+}
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -1,5 +1,14 @@
 /** Simulated sites, in virtual time or as processes, with invariant checks. */
 export {readAnswers} from './answerChecks';
+export {
+  type Crowd,
+  type CrowdScript,
+  encodeAnnouncedHead,
+  encodeChunk,
+  encodeChunkedHead,
+  repeat,
+  startCrowd,
+} from './callerCrowd';
 export {changeCapacity} from './capacityFaults';
 export {InvariantChecker, type Invariant} from './InvariantChecker';
 export {
@@ -17,6 +26,12 @@
 } from './ModelLog';
 export type {ModelHost, ModelSiteOptions} from './ModelHost';
 export {ModelSite} from './ModelSite';
+export {
+  type SocketWatch,
+  countOpenSockets,
+  peakResidentBytes,
+  watchSockets,
+} from './processUsage';
 export {
   type RegistryEntry,
   buildRegistryEntry,
@@ -55,6 +70,7 @@
   startPlatform,
 } from './startPlatform';
 export {
+  type ProcessLimits,
   type SiteProcessHost,
   type SiteProcesses,
   startSiteProcesses,
--- a/testing/src/site/startSiteProcesses.ts
+++ b/testing/src/site/startSiteProcesses.ts
@@ -36,6 +36,16 @@
   stop(): Promise<void>;
 }
 
+/** Limits of each host's process; those that are left out keep their defaults. */
+export interface ProcessLimits {
+  /** Memory of the host, which its settings name. */
+  readonly memoryMegabytes?: number;
+  /** Maximum open descriptors, which its settings name and the process gets. */
+  readonly descriptors?: number;
+  /** Flags for Node.js, such as the size of the heap. */
+  readonly nodeFlags?: readonly string[];
+}
+
 /** Addresses at which a host reaches the platform. */
 export interface PlatformAddresses {
   readonly store: string;
@@ -54,6 +64,7 @@
     store: platform.storeAddress,
     adviser: platform.adviserAddresses[index],
   }),
+  limits: ProcessLimits = {},
 ): Promise<SiteProcesses> {
   const folder = mkdtempSync(join(tmpdir(), 'samphireramp-site-'));
   const ports = await findFreePorts(count * PORTS_PER_HOST);
@@ -79,6 +90,10 @@
       bounds: {grace_period_s: GRACE_SECONDS, status_s: 120},
       advice: addresses.adviser,
       platform: {address: addresses.store, parts: platform.partitions},
+      limits: {
+        memory_mb: limits.memoryMegabytes,
+        file_descriptors: limits.descriptors,
+      },
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
     const host: SiteProcessHost = {
@@ -88,7 +103,7 @@
       metricsAddress: `${LOOPBACK_ADDRESS}:${metrics}`,
       settingsFile,
       output: '',
-      ...launch(program, settingsFile, metrics),
+      ...launch(program, settingsFile, metrics, limits),
     };
     collectOutput(host);
     hosts.push(host);
@@ -97,7 +112,7 @@
     hosts,
     restart: host => {
       const port = Number(host.metricsAddress.split(':')[1]);
-      Object.assign(host, launch(program, host.settingsFile, port));
+      Object.assign(host, launch(program, host.settingsFile, port, limits));
       collectOutput(host);
     },
     stop: async () => {
@@ -110,18 +125,37 @@
   };
 }
 
-function launch(program: string, settingsFile: string, metricsPort: number) {
-  const child = spawn(
+function launch(
+  program: string,
+  settingsFile: string,
+  metricsPort: number,
+  {descriptors, nodeFlags = []}: ProcessLimits,
+) {
+  const command = [
     process.execPath,
-    [program, `--node-file=${settingsFile}`, `--metrics-port=${metricsPort}`],
-    {stdio: ['ignore', 'pipe', 'inherit']},
-  );
+    ...nodeFlags,
+    program,
+    `--node-file=${settingsFile}`,
+    `--metrics-port=${metricsPort}`,
+  ];
+  const [executable, ...words] =
+    descriptors === undefined
+      ? command
+      : limitDescriptors(command, descriptors);
+  const child = spawn(executable, words, {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
   const ended = new Promise<number | string>(resolve => {
     child.once('exit', (code, signal) => resolve(code ?? signal ?? 'unknown'));
   });
   return {process: child, ended, isUp: false};
 }
 
+/** Wraps a command so that its process has a limit of open descriptors. */
+function limitDescriptors(command: readonly string[], limit: number): string[] {
+  return ['sh', '-c', `ulimit -n ${limit} && exec "$@"`, 'sh', ...command];
+}
+
 /** Collects the output of a host's process and notices that it started. */
 function collectOutput(host: SiteProcessHost): void {
   const {process} = host;
