A body is kept in one buffer, so that chunks of one byte take no more than their bytes

What callers saw: 100 unfinished bodies of 60,000 bytes in chunks of one byte end the process, "JavaScript heap out of memory" (oneByteChunks.test.ts). Cause: each chunk was kept as a buffer of its own until the body ended, some hundred bytes of heap for each byte of the body. Change: chunks are copied into one buffer, which doubles as it grows, up to the limit.

--- a/packages/connections/src/readBody.ts
+++ b/packages/connections/src/readBody.ts
@@ -1,5 +1,8 @@
 import type {IncomingMessage} from 'node:http';
 
+/** First size of the buffer of a body; it doubles as the body grows. */
+const FIRST_BUFFER_BYTES = 1024;
+
 /** What came of reading a body. */
 export type BodyOutcome =
   | {readonly kind: 'complete'; readonly text: string}
@@ -9,7 +12,8 @@
   | {readonly kind: 'cut-off'};
 
 /**
- * Reads a body of at most `maxBytes` bytes.
+ * Reads a body of at most `maxBytes` bytes into one buffer: chunks are not kept, as
+ * each takes memory of its own.
  */
 export function readBody(
   incoming: IncomingMessage,
@@ -20,7 +24,7 @@
     return Promise.resolve({kind: 'too-large'});
   }
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+    let buffer = Buffer.alloc(0);
     let length = 0;
     let isFinished = false;
 
@@ -32,7 +36,7 @@
       incoming.off('data', onData);
       // Discards what is left of the body.
       incoming.resume();
-      chunks.length = 0;
+      buffer = Buffer.alloc(0);
       resolve(outcome);
     }
 
@@ -41,14 +45,28 @@
       if (end > maxBytes) {
         finish({kind: 'too-large'});
       } else {
-        chunks.push(chunk);
+        grow(end);
+        chunk.copy(buffer, length);
         length = end;
       }
     }
 
+    function grow(neededBytes: number): void {
+      if (neededBytes <= buffer.length) {
+        return;
+      }
+      let bytes = Math.max(buffer.length, FIRST_BUFFER_BYTES);
+      while (bytes < neededBytes) {
+        bytes *= 2;
+      }
+      const grown = Buffer.allocUnsafeSlow(Math.min(bytes, maxBytes));
+      buffer.copy(grown, 0, 0, length);
+      buffer = grown;
+    }
+
     incoming.on('data', onData);
     incoming.once('end', () =>
-      finish({kind: 'complete', text: Buffer.concat(chunks).toString()}),
+      finish({kind: 'complete', text: buffer.toString('utf8', 0, length)}),
     );
     incoming.once('error', () => finish({kind: 'cut-off'}));
     incoming.once('close', () => finish({kind: 'cut-off'}));
