The input of connections takes turns, so that no caller keeps the loop from the others

What callers saw: while 100 connections sent 20,000 requests each at once, an ordinary request was not answered within 60 s (pipelinedRequests.test.ts); the same for as long as bodies in chunks of one byte are parsed. Cause: the HTTP parser takes 64 KB of a connection in one go, some 1,400 requests or 11,000 chunks, and the loop does so for each connection before it sees to any other.

--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -1,4 +1,4 @@
-import {serve} from '@hono/node-server';
+import {createTurnQueue, startHttpServer} from '@samphireramp/connections';
 import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
 import {ANNOUNCE_INTERVAL_MILLIS, createHostsPlugin} from '@samphireramp/hosts';
@@ -23,7 +23,6 @@
 import {type Log, createLogger, createMetrics} from '@samphireramp/telemetry';
 import {Hono} from 'hono';
 import {randomUUID} from 'node:crypto';
-import type {Server} from 'node:http';
 import {createAccountGauges} from './accountGauges';
 import {createAdvicePlugin} from './advicePlugin';
 import {createAnswerReporter} from './answerReporter';
@@ -187,15 +186,32 @@
     !isStopping &&
     kernel.read(SITE_CONFIGURATION).get() !== undefined &&
     now() - kernel.read(STATES_COPY).get().readAt < MAX_READY_READ_AGE_MILLIS;
+  const turns = createTurnQueue({now, defer: setImmediate});
   const hostServer = await startHostServer(
     settings().hostAddress,
     request => adviser(request, request.workerIds, request.timeoutMillis),
     () => metrics.count('malformed_host_calls'),
   );
   const servers = [
-    startCallerServer(settings().callerAddress, callerService),
-    startReadinessServer(settings().readinessAddress, isReady),
-    startMetricsServer(settings().ownIp, options.metricsPort, metrics.render),
+    startCallerServer(
+      {
+        address: settings().callerAddress,
+        turns,
+      },
+      callerService,
+    ),
+    startReadinessServer(
+      {
+        address: settings().readinessAddress,
+        turns,
+      },
+      isReady,
+    ),
+    startHttpServer({
+      address: `${settings().ownIp}:${options.metricsPort}`,
+      turns,
+      fetch: createMetricsApp(metrics.render).fetch,
+    }),
   ];
   const unregisterLog = kernel.register(
     createStreamLogPlugin({
@@ -268,14 +284,10 @@
   return () => clearInterval(timer);
 }
 
-function startMetricsServer(
-  hostname: string,
-  port: number,
-  render: () => string,
-): Server {
+function createMetricsApp(render: () => string): Hono {
   const app = new Hono();
   app.get('/metrics', context => context.text(render()));
-  return serve({fetch: app.fetch, hostname, port}) as Server;
+  return app;
 }
 
 function sleep(millis: number): Promise<void> {
