The connections to each port of a host are bounded, and the oldest makes room

What callers saw: connections with unfinished headers, with announced bodies that never come, or to the readiness, metrics and host ports take all descriptors of the process; then it can't open any to the store or the workers (578 sockets in four tests, where the platform leaves 400). Cause: no port had a limit; what waited was kept for as long as the client liked. Change: limits in shares of the descriptors that the node file names, with which the connection that began first closes when a new one comes. Calls between hosts are bounded in size and number, too.

--- a/packages/connections/src/PacedConnection.ts
+++ b/packages/connections/src/PacedConnection.ts
@@ -1,17 +1,26 @@
 import type {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
+import type {ConnectionTable} from './ConnectionTable';
 import type {TurnQueue} from './turnQueue';
 
 /** Bytes of its input that a connection passes on in one turn. */
 const TURN_BYTES = 4096;
 const NO_INPUT = Buffer.alloc(0);
 
+/** What a paced connection shares with the others of its server. */
+export interface PacedConnectionOptions {
+  readonly table: ConnectionTable<PacedConnection>;
+  readonly turns: TurnQueue;
+}
+
 /**
  * A connection whose input is passed on in small pieces, in turn with that of the
  * others, so that no client keeps the loop from them: what a piece costs depends on
  * what the client sends, such as chunks of one byte or many requests at once.
  */
 export class PacedConnection extends Duplex {
+  readonly table: ConnectionTable<PacedConnection>;
+  private readonly turns: TurnQueue;
   /** Input that was received and not passed on. */
   private input: Buffer = NO_INPUT;
   private hasInputEnded = false;
@@ -20,13 +29,15 @@
 
   constructor(
     private readonly socket: Socket,
-    private readonly turns: TurnQueue,
+    {table, turns}: PacedConnectionOptions,
   ) {
     super({
       readableHighWaterMark: TURN_BYTES,
       decodeStrings: false,
       emitClose: true,
     });
+    this.table = table;
+    this.turns = turns;
     socket.pause();
     socket.on('data', bytes => this.onInput(bytes));
     socket.on('end', () => {
@@ -94,6 +105,7 @@
     error: Error | null,
     callback: (error: Error | null) => void,
   ): void {
+    this.table.remove(this);
     this.input = NO_INPUT;
     this.socket.destroy();
     callback(error);
--- a/packages/connections/src/httpServer.ts
+++ b/packages/connections/src/httpServer.ts
@@ -1,7 +1,9 @@
 import {getRequestListener} from '@hono/node-server';
 import {createServer} from 'node:http';
 import type {Server} from 'node:net';
-import {listen} from './listen';
+import type {ConnectionLimits} from './connectionLimits';
+import {listen} from './boundedServer';
+import {type CloseReason, ConnectionTable} from './ConnectionTable';
 import {PacedConnection} from './PacedConnection';
 import type {TurnQueue} from './turnQueue';
 
@@ -18,23 +20,37 @@
 export interface HttpServerOptions {
   /** HOST:PORT. */
   readonly address: string;
+  readonly limits: ConnectionLimits;
   /** Turns of the input of all connections of the host. */
   readonly turns: TurnQueue;
+  /** Called with each connection that is closed to keep a limit. */
+  readonly onClosed: (reason: CloseReason) => void;
   /** Answers a request. */
   readonly fetch: FetchCallback;
 }
 
-/** Starts an HTTP server whose connections take turns. */
+/** Starts an HTTP server that keeps its connections within limits. */
 export function startHttpServer({
   address,
+  limits,
   turns,
+  onClosed,
   fetch,
 }: HttpServerOptions): Server {
-  // It has no port of its own: it is handed paced connections.
+  const table = new ConnectionTable<PacedConnection>({
+    ...limits,
+    close: (connection, reason) => {
+      onClosed(reason);
+      connection.destroy();
+    },
+  });
+  // It has no port of its own: it is handed the connections that have room.
   const http = createServer(getRequestListener(fetch));
   http.keepAliveTimeout = IDLE_MILLIS;
   http.timeout = IDLE_MILLIS;
-  return listen(address, socket =>
-    http.emit('connection', new PacedConnection(socket, turns)),
-  );
+  return listen(address, socket => {
+    const connection = new PacedConnection(socket, {table, turns});
+    table.add(connection);
+    http.emit('connection', connection);
+  });
 }
--- a/packages/host-links/src/hostLinks.ts
+++ b/packages/host-links/src/hostLinks.ts
@@ -5,6 +5,10 @@
   credentials,
   status,
 } from '@grpc/grpc-js';
+import {
+  type ConnectionLimits,
+  startBoundedServer,
+} from '@samphireramp/connections';
 import type {Advice} from '@samphireramp/dispatch';
 import {decodeValue} from '@samphireramp/record-codec';
 import {
@@ -15,6 +19,10 @@
 } from './adviceService';
 
 const INITIAL_RECONNECT_BACKOFF_MILLIS = 300;
+/** A request names one step and at most 100 workers. */
+const MAX_REQUEST_BYTES = 65_536;
+/** Calls of one host that are answered at a time. */
+const MAX_CALLS_PER_CONNECTION = 100;
 
 /** Calls other hosts, over one connection to each. */
 export interface HostLinks {
@@ -91,16 +99,33 @@
   };
 }
 
-/**
- * Serves the calls of other hosts at HOST:PORT; resolves once it listens. Calls
- * `onMalformed` for each request that is invalid.
- */
-export async function startHostServer(
-  address: string,
-  advise: (request: AdviseRequest) => Promise<Advice>,
-  onMalformed: () => void,
-): Promise<Server> {
-  const server = new Server();
+/** The server side of the calls between hosts. */
+export interface HostServer {
+  /** Closes the server and all connections to it. */
+  close(): void;
+}
+
+/** Options of `startHostServer`. */
+export interface HostServerOptions {
+  /** HOST:PORT. */
+  readonly address: string;
+  readonly limits: ConnectionLimits;
+  readonly advise: (request: AdviseRequest) => Promise<Advice>;
+  /** Called for each request that is invalid. */
+  readonly onMalformed: () => void;
+}
+
+/** Serves the calls of other hosts. */
+export function startHostServer({
+  address,
+  limits,
+  advise,
+  onMalformed,
+}: HostServerOptions): HostServer {
+  const server = new Server({
+    'grpc.max_receive_message_length': MAX_REQUEST_BYTES,
+    'grpc.max_concurrent_streams': MAX_CALLS_PER_CONNECTION,
+  });
   server.addService(ADVICE_SERVICE, {
     advise: (
       call: {request: unknown},
@@ -118,10 +143,16 @@
       );
     },
   });
-  await new Promise<void>((resolve, reject) => {
-    server.bindAsync(address, ServerCredentials.createInsecure(), error =>
-      error ? reject(error) : resolve(),
-    );
-  });
-  return server;
+  const injector = server.createConnectionInjector(
+    ServerCredentials.createInsecure(),
+  );
+  const listener = startBoundedServer(address, limits, socket =>
+    injector.injectConnection(socket),
+  );
+  return {
+    close: () => {
+      listener.close();
+      server.forceShutdown();
+    },
+  };
 }
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -1,4 +1,9 @@
-import {createTurnQueue, startHttpServer} from '@samphireramp/connections';
+import {
+  type CloseReason,
+  createTurnQueue,
+  limitsOfHost,
+  startHttpServer,
+} from '@samphireramp/connections';
 import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
 import {ANNOUNCE_INTERVAL_MILLIS, createHostsPlugin} from '@samphireramp/hosts';
@@ -186,30 +191,43 @@
     !isStopping &&
     kernel.read(SITE_CONFIGURATION).get() !== undefined &&
     now() - kernel.read(STATES_COPY).get().readAt < MAX_READY_READ_AGE_MILLIS;
+  const limits = limitsOfHost(settings().descriptors);
   const turns = createTurnQueue({now, defer: setImmediate});
-  const hostServer = await startHostServer(
-    settings().hostAddress,
-    request => adviser(request, request.workerIds, request.timeoutMillis),
-    () => metrics.count('malformed_host_calls'),
-  );
+  const reportClosed = (port: string) => (reason: CloseReason) => {
+    metrics.count('closed_connections', {port, reason});
+    log('connection-closed', {port, detail: reason});
+  };
   const servers = [
+    startHostServer({
+      address: settings().hostAddress,
+      limits: limits.hostLinks,
+      advise: request =>
+        adviser(request, request.workerIds, request.timeoutMillis),
+      onMalformed: () => metrics.count('malformed_host_calls'),
+    }),
     startCallerServer(
       {
         address: settings().callerAddress,
+        limits: limits.callers,
         turns,
+        onClosed: reportClosed('callers'),
       },
       callerService,
     ),
     startReadinessServer(
       {
         address: settings().readinessAddress,
+        limits: limits.probes,
         turns,
+        onClosed: reportClosed('readiness'),
       },
       isReady,
     ),
     startHttpServer({
       address: `${settings().ownIp}:${options.metricsPort}`,
+      limits: limits.probes,
       turns,
+      onClosed: reportClosed('metrics'),
       fetch: createMetricsApp(metrics.render).fetch,
     }),
   ];
@@ -245,7 +263,6 @@
       unregisterTimers();
       unregisterLog();
       servers.forEach(server => server.close());
-      hostServer.forceShutdown();
       hostLinks.close();
       log('stopped', {host: self});
     },
--- a/packages/site-daemon/src/routineEvents.ts
+++ b/packages/site-daemon/src/routineEvents.ts
@@ -16,6 +16,7 @@
   'run-stopping',
   'worker-held',
   'worker-listed',
+  'connection-closed',
 ]);
 
 /** Whether an event belongs to the usual course of jobs, runs and workers. */
