What open requests hold together is bounded by a share of the host's memory

What callers saw: bodies within the limit that stop short of their end, 1,000 of 250,000 bytes, take 355 MB (in chunks) and 364 MB (announced) of a machine of 250 MB, which the platform answers by killing the process. Cause: each body was bounded, but not their sum; nor what requests hold that wait for the store, with their decoded jobs. Change: a request holds the bytes of its body, 4 KB while it is handled and 512 bytes a step of its job, up to a tenth of the memory that the node file names. Without room the oldest request that has not arrived whole gets 503 with Retry-After; it never ran. One that arrived whole stays, and so does its connection at the limit of connections.

--- a/packages/connections/src/PacedConnection.ts
+++ b/packages/connections/src/PacedConnection.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
-import type {ConnectionTable} from './ConnectionTable';
+import type {CloseReason, ConnectionTable} from './ConnectionTable';
 import type {TurnQueue} from './turnQueue';
 
 /** Bytes of its input that a connection passes on in one turn. */
@@ -21,11 +21,13 @@
 export class PacedConnection extends Duplex {
   readonly table: ConnectionTable<PacedConnection>;
   private readonly turns: TurnQueue;
-  /** Input that was received and not passed on. */
+  /** Input that was received and not passed on; the table holds its bytes. */
   private input: Buffer = NO_INPUT;
   private hasInputEnded = false;
   private isTurnWaiting = false;
   private wantsInput = false;
+  private isEvicted = false;
+  private evictionListener: (() => void) | undefined;
 
   constructor(
     private readonly socket: Socket,
@@ -68,6 +70,22 @@
     }
   }
 
+  /** Replaces what `evict` does while a request of the connection is read. */
+  setEvictionListener(listener: (() => void) | undefined): void {
+    this.evictionListener = listener;
+  }
+
+  /** Gives up the connection to keep a limit; whoever reads a body can answer. */
+  evict(reason: CloseReason): void {
+    this.input = NO_INPUT;
+    this.isEvicted = true;
+    if (reason === 'memory' && this.evictionListener !== undefined) {
+      this.evictionListener();
+    } else {
+      this.destroy();
+    }
+  }
+
   override _read(): void {
     this.wantsInput = true;
     this.addTurn();
@@ -113,8 +131,13 @@
 
   private onInput(bytes: Buffer): void {
     this.socket.pause();
-    this.input = bytes;
-    this.addTurn();
+    if (this.table.hold(this, bytes.length)) {
+      this.input = bytes;
+      this.addTurn();
+    } else if (!this.isEvicted) {
+      // Requests that were read whole hold all the memory.
+      this.evict('memory');
+    }
   }
 
   private addTurn(): void {
@@ -142,6 +165,7 @@
   private passOnInput(): void {
     const piece = this.input.subarray(0, TURN_BYTES);
     this.input = this.input.subarray(piece.length);
+    this.table.release(this, piece.length);
     this.wantsInput = this.push(piece);
     if (this.wantsInput) {
       this.addTurn();
--- a/packages/connections/src/httpServer.ts
+++ b/packages/connections/src/httpServer.ts
@@ -23,7 +23,7 @@
   readonly limits: ConnectionLimits;
   /** Turns of the input of all connections of the host. */
   readonly turns: TurnQueue;
-  /** Called with each connection that is closed to keep a limit. */
+  /** Called with each connection that is closed, or refused, to keep a limit. */
   readonly onClosed: (reason: CloseReason) => void;
   /** Answers a request. */
   readonly fetch: FetchCallback;
@@ -41,7 +41,7 @@
     ...limits,
     close: (connection, reason) => {
       onClosed(reason);
-      connection.destroy();
+      connection.evict(reason);
     },
   });
   // It has no port of its own: it is handed the connections that have room.
@@ -50,7 +50,11 @@
   http.timeout = IDLE_MILLIS;
   return listen(address, socket => {
     const connection = new PacedConnection(socket, {table, turns});
-    table.add(connection);
-    http.emit('connection', connection);
+    if (table.add(connection)) {
+      http.emit('connection', connection);
+    } else {
+      onClosed('connections');
+      connection.destroy();
+    }
   });
 }
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -12,6 +12,7 @@
 export {startBoundedServer} from './boundedServer';
 export {type HttpServerOptions, startHttpServer} from './httpServer';
 export {type BodyOutcome, readBody} from './readBody';
+export {RequestHold, holdRequest} from './RequestHold';
 export {
   type TurnQueue,
   type TurnQueueOptions,
--- a/packages/connections/src/readBody.ts
+++ b/packages/connections/src/readBody.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import type {RequestHold} from './RequestHold';
 
 /** First size of the buffer of a body; it doubles as the body grows. */
 const FIRST_BUFFER_BYTES = 1024;
@@ -8,16 +9,19 @@
   | {readonly kind: 'complete'; readonly text: string}
   /** It is longer than it may be; the rest is discarded. */
   | {readonly kind: 'too-large'}
+  /** There is no memory for it; it was given up. */
+  | {readonly kind: 'no-memory'}
   /** The connection ended before the body did. */
   | {readonly kind: 'cut-off'};
 
 /**
- * Reads a body of at most `maxBytes` bytes into one buffer: chunks are not kept, as
- * each takes memory of its own.
+ * Reads a body of at most `maxBytes` bytes into one buffer, which the request holds
+ * until it is answered: chunks are not kept, as each takes memory of its own.
  */
 export function readBody(
   incoming: IncomingMessage,
   maxBytes: number,
+  hold: RequestHold,
 ): Promise<BodyOutcome> {
   if (Number(incoming.headers['content-length'] ?? 0) > maxBytes) {
     incoming.resume();
@@ -33,6 +37,7 @@
         return;
       }
       isFinished = true;
+      hold.onEvicted(undefined);
       incoming.off('data', onData);
       // Discards what is left of the body.
       incoming.resume();
@@ -44,30 +49,38 @@
       const end = length + chunk.length;
       if (end > maxBytes) {
         finish({kind: 'too-large'});
+      } else if (end > buffer.length && !grow(end)) {
+        finish({kind: 'no-memory'});
       } else {
-        grow(end);
         chunk.copy(buffer, length);
         length = end;
       }
     }
 
-    function grow(neededBytes: number): void {
-      if (neededBytes <= buffer.length) {
-        return;
-      }
+    /** Returns false if there is no memory. */
+    function grow(neededBytes: number): boolean {
       let bytes = Math.max(buffer.length, FIRST_BUFFER_BYTES);
       while (bytes < neededBytes) {
         bytes *= 2;
       }
-      const grown = Buffer.allocUnsafeSlow(Math.min(bytes, maxBytes));
+      bytes = Math.min(bytes, maxBytes);
+      if (!hold.hold(bytes - buffer.length)) {
+        return false;
+      }
+      const grown = Buffer.allocUnsafeSlow(bytes);
       buffer.copy(grown, 0, 0, length);
       buffer = grown;
+      return true;
     }
 
+    hold.onEvicted(() => finish({kind: 'no-memory'}));
     incoming.on('data', onData);
-    incoming.once('end', () =>
-      finish({kind: 'complete', text: buffer.toString('utf8', 0, length)}),
-    );
+    incoming.once('end', () => {
+      const text = buffer.toString('utf8', 0, length);
+      finish(
+        hold.startHandling() ? {kind: 'complete', text} : {kind: 'no-memory'},
+      );
+    });
     incoming.once('error', () => finish({kind: 'cut-off'}));
     incoming.once('close', () => finish({kind: 'cut-off'}));
   });
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -191,7 +191,8 @@
     !isStopping &&
     kernel.read(SITE_CONFIGURATION).get() !== undefined &&
     now() - kernel.read(STATES_COPY).get().readAt < MAX_READY_READ_AGE_MILLIS;
-  const limits = limitsOfHost(settings().descriptors);
+  const {memoryBytes, descriptors} = settings();
+  const limits = limitsOfHost(memoryBytes, descriptors);
   const turns = createTurnQueue({now, defer: setImmediate});
   const reportClosed = (port: string) => (reason: CloseReason) => {
     metrics.count('closed_connections', {port, reason});
--- a/testing/src/__tests__/crowd/crowdFixture.ts
+++ b/testing/src/__tests__/crowd/crowdFixture.ts
@@ -3,8 +3,10 @@
 import {
   type CrowdScript,
   type Platform,
+  type PlatformFaultState,
   type SiteProcessHost,
   DEFAULT_POLICY,
+  NO_PLATFORM_FAULTS,
   buildJob,
   buildStep,
   encodeConfiguration,
@@ -49,6 +51,7 @@
 export async function startLimitedHost(
   t: Test,
   descriptors = DESCRIPTORS,
+  faultState?: PlatformFaultState,
 ): Promise<LimitedHost> {
   const platform = await startPlatform({
     workers: 2,
@@ -63,6 +66,7 @@
       workMillis: TASK_MILLIS,
       fails: () => false,
     }),
+    faultState,
   });
   t.teardown(() => platform.stop());
   const site = await startSiteProcesses(platform, 1, PROGRAM, undefined, {
@@ -85,6 +89,13 @@
   readonly descriptors?: number;
   /** Address to which the crowd connects; that for callers by default. */
   readonly addressOf?: (host: SiteProcessHost) => string;
+  /** Whether the store gives no answers while the crowd sends. */
+  readonly isStoreSilent?: boolean;
+  /** Called once the crowd has sent everything and an ordinary job is done. */
+  readonly check?: (
+    site: LimitedHost,
+    answers: readonly string[],
+  ) => Promise<void>;
 }
 
 /**
@@ -94,17 +105,30 @@
  */
 export async function playCrowd(
   t: Test,
-  {script, descriptors = DESCRIPTORS, addressOf}: CrowdOptions,
+  {
+    script,
+    descriptors = DESCRIPTORS,
+    addressOf,
+    isStoreSilent = false,
+    check,
+  }: CrowdOptions,
 ): Promise<readonly string[]> {
-  const limitedHost = await startLimitedHost(t, descriptors);
+  const store = {isSilent: false};
+  const limitedHost = await startLimitedHost(t, descriptors, {
+    ...NO_PLATFORM_FAULTS,
+    store: () => (store.isSilent ? 'silent' : 'answered'),
+  });
   const {host, processId} = limitedHost;
   const watch = watchSockets(processId);
   t.teardown(watch.stop);
   const address = (addressOf ?? (each => each.callerAddress))(host);
+  store.isSilent = isStoreSilent;
   const crowd = await startCrowd(address, script);
   t.teardown(crowd.close);
   await crowd.finish(CROWD_MILLIS);
+  store.isSilent = false;
   await checkServes(t, limitedHost);
+  await check?.(limitedHost, crowd.answers());
   t.ok(isAlive(host), 'the process lives');
   if (isAlive(host)) {
     const megabytes = peakResidentBytes(processId) / BYTES_PER_MEGABYTE;
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -63,7 +63,11 @@
   readJobState,
   submitAt,
 } from './siteClient';
-export type {CallFault, PlatformFaultState} from './platformFaults';
+export {
+  type CallFault,
+  type PlatformFaultState,
+  NO_PLATFORM_FAULTS,
+} from './platformFaults';
 export {
   type Platform,
   type PlatformOptions,
