--- a/testing/src/__tests__/crowd/announcedUnfinishedBodies.test.ts
+++ b/testing/src/__tests__/crowd/announcedUnfinishedBodies.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {encodeAnnouncedHead} from '../../index';
-import {pathOfClient, playCrowd, statusesOf} from './crowdFixture';
+import {checkStatuses, pathOfClient, playCrowd} from './crowdFixture';
 
 const ANNOUNCED_BYTES = 262_100;
 const SENT_BODY = Buffer.alloc(262_000, 'x');
@@ -18,8 +18,5 @@
       ],
     },
   });
-  t.strictSame(
-    statusesOf(answers).filter(status => status !== '503'),
-    [],
-  );
+  checkStatuses(t, answers, ['503']);
 });
--- a/testing/src/__tests__/crowd/crowdFixture.ts
+++ b/testing/src/__tests__/crowd/crowdFixture.ts
@@ -5,6 +5,7 @@
   type Platform,
   type PlatformFaultState,
   type SiteProcessHost,
+  type SiteProcesses,
   DEFAULT_POLICY,
   NO_PLATFORM_FAULTS,
   buildJob,
@@ -32,11 +33,11 @@
 const MEMORY_MEGABYTES = 250;
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 /** Descriptors of the smallest host of the platform. */
-export const DESCRIPTORS = 4100;
+const DESCRIPTORS = 4100;
 /** Descriptors that the platform reserves for files; sockets get the rest. */
 const FILE_DESCRIPTORS = 200;
 /** How long a crowd may take to send what it sends. */
-const CROWD_MILLIS = 30_000;
+export const CROWD_MILLIS = 30_000;
 /** Long enough for any machine: no test here is about times. */
 const SERVE_MILLIS = 60_000;
 
@@ -44,18 +45,24 @@
 export interface LimitedHost {
   readonly platform: Platform;
   readonly host: SiteProcessHost;
-  readonly processId: number;
 }
 
-/** Starts a site of one host, which becomes the holder. */
-export async function startLimitedHost(
+/** Options of `startLimitedSite`. */
+export interface LimitedSiteOptions {
+  readonly hosts?: number;
+  /** Limit of open descriptors of each process. */
+  readonly descriptors?: number;
+  readonly faultState?: PlatformFaultState;
+}
+
+/** Starts a site of hosts with limits; returns them with the holder. */
+export async function startLimitedSite(
   t: Test,
-  descriptors = DESCRIPTORS,
-  faultState?: PlatformFaultState,
-): Promise<LimitedHost> {
+  {hosts = 1, descriptors = DESCRIPTORS, faultState}: LimitedSiteOptions = {},
+): Promise<LimitedHost & {readonly site: SiteProcesses}> {
   const platform = await startPlatform({
     workers: 2,
-    hosts: 1,
+    hosts,
     capacity: CAPACITY,
     configuration: {
       ...encodeConfiguration([DEFAULT_POLICY], 1),
@@ -69,17 +76,19 @@
     faultState,
   });
   t.teardown(() => platform.stop());
-  const site = await startSiteProcesses(platform, 1, PROGRAM, undefined, {
+  const site = await startSiteProcesses(platform, hosts, PROGRAM, undefined, {
     memoryMegabytes: MEMORY_MEGABYTES,
     descriptors,
     nodeFlags: readDeployedFlags(),
   });
   t.teardown(() => site.stop());
-  const [host] = site.hosts;
-  const isReady = async () => (await readReadiness(host)) === 200;
-  t.ok(await waitFor(isReady, SERVE_MILLIS), 'the host is ready');
-  t.ok(await waitForHolder(site, SERVE_MILLIS), 'the host is the holder');
-  return {platform, host, processId: host.process.pid ?? 0};
+  for (const host of site.hosts) {
+    const isReady = async () => (await readReadiness(host)) === 200;
+    t.ok(await waitFor(isReady, SERVE_MILLIS), `${host.name} is ready`);
+  }
+  const holder = await waitForHolder(site, SERVE_MILLIS);
+  t.ok(holder, 'a host is the holder');
+  return {platform, site, host: holder ?? site.hosts[0]};
 }
 
 /** Options of `playCrowd`. */
@@ -114,12 +123,15 @@
   }: CrowdOptions,
 ): Promise<readonly string[]> {
   const store = {isSilent: false};
-  const limitedHost = await startLimitedHost(t, descriptors, {
-    ...NO_PLATFORM_FAULTS,
-    store: () => (store.isSilent ? 'silent' : 'answered'),
+  const limitedHost = await startLimitedSite(t, {
+    descriptors,
+    faultState: {
+      ...NO_PLATFORM_FAULTS,
+      store: () => (store.isSilent ? 'silent' : 'answered'),
+    },
   });
-  const {host, processId} = limitedHost;
-  const watch = watchSockets(processId);
+  const {host} = limitedHost;
+  const watch = watchSockets(processIdOf(host));
   t.teardown(watch.stop);
   const address = (addressOf ?? (each => each.callerAddress))(host);
   store.isSilent = isStoreSilent;
@@ -129,18 +141,24 @@
   store.isSilent = false;
   await checkServes(t, limitedHost);
   await check?.(limitedHost, crowd.answers());
-  t.ok(isAlive(host), 'the process lives');
-  if (isAlive(host)) {
-    const megabytes = peakResidentBytes(processId) / BYTES_PER_MEGABYTE;
-    t.ok(megabytes <= MEMORY_MEGABYTES, `memory: ${Math.round(megabytes)} MB`);
-  }
+  checkMemory(t, host);
   const sockets = watch.peak();
   t.ok(sockets <= descriptors - FILE_DESCRIPTORS, `sockets: ${sockets}`);
   return crowd.answers();
 }
 
+/** Checks that the process of a host lives and has kept within its memory. */
+export function checkMemory(t: Test, host: SiteProcessHost): void {
+  t.ok(isAlive(host), 'the process lives');
+  if (isAlive(host)) {
+    const bytes = peakResidentBytes(processIdOf(host));
+    const megabytes = Math.round(bytes / BYTES_PER_MEGABYTE);
+    t.ok(megabytes <= MEMORY_MEGABYTES, `memory: ${megabytes} MB`);
+  }
+}
+
 /** Checks that an ordinary job is accepted and done. */
-async function checkServes(
+export async function checkServes(
   t: Test,
   {platform, host}: LimitedHost,
 ): Promise<void> {
@@ -170,6 +188,10 @@
   return exitCode === null && signalCode === null;
 }
 
+function processIdOf({process: {pid}}: SiteProcessHost): number {
+  return pid ?? 0;
+}
+
 /** Flags that the deploy file gives to Node.js. */
 function readDeployedFlags(): string[] {
   const text = readFileSync(DEPLOY_FILE, 'utf8');
@@ -190,3 +212,13 @@
     .map(answer => answer.split(' ')[1]);
   return [...new Set(statuses)].sort();
 }
+
+/** Checks that no client of a crowd got another status than these. */
+export function checkStatuses(
+  t: Test,
+  answers: readonly string[],
+  allowed: readonly string[],
+): void {
+  const others = statusesOf(answers).filter(each => !allowed.includes(each));
+  t.strictSame(others, []);
+}
--- a/testing/src/__tests__/crowd/largeChunks.test.ts
+++ b/testing/src/__tests__/crowd/largeChunks.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {encodeChunk, encodeChunkedHead, repeat} from '../../index';
-import {pathOfClient, playCrowd, statusesOf} from './crowdFixture';
+import {checkStatuses, pathOfClient, playCrowd} from './crowdFixture';
 
 const CHUNK = encodeChunk('x'.repeat(62_500));
 const CHUNKS = 4;
@@ -18,8 +18,5 @@
       ],
     },
   });
-  t.strictSame(
-    statusesOf(answers).filter(status => status !== '503'),
-    [],
-  );
+  checkStatuses(t, answers, ['503']);
 });
--- a/testing/src/__tests__/crowd/oneByteChunks.test.ts
+++ b/testing/src/__tests__/crowd/oneByteChunks.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {encodeChunk, encodeChunkedHead, repeat} from '../../index';
-import {pathOfClient, playCrowd, statusesOf} from './crowdFixture';
+import {checkStatuses, pathOfClient, playCrowd} from './crowdFixture';
 
 const CHUNKS_PER_PIECE = 6000;
 const PIECES = 10;
@@ -19,8 +19,5 @@
       ],
     },
   });
-  t.strictSame(
-    statusesOf(answers).filter(status => status !== '503'),
-    [],
-  );
+  checkStatuses(t, answers, ['503']);
 });
--- a/testing/src/__tests__/crowd/oversizedBodies.test.ts
+++ b/testing/src/__tests__/crowd/oversizedBodies.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {encodeChunk, encodeChunkedHead, repeat} from '../../index';
-import {pathOfClient, playCrowd, statusesOf} from './crowdFixture';
+import {checkStatuses, pathOfClient, playCrowd} from './crowdFixture';
 
 const CHUNK = encodeChunk('x'.repeat(65_536));
 const CHUNKS = 320;
@@ -17,8 +17,5 @@
       ],
     },
   });
-  t.strictSame(
-    statusesOf(answers).filter(status => !['413', '503'].includes(status)),
-    [],
-  );
+  checkStatuses(t, answers, ['413', '503']);
 });
--- a/testing/src/__tests__/crowd/slowCallers.test.ts
+++ b/testing/src/__tests__/crowd/slowCallers.test.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import t, {type Test} from 'tap';
 import {encodeChunk, encodeChunkedHead, repeat} from '../../index';
-import {MAX_BODY_BYTES, pathOfClient, startLimitedHost} from './crowdFixture';
+import {MAX_BODY_BYTES, pathOfClient, startLimitedSite} from './crowdFixture';
 
 const JOB = JSON.stringify({steps: [{cpu: 1000, estimated_ms: 100}]});
 const LAST_CHUNK = Buffer.from('0\r\n\r\n');
@@ -38,7 +38,7 @@
   pieces: Iterable<Buffer>,
   pauseMillis: number,
 ): Promise<void> {
-  const {host} = await startLimitedHost(t);
+  const {host} = await startLimitedSite(t);
   const status = await sendSlowly(host.callerAddress, pieces, pauseMillis);
   t.equal(status, '200');
 }
--- a/testing/src/__tests__/crowd/unreadBodies.test.ts
+++ b/testing/src/__tests__/crowd/unreadBodies.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import {encodeChunk, encodeChunkedHead, repeat} from '../../index';
-import {pathOfClient, playCrowd, statusesOf} from './crowdFixture';
+import {checkStatuses, pathOfClient, playCrowd} from './crowdFixture';
 
 const CHUNK = encodeChunk('x'.repeat(65_536));
 const CHUNKS = 320;
@@ -21,9 +21,6 @@
         ],
       },
     });
-    t.strictSame(
-      statusesOf(answers).filter(each => ![status, '503'].includes(each)),
-      [],
-    );
+    checkStatuses(t, answers, [status, '503']);
   });
 }
