A request counts until its answer has been sent, not only until it is made

Cause: what a request holds was released as soon as its answer was made. Change: 4 KB are held until the answer has left the process; without memory the connection whose last answer is the longest ago closes.

--- a/packages/connections/src/RequestHold.ts
+++ b/packages/connections/src/RequestHold.ts
@@ -1,10 +1,14 @@
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {PacedConnection} from './PacedConnection';
 
-/** Memory that handling a request takes beside its body, in bytes. */
-const HANDLING_BYTES = 4096;
+/** Memory that a request and its answer take beside the body, in bytes. */
+const REQUEST_BYTES = 4096;
 
-/** What a request holds of its host's memory, from its header to its answer. */
+/**
+ * What a request holds of its host's memory: some from its header until its answer
+ * has been sent, which takes as long as the client does not read, and the rest until
+ * it is answered.
+ */
 export class RequestHold {
   private heldBytes = 0;
   private isRead = false;
@@ -18,17 +22,10 @@
     return isHeld;
   }
 
-  /**
-   * Notes that the request was read whole: its connection stays open until it is
-   * answered. Returns false if there is no memory to handle it.
-   */
-  startHandling(): boolean {
-    if (!this.hold(HANDLING_BYTES)) {
-      return false;
-    }
+  /** Notes that the request was read whole: its connection stays until the answer. */
+  startHandling(): void {
     this.isRead = true;
     this.connection.table.requestRead(this.connection);
-    return true;
   }
 
   /** Calls a function if the request has to be given up while it is read. */
@@ -36,7 +33,7 @@
     this.connection.setEvictionListener(listener);
   }
 
-  /** Releases everything, once the request is answered. */
+  /** Releases what is held, once the request is answered. */
   release(): void {
     const {connection} = this;
     connection.table.release(connection, this.heldBytes);
@@ -48,11 +45,23 @@
   }
 }
 
-/** Returns the hold of a request to a server that `startHttpServer` started. */
-export function holdRequest({socket}: IncomingMessage): RequestHold {
+/**
+ * Returns the hold of a request to a server that `startHttpServer` started; undefined
+ * if there is no memory for it.
+ */
+export function holdRequest(
+  {socket}: IncomingMessage,
+  answer: ServerResponse,
+): RequestHold | undefined {
   const connection: unknown = socket;
   if (!(connection instanceof PacedConnection)) {
     throw new TypeError('the request came over a connection of another server');
   }
+  if (!connection.table.hold(connection, REQUEST_BYTES)) {
+    return undefined;
+  }
+  answer.once('close', () =>
+    connection.table.release(connection, REQUEST_BYTES),
+  );
   return new RequestHold(connection);
 }
--- a/packages/connections/src/readBody.ts
+++ b/packages/connections/src/readBody.ts
@@ -76,10 +76,8 @@
     hold.onEvicted(() => finish({kind: 'no-memory'}));
     incoming.on('data', onData);
     incoming.once('end', () => {
-      const text = buffer.toString('utf8', 0, length);
-      finish(
-        hold.startHandling() ? {kind: 'complete', text} : {kind: 'no-memory'},
-      );
+      hold.startHandling();
+      finish({kind: 'complete', text: buffer.toString('utf8', 0, length)});
     });
     incoming.once('error', () => finish({kind: 'cut-off'}));
     incoming.once('close', () => finish({kind: 'cut-off'}));
