A connection between hosts closes once the other host has ended it

What operators would see: half-open connections at a host's port for other hosts, up to its limit, as each failed call for advice opens a new one. Cause: since that port is opened like those for callers, which leave a connection open for answers once the client has ended it; HTTP/2 sessions don't end it on their own. Change: only the servers of HTTP/1 allow half-open connections.

--- a/packages/connections/src/boundedServer.ts
+++ b/packages/connections/src/boundedServer.ts
@@ -15,7 +15,7 @@
     ...limits,
     close: socket => socket.destroy(),
   });
-  return listen(address, socket => {
+  return listen(address, {allowHalfOpen: false}, socket => {
     table.add(socket);
     socket.once('close', () => table.remove(socket));
     onConnection(socket);
@@ -25,12 +25,11 @@
 /** Listens at HOST:PORT. */
 export function listen(
   address: string,
+  /** Whether a connection stays open for answers once the client has ended it. */
+  {allowHalfOpen}: {readonly allowHalfOpen: boolean},
   onConnection: (socket: Socket) => void,
 ): Server {
-  const server = createServer(
-    {allowHalfOpen: true, noDelay: true},
-    onConnection,
-  );
+  const server = createServer({allowHalfOpen, noDelay: true}, onConnection);
   const colon = address.lastIndexOf(':');
   server.listen(Number(address.slice(colon + 1)), address.slice(0, colon));
   return server;
--- a/packages/connections/src/httpServer.ts
+++ b/packages/connections/src/httpServer.ts
@@ -48,7 +48,7 @@
   const http = createServer(getRequestListener(fetch));
   http.keepAliveTimeout = IDLE_MILLIS;
   http.timeout = IDLE_MILLIS;
-  return listen(address, socket => {
+  return listen(address, {allowHalfOpen: true}, socket => {
     const connection = new PacedConnection(socket, {table, turns});
     if (table.add(connection)) {
       http.emit('connection', connection);
