Connections to a host's port for other hosts that are closed are logged and counted

Cause: only the HTTP servers reported them, although OPERATIONS says so of all ports. Change: the bounded server takes the same function. hostServer.test.ts checks it.

--- a/packages/connections/src/boundedServer.ts
+++ b/packages/connections/src/boundedServer.ts
@@ -1,19 +1,33 @@
 import {type Server, type Socket, createServer} from 'node:net';
 import type {ConnectionLimits} from './connectionLimits';
-import {ConnectionTable} from './ConnectionTable';
+import {type CloseReason, ConnectionTable} from './ConnectionTable';
+
+/** Options of `startBoundedServer`. */
+export interface BoundedServerOptions {
+  /** HOST:PORT. */
+  readonly address: string;
+  readonly limits: ConnectionLimits;
+  /** Called with each connection that is closed to keep a limit. */
+  readonly onClosed: (reason: CloseReason) => void;
+  readonly onConnection: (socket: Socket) => void;
+}
 
 /**
- * Listens at HOST:PORT with a bounded number of connections: at the limit, a new
- * connection replaces the oldest.
+ * Starts a server with a bounded number of connections: at the limit, a new one
+ * replaces the oldest.
  */
-export function startBoundedServer(
-  address: string,
-  limits: ConnectionLimits,
-  onConnection: (socket: Socket) => void,
-): Server {
+export function startBoundedServer({
+  address,
+  limits,
+  onClosed,
+  onConnection,
+}: BoundedServerOptions): Server {
   const table = new ConnectionTable<Socket>({
     ...limits,
-    close: socket => socket.destroy(),
+    close: (socket, reason) => {
+      onClosed(reason);
+      socket.destroy();
+    },
   });
   return listen(address, {allowHalfOpen: false}, socket => {
     table.add(socket);
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -9,7 +9,7 @@
   type ConnectionTableOptions,
   ConnectionTable,
 } from './ConnectionTable';
-export {startBoundedServer} from './boundedServer';
+export {type BoundedServerOptions, startBoundedServer} from './boundedServer';
 export {type HttpServerOptions, startHttpServer} from './httpServer';
 export {type BodyOutcome, readBody} from './readBody';
 export {RequestHold, holdRequest} from './RequestHold';
--- a/packages/host-links/src/__tests__/unit/hostServer.test.ts
+++ b/packages/host-links/src/__tests__/unit/hostServer.test.ts
@@ -19,13 +19,15 @@
 async function startServer(maxConnections: number) {
   const [port] = await findFreePorts(1);
   const address = `127.0.0.1:${port}`;
+  const closed: string[] = [];
   const server = startHostServer({
     address,
+    onClosed: reason => closed.push(reason),
     limits: {maxConnections, maxHeldBytes: 0},
     advise: async () => ({kind: 'busy'}),
     onMalformed: () => undefined,
   });
-  return {server, address, port};
+  return {server, address, port, closed};
 }
 
 /** Opens a connection that does nothing further; resolves once it is served. */
@@ -51,7 +53,7 @@
 void t.test(
   'a call is answered although others take all connections',
   async t => {
-    const {server, address, port} = await startServer(2);
+    const {server, address, port, closed} = await startServer(2);
     t.teardown(() => server.close());
     const others = [openConnection(port), openConnection(port)];
     await Promise.all(others.map(({served}) => served));
@@ -59,6 +61,7 @@
     t.teardown(() => links.close());
     t.strictSame(await links.advise(address, REQUEST), {kind: 'busy'});
     await others[0].closed;
+    t.strictSame(closed, ['connections']);
     others[1].socket.destroy();
   },
 );
--- a/packages/host-links/src/hostLinks.ts
+++ b/packages/host-links/src/hostLinks.ts
@@ -6,7 +6,7 @@
   status,
 } from '@grpc/grpc-js';
 import {
-  type ConnectionLimits,
+  type BoundedServerOptions,
   startBoundedServer,
 } from '@samphireramp/connections';
 import type {Advice} from '@samphireramp/dispatch';
@@ -106,10 +106,10 @@
 }
 
 /** Options of `startHostServer`. */
-export interface HostServerOptions {
-  /** HOST:PORT. */
-  readonly address: string;
-  readonly limits: ConnectionLimits;
+export interface HostServerOptions extends Omit<
+  BoundedServerOptions,
+  'onConnection'
+> {
   readonly advise: (request: AdviseRequest) => Promise<Advice>;
   /** Called for each request that is invalid. */
   readonly onMalformed: () => void;
@@ -117,10 +117,9 @@
 
 /** Serves the calls of other hosts. */
 export function startHostServer({
-  address,
-  limits,
   advise,
   onMalformed,
+  ...boundedOptions
 }: HostServerOptions): HostServer {
   const server = new Server({
     'grpc.max_receive_message_length': MAX_REQUEST_BYTES,
@@ -146,9 +145,10 @@
   const injector = server.createConnectionInjector(
     ServerCredentials.createInsecure(),
   );
-  const listener = startBoundedServer(address, limits, socket =>
-    injector.injectConnection(socket),
-  );
+  const listener = startBoundedServer({
+    ...boundedOptions,
+    onConnection: socket => injector.injectConnection(socket),
+  });
   return {
     close: () => {
       listener.close();
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -202,6 +202,7 @@
     startHostServer({
       address: settings().hostAddress,
       limits: limits.hostLinks,
+      onClosed: reportClosed('hosts'),
       advise: request =>
         adviser(request, request.workerIds, request.timeoutMillis),
       onMalformed: () => metrics.count('malformed_host_calls'),
