--- a/testing/src/__tests__/crowd/crowdFixture.ts
+++ b/testing/src/__tests__/crowd/crowdFixture.ts
@@ -10,10 +10,12 @@
   NO_PLATFORM_FAULTS,
   buildJob,
   buildStep,
+  encodeChunkedHead,
   encodeConfiguration,
   peakResidentBytes,
   readJobState,
   readReadiness,
+  repeat,
   startCrowd,
   startPlatform,
   startSiteProcesses,
@@ -205,6 +207,22 @@
   return `/${DEFAULT_POLICY.name}/${jobId}`;
 }
 
+/** Clients that each send a body as a number of equal pieces, and never end it. */
+export function unfinishedBodies(
+  clients: number,
+  piece: Buffer,
+  pieces: number,
+): CrowdScript {
+  return {
+    clients,
+    reads: true,
+    pieces: client => [
+      encodeChunkedHead(pathOfClient(client)),
+      ...repeat(piece, pieces),
+    ],
+  };
+}
+
 /** Returns the distinct statuses of the first answers of a crowd, in order. */
 export function statusesOf(answers: readonly string[]): string[] {
   const statuses = answers
--- a/testing/src/__tests__/crowd/largeChunks.test.ts
+++ b/testing/src/__tests__/crowd/largeChunks.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
-import {encodeChunk, encodeChunkedHead, repeat} from '../../index';
-import {checkStatuses, pathOfClient, playCrowd} from './crowdFixture';
+import {encodeChunk} from '../../index';
+import {checkStatuses, playCrowd, unfinishedBodies} from './crowdFixture';
 
 const CHUNK = encodeChunk('x'.repeat(62_500));
 const CHUNKS = 4;
@@ -9,14 +9,7 @@
 // the memory of the host.
 void t.test('unfinished bodies in large chunks', async t => {
   const answers = await playCrowd(t, {
-    script: {
-      clients: 1000,
-      reads: true,
-      pieces: client => [
-        encodeChunkedHead(pathOfClient(client)),
-        ...repeat(CHUNK, CHUNKS),
-      ],
-    },
+    script: unfinishedBodies(1000, CHUNK, CHUNKS),
   });
   checkStatuses(t, answers, ['503']);
 });
--- a/testing/src/__tests__/crowd/oneByteChunks.test.ts
+++ b/testing/src/__tests__/crowd/oneByteChunks.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
-import {encodeChunk, encodeChunkedHead, repeat} from '../../index';
-import {checkStatuses, pathOfClient, playCrowd} from './crowdFixture';
+import {encodeChunk, repeat} from '../../index';
+import {checkStatuses, playCrowd, unfinishedBodies} from './crowdFixture';
 
 const CHUNKS_PER_PIECE = 6000;
 const PIECES = 10;
@@ -10,14 +10,7 @@
 // than with its bytes.
 void t.test('unfinished bodies in chunks of one byte', async t => {
   const answers = await playCrowd(t, {
-    script: {
-      clients: 100,
-      reads: true,
-      pieces: client => [
-        encodeChunkedHead(pathOfClient(client)),
-        ...repeat(PIECE, PIECES),
-      ],
-    },
+    script: unfinishedBodies(100, PIECE, PIECES),
   });
   checkStatuses(t, answers, ['503']);
 });
--- a/testing/src/__tests__/crowd/takeOver.test.ts
+++ b/testing/src/__tests__/crowd/takeOver.test.ts
@@ -1,17 +1,11 @@
 import t from 'tap';
-import {
-  encodeChunk,
-  encodeChunkedHead,
-  repeat,
-  startCrowd,
-  waitForHolder,
-} from '../../index';
+import {encodeChunk, startCrowd, waitForHolder} from '../../index';
 import {
   CROWD_MILLIS,
   checkMemory,
   checkServes,
-  pathOfClient,
   startLimitedSite,
+  unfinishedBodies,
 } from './crowdFixture';
 
 const CLIENTS_PER_HOST = 1000;
@@ -23,14 +17,10 @@
 void t.test('the holder is killed while a crowd is at all hosts', async t => {
   const {platform, site, host: holder} = await startLimitedSite(t, {hosts: 3});
   for (const host of site.hosts) {
-    const crowd = await startCrowd(host.callerAddress, {
-      clients: CLIENTS_PER_HOST,
-      reads: true,
-      pieces: client => [
-        encodeChunkedHead(pathOfClient(client)),
-        ...repeat(CHUNK, CHUNKS),
-      ],
-    });
+    const crowd = await startCrowd(
+      host.callerAddress,
+      unfinishedBodies(CLIENTS_PER_HOST, CHUNK, CHUNKS),
+    );
     t.teardown(crowd.close);
     await crowd.finish(CROWD_MILLIS);
   }
