--- a/packages/dispatch/src/TaskAllowance.ts
+++ b/packages/dispatch/src/TaskAllowance.ts
@@ -31,13 +31,20 @@
   }
 }
 
+/** Starts that are placed and not confirmed, and those of them not yet ordered. */
+export interface StartsUnderWay {
+  readonly all: number;
+  /** They wait for the journal to record their placement. */
+  readonly unrecorded: number;
+}
+
 /** How many tasks one pass may still place. */
 export class TaskAllowance {
   private readonly startsUnderWay: number;
   private placedTasks = 0;
 
   constructor(state: StateReader) {
-    this.startsUnderWay = countStartsUnderWay(state);
+    this.startsUnderWay = countStartsUnderWay(state).all;
   }
 
   /** Counts the tasks of a step that the pass may place; for a gang, all or none. */
@@ -76,14 +83,15 @@
   }
 }
 
-function countStartsUnderWay(state: StateReader): number {
-  let count = 0;
+/** Counts the starts that are under way. */
+export function countStartsUnderWay(state: StateReader): StartsUnderWay {
+  let all = 0;
+  let unrecorded = 0;
   for (const run of state.read(RUNS).values()) {
-    if (isStartUnderWay(run)) {
-      count++;
-    }
+    all += isStartUnderWay(run) ? 1 : 0;
+    unrecorded += run.phase === 'reserved' ? 1 : 0;
   }
-  return count;
+  return {all, unrecorded};
 }
 
 /** A repeated order shows that the worker is slow to answer, not this host. */
--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -15,6 +15,7 @@
   REQUEST_ADVICE,
 } from './messages';
 import {schedulePlacement} from './schedulePlacement';
+import {reachTakeOverStep} from './takeOverSteps';
 
 /** The share of permitted workers counts as this at least. */
 const MIN_PERMIT_SHARE = 0.05;
@@ -125,6 +126,7 @@
     .set(requestId, {step, queue, host, workerIds: includedIds, sentAt});
   // The adviser handles one call of a host at a time, so this one may wait.
   const timeoutMillis = expectedMillis * 3 + RESPONSE_MARGIN_MILLIS;
+  reachTakeOverStep(update, 'advice-requested');
   update.emit(REQUEST_ADVICE, {
     requestId,
     host,
@@ -147,6 +149,7 @@
   update.write(OPEN_ADVICE_REQUESTS).delete(requestId);
   removeCall(update, request.host, advice.kind);
   schedulePlacement(update);
+  reachTakeOverStep(update, 'advice-received');
   const key = stepKey(request.step);
   update.emit(DISPATCH_EVENT, {
     event: 'advised',
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -82,6 +82,7 @@
   beginPass,
   schedulePlacement,
 } from './schedulePlacement';
+import {TAKE_OVER_STEPS, reachTakeOverStep} from './takeOverSteps';
 import {AWAITS_STARTS} from './TaskAllowance';
 import {
   WAITING_SINCE,
@@ -130,6 +131,7 @@
     if (partitionsRead.size === partitions) {
       // Workers are commanded only once all requests in the log are known.
       update.write(MAY_COMMAND_WORKERS).set(true);
+      reachTakeOverStep(update, 'requests-read');
       recordRequestsRead(update, Math.min(...partitionsRead.values()));
     }
   }
@@ -166,6 +168,7 @@
       kernel.registerSlice(SCHEDULED_PASSES),
       kernel.registerSlice(RESERVATIONS),
       kernel.registerSlice(AWAITS_STARTS),
+      kernel.registerSlice(TAKE_OVER_STEPS),
       kernel.registerSlice(FORGET_CHECKED_AT),
       kernel.registerSlice(WAITS_CHECKED_AT),
       kernel.registerSlice(WAITING_SINCE),
@@ -245,4 +248,5 @@
   update.write(WAITING_SINCE).clear();
   update.write(LIMITED_SINCE).clear();
   update.write(RESERVATIONS).set([]);
+  update.write(TAKE_OVER_STEPS).clear();
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -23,6 +23,7 @@
 import {orderReadySteps, stepIdOf} from './readySteps';
 import {RESERVATIONS} from './reservations';
 import {schedulePlacement} from './schedulePlacement';
+import {reachTakeOverStep} from './takeOverSteps';
 import {AWAITS_STARTS} from './TaskAllowance';
 import {chooseTaskPlacements} from './taskPlacement';
 
@@ -146,6 +147,7 @@
   for (const {index, candidate} of placements) {
     reserveAndOrderRun(update, readyStep, stepId, index, candidate, progress);
   }
+  reachTakeOverStep(update, 'step-placed');
   update.emit(DISPATCH_EVENT, {
     event: 'step-placed',
     subject: stepKey(stepId),
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -23,6 +23,7 @@
   type Reservation,
   countReservedTasks,
 } from './reservations';
+import {countStartsUnderWay} from './TaskAllowance';
 
 /** Interval between two checks of the waiting steps. */
 const CHECK_INTERVAL_MILLIS = 1000;
@@ -125,10 +126,13 @@
   ).length;
   const unreserved = withoutReserved(permitted, reservationsAhead);
   const gangsAhead = new Set(reservationsAhead.map(({step}) => step)).size;
+  const starts = countStartsUnderWay(update);
   const openRequest =
     advice.openRequestId === undefined ? '' : ', advice requested';
   return (
-    `${readyStep.openTasks.length} tasks, ${suitable.length} suitable workers` +
+    `${readyStep.openTasks.length} tasks, ${starts.all} starts under way` +
+    `, ${starts.unrecorded} not recorded yet` +
+    `, ${suitable.length} suitable workers` +
     `, ${advice.queriedWorkers.size} with advice, ${permitted.length} permitted` +
     `, ${countFittingOn(permitted, readyStep)} tasks fit${openRequest}` +
     `, ${validTickets} valid tickets, ${gangsAhead} gangs ahead reserve` +
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -23,6 +23,10 @@
   readonly jobsUntil: number;
   /** Whether the holding ends once the batch is durable. */
   readonly isResignation: boolean;
+  /** When the append was sent for the first time. */
+  readonly firstSentAt: number;
+  /** Whether it was logged that the append is without an answer. */
+  readonly isReportedLate: boolean;
   /** When the append was last sent; undefined if the batch is to be resent. */
   readonly sentAt: number | undefined;
   /** Earliest time to resend it; Infinity until the journal was read again. */
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -29,6 +29,7 @@
 } from './HoldingState';
 import {splitBatch} from './batchSplitting';
 import {takeBatch} from './journalBatch';
+import {reportBatchAnswered, reportLateBatch} from './lateBatch';
 import {DURABLE_LEASE_BOUNDS} from './leaseBounds';
 import {NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import {
@@ -213,6 +214,7 @@
     if (batch === undefined) {
       return;
     }
+    reportBatchAnswered(update);
     for (const entry of batch.entries) {
       applyEntry(update, entry);
     }
@@ -390,6 +392,7 @@
         if (isClaimDue(options, holding, update.now)) {
           sendClaim(update, holding);
         }
+        reportLateBatch(update);
         flushJournal(update);
       }),
     );
--- a/packages/holding/src/journalBatch.ts
+++ b/packages/holding/src/journalBatch.ts
@@ -67,6 +67,8 @@
     deferredCommands,
     jobsUntil: requestsReadUntil,
     isResignation: isStopping,
+    firstSentAt: now,
+    isReportedLate: false,
     sentAt: undefined,
     retryAt: 0,
   };
