--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -97,6 +97,9 @@
   /** Time that an append to another stream takes; tests replace it. */
   otherAppendMillis: () => number = () => APPEND_MILLIS;
 
+  /** Whether calls to a stream other than `requests` are reset; tests replace it. */
+  isStreamDown: (stream: StreamName) => boolean = () => false;
+
   /** How reads of a host are answered; tests replace it. */
   readBehaviour: (host: string, stream: StreamName) => ReadBehaviour = () =>
     PROMPT_READS;
@@ -111,6 +114,10 @@
       }
       const resolveUnknown = () =>
         resolve({kind: 'unknown', detail: 'no answer'});
+      if (this.isStreamDown(request.stream)) {
+        timeline.after(1, resolveUnknown);
+        return;
+      }
       if (availability === 'silent') {
         timeline.after(request.timeoutMillis, resolveUnknown);
         return;
@@ -159,7 +166,11 @@
       }
       const behaviour = this.readBehaviour(host, stream);
       const {isAvailable, maxRecords, intervalMillis} = behaviour;
-      if (!isAvailable || this.faultState.logAvailability(host) !== 'answers') {
+      if (
+        !isAvailable ||
+        this.isStreamDown(stream) ||
+        this.faultState.logAvailability(host) !== 'answers'
+      ) {
         listener.onFailure('out of reach');
         this.timeline.after(READ_RETRY_MILLIS, read);
         return;
