--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -130,9 +130,8 @@
   const openRequest =
     advice.openRequestId === undefined ? '' : ', advice requested';
   return (
-    `${readyStep.openTasks.length} tasks, ${starts.all} starts under way` +
-    `, ${starts.unrecorded} not recorded yet` +
-    `, ${suitable.length} suitable workers` +
+    `${starts.all} starts under way, ${starts.unrecorded} not recorded yet` +
+    `, ${readyStep.openTasks.length} tasks, ${suitable.length} suitable workers` +
     `, ${advice.queriedWorkers.size} with advice, ${permitted.length} permitted` +
     `, ${countFittingOn(permitted, readyStep)} tasks fit${openRequest}` +
     `, ${validTickets} valid tickets, ${gangsAhead} gangs ahead reserve` +
--- a/packages/holding/src/HolderRecord.ts
+++ b/packages/holding/src/HolderRecord.ts
@@ -29,6 +29,12 @@
    * a claim.
    */
   termMillis: z.optional(z.number()),
+  /**
+   * The journal up to this batch has what the reserve journal has before this offset.
+   * From there on, the reserve has what the holder recorded later, while the journal
+   * took no append. Absent if the holder does not use it.
+   */
+  reserveEnd: z.optional(z.number()),
 });
 
 /** Names the holder that wrote a batch, and its term. */
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -17,6 +17,12 @@
   /** Number of the batch within its term, as in its holder record. */
   readonly number: number;
   readonly entries: readonly JournalEntry[];
+  /** Whether the reserve journal has its entries, so that they were applied. */
+  readonly isApplied: boolean;
+  /** Whether its entries are those that the reserve journal alone had. */
+  readonly isOwed: boolean;
+  /** `reserveEnd` of its holder record. */
+  readonly reserveEnd: number | undefined;
   /** Commands to dispatch once the batch is durable. */
   readonly deferredCommands: readonly DeferredCommand[];
   /** Once it is durable, all jobs requested before this time are. */
@@ -51,7 +57,8 @@
 
 /** What this host knows of the journal and of the holder of the site. */
 export interface HoldingState extends StreamCopy {
-  readonly phase: 'following' | 'claiming' | 'holding';
+  /** `fencing`: the claim is durable, the fence in the reserve journal is not. */
+  readonly phase: 'following' | 'claiming' | 'fencing' | 'holding';
   /** The holder has read every request that was appended before this time. */
   readonly requestsReadUntil: number;
   /** Earliest time at which this host may claim the site. */
@@ -122,10 +129,13 @@
   update.write(PENDING_ENTRIES).set(pendingKeyOf(entry), entry);
 }
 
+/** Key of the newest holder record. */
+export const HOLDER_KEY = 'holder';
+
 /** Returns the key of an entry among the pending ones: what it is about. */
 export function pendingKeyOf(entry: JournalEntry): string {
   return match(entry)
-    .with({kind: 'holder'}, () => 'holder')
+    .with({kind: 'holder'}, () => HOLDER_KEY)
     .with({kind: 'progress'}, ({progress}) => progress.jobId)
     .with({kind: 'forgotten'}, ({jobId}) => jobId)
     .with({kind: 'lease-bound'}, ({bound}) => `lease.${bound.incarnation}`)
--- a/packages/holding/src/appendTiming.ts
+++ b/packages/holding/src/appendTiming.ts
@@ -9,6 +9,8 @@
 /** A claim is not resent, unlike a batch: its timeout allows for a slow log. */
 export const CLAIM_TIMEOUT_MILLIS = 1500;
 
+/** Delay before this host claims again after a claim or a holding of it. */
+export const CLAIM_RETRY_DELAY_MILLIS = 250;
 /** Timeout of a resent append: longer the longer the log has not answered. */
 export function appendTimeoutMillis(silentMillis: number): number {
   return Math.min(
--- a/packages/holding/src/batchSplitting.ts
+++ b/packages/holding/src/batchSplitting.ts
@@ -10,6 +10,7 @@
   pendingKeyOf,
 } from './HoldingState';
 import {HOLDING_EVENT, type JournalEntry, PROGRESS_TOO_LARGE} from './messages';
+import {OWED_ENTRIES} from './reserveState';
 
 /**
  * Takes back a batch that is larger than the log takes, and appends half of it,
@@ -23,7 +24,11 @@
 ): void {
   const holding = update.write(HOLDING);
   const entries = batch.entries.filter(entry => entry.kind !== 'holder');
-  restoreBatch(update, entries, batch.deferredCommands);
+  if (batch.isOwed) {
+    entries.forEach(entry => restoreOwedEntry(update, entry));
+  } else if (!batch.isApplied) {
+    restoreBatch(update, entries, batch.deferredCommands);
+  }
   holding.set({
     ...holding.get(),
     batchInFlight: undefined,
@@ -34,6 +39,7 @@
   if (only !== undefined && others.length === 0) {
     const key = pendingKeyOf(only);
     update.write(PENDING_ENTRIES).delete(key);
+    update.write(OWED_ENTRIES).delete(key);
     update.emit(HOLDING_EVENT, {
       event: 'record-too-large',
       term: heldTerm(update) ?? 0,
@@ -47,6 +53,13 @@
   update.dispatchOnce(FLUSH_JOURNAL, '', undefined);
 }
 
+/** Puts an entry back among those that the journal lacks, unless there is a newer one. */
+function restoreOwedEntry(update: Update, entry: JournalEntry): void {
+  const owed = update.write(OWED_ENTRIES);
+  const key = pendingKeyOf(entry);
+  owed.set(key, owed.get(key) ?? entry);
+}
+
 /** Puts entries and commands of a batch before those that are pending. */
 function restoreBatch(
   update: Update,
--- a/packages/holding/src/claimRules.ts
+++ b/packages/holding/src/claimRules.ts
@@ -95,11 +95,22 @@
   };
 }
 
-/** Creates the record of a claim that is appended at `offset`. */
+/**
+ * Creates the record of a claim that is appended at `offset`. What the reserve journal
+ * has for the earlier holder, it has for this one, too.
+ */
 export function createClaim(
   {self, incarnation}: HoldingOptions,
   offset: number,
+  reserveEnd: number | undefined,
 ): HolderRecord {
   const term = termOfClaim(offset);
-  return {holder: self, incarnation, term, batch: 0, isResigned: false};
+  return {
+    holder: self,
+    incarnation,
+    term,
+    batch: 0,
+    isResigned: false,
+    reserveEnd,
+  };
 }
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -2,6 +2,7 @@
 import type {AppendOutcome} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
 import {
+  CLAIM_RETRY_DELAY_MILLIS,
   CLAIM_TIMEOUT_MILLIS,
   MIN_APPEND_TIMEOUT_MILLIS,
   REFUSED_APPEND_RETRY_DELAY_MILLIS,
@@ -9,6 +10,7 @@
   appendTimeoutMillis,
 } from './appendTiming';
 import {applyEntry, applyReadEntries} from './applyEntries';
+import {endHolding, onClaimDurable} from './holdingPhases';
 import {
   type HoldingOptions,
   createClaim,
@@ -16,7 +18,6 @@
   predecessorOf,
   termOfClaim,
 } from './claimRules';
-import type {HolderRecord} from './HolderRecord';
 import {
   type JournalBatch,
   DEFERRED_COMMANDS,
@@ -31,7 +32,6 @@
 import {takeBatch} from './journalBatch';
 import {reportBatchAnswered, reportLateBatch} from './lateBatch';
 import {DURABLE_LEASE_BOUNDS} from './leaseBounds';
-import {NO_JOB_KNOWLEDGE} from './jobKnowledge';
 import {
   APPEND_JOURNAL,
   HOLDING_BEGAN,
@@ -40,25 +40,39 @@
   HOLDING_FENCED,
   HOLDING_TICK,
   READ_JOURNAL_NOW,
-  type HoldingEndReason,
   JOURNAL_APPEND_ENDED,
   JOURNAL_READ,
   type JournalRead,
   PROGRESS_DURABLE,
   PROGRESS_TOO_LARGE,
+  RESERVE_APPEND_ENDED,
+  RESERVE_READ,
+  RESERVE_READ_FAILED,
   RESIGN,
 } from './messages';
+import {createReserveHandlers} from './reserveHandlers';
+import {
+  OWED_ENTRIES,
+  RESERVE,
+  RESERVE_COPY,
+  changeReserve,
+} from './reserveState';
+import {flushReserve, reportUse, takeBackReserveBatch} from './reserveUse';
 
 /** Interval at which an idle holder appends a holder record as a heartbeat. */
 export const HEARTBEAT_INTERVAL_MILLIS = 150;
-const CLAIM_RETRY_DELAY_MILLIS = 250;
 
 /** Claims the site for this host, and writes the journal while it holds it. */
 export function createHoldingPlugin(options: HoldingOptions): Plugin {
   const {self, incarnation} = options;
+  const reserve = createReserveHandlers(options);
 
   function sendClaim(update: Update, holding: HoldingState): void {
-    const record = createClaim(options, holding.endOffset);
+    const record = createClaim(
+      options,
+      holding.endOffset,
+      holding.latestHolderRecord?.reserveEnd,
+    );
     update.write(HOLDING).set({
       ...holding,
       phase: 'claiming',
@@ -81,68 +95,6 @@
     });
   }
 
-  function beginHolding(
-    update: Update,
-    record: HolderRecord,
-    endOffset: number,
-    confirmedAt: number,
-  ): void {
-    const holding = update.write(HOLDING);
-    holding.set({
-      ...holding.get(),
-      phase: 'holding',
-      latestHolderRecord: record,
-      holderHeardAt: update.now,
-      readAt: update.now,
-      endOffset,
-      logEndOffset: Math.max(holding.get().logEndOffset, endOffset),
-      holdingBeganAt: update.now,
-      termBeganBefore: update.now,
-      confirmedAt,
-      requestsReadUntil: -Infinity,
-      jobKnowledge: {
-        ...NO_JOB_KNOWLEDGE,
-        jobsUntil: holding.get().jobKnowledge.jobsUntil,
-      },
-      nextBatchNumber: 1,
-      batchInFlight: undefined,
-      maxBatchEntries: Infinity,
-      lastAppendAt: update.now,
-    });
-    update.write(DEFERRED_COMMANDS).takeAll();
-    update.emit(HOLDING_EVENT, {
-      event: 'holding-began',
-      term: record.term,
-      holder: self,
-    });
-    update.dispatch(HOLDING_BEGAN, {term: record.term});
-  }
-
-  function endHolding(update: Update, reason: HoldingEndReason): void {
-    const holding = update.write(HOLDING);
-    const term = heldTerm(update);
-    if (term === undefined) {
-      return;
-    }
-    holding.set({
-      ...holding.get(),
-      phase: 'following',
-      batchInFlight: undefined,
-      holderHeardAt: update.now,
-      nextClaimAt: update.now + CLAIM_RETRY_DELAY_MILLIS,
-    });
-    update.write(PENDING_ENTRIES).clear();
-    update.write(DEFERRED_COMMANDS).takeAll();
-    update.emit(READ_JOURNAL_NOW, undefined);
-    update.emit(HOLDING_EVENT, {
-      event: 'holding-ended',
-      term,
-      holder: holding.get().latestHolderRecord?.holder ?? '',
-      detail: reason,
-    });
-    update.dispatch(HOLDING_ENDED, {term, reason});
-  }
-
   function flushJournal(update: Update): void {
     const holding = update.write(HOLDING);
     const current = holding.get();
@@ -154,10 +106,12 @@
     }
     if (current.batchInFlight !== undefined) {
       resendIfDue(update, current, current.batchInFlight);
+      flushReserve(update);
       return;
     }
     const isIdle =
       update.read(PENDING_ENTRIES).size === 0 &&
+      update.read(OWED_ENTRIES).size === 0 &&
       update.read(DEFERRED_COMMANDS).size === 0;
     const isHeartbeatDue =
       update.now - current.lastAppendAt >= HEARTBEAT_INTERVAL_MILLIS;
@@ -215,8 +169,13 @@
       return;
     }
     reportBatchAnswered(update);
-    for (const entry of batch.entries) {
-      applyEntry(update, entry);
+    takeBackReserveBatch(update);
+    changeReserve(update, {durableEnd: batch.reserveEnd});
+    if (batch.isOwed && update.read(OWED_ENTRIES).size === 0) {
+      reportUse(update, 'reserve-settled', batch);
+    }
+    if (!batch.isApplied) {
+      batch.entries.forEach(entry => applyEntry(update, entry));
     }
     holding.set({
       ...current,
@@ -229,7 +188,9 @@
       holderHeardAt: update.now,
       readAt: update.now,
     });
-    update.dispatch(PROGRESS_DURABLE, {entries: batch.entries});
+    if (!batch.isApplied) {
+      update.dispatch(PROGRESS_DURABLE, {entries: batch.entries});
+    }
     for (const {command, payload} of batch.deferredCommands) {
       update.dispatch(command, payload);
     }
@@ -261,9 +222,11 @@
       return;
     }
     if (outcome.kind === 'appended') {
-      beginHolding(
+      const {reserveEnd} = current.latestHolderRecord ?? {};
+      onClaimDurable(
         update,
-        createClaim(options, outcome.offset),
+        self,
+        createClaim(options, outcome.offset, reserveEnd),
         outcome.endOffset,
         current.lastAppendAt,
       );
@@ -327,6 +290,12 @@
     }
     applyReadEntries(update, read);
     const {latestHolderRecord, endOffset} = update.read(HOLDING).get();
+    if (phase === 'fencing') {
+      if (latestHolderRecord?.incarnation !== incarnation) {
+        endHolding(update, 'other-claim');
+      }
+      return;
+    }
     // A claim whose answer was lost may be in the journal all the same. If this
     // read finds it, the holding begins.
     const hasNewEntries = read.entries.some(
@@ -338,7 +307,7 @@
       latestHolderRecord.term >= termOfClaim(knownEndOffset);
     if (hasNewEntries && isOwnClaim && latestHolderRecord !== undefined) {
       // A later claim may have been sent, which proves nothing.
-      beginHolding(update, latestHolderRecord, endOffset, -Infinity);
+      onClaimDurable(update, self, latestHolderRecord, endOffset, -Infinity);
     }
   }
 
@@ -372,9 +341,15 @@
       kernel.registerSlice(DURABLE_LEASE_BOUNDS),
       kernel.registerSlice(PENDING_ENTRIES),
       kernel.registerSlice(DEFERRED_COMMANDS),
+      kernel.registerSlice(RESERVE),
+      kernel.registerSlice(RESERVE_COPY),
+      kernel.registerSlice(OWED_ENTRIES),
       kernel.registerCommand(FLUSH_JOURNAL, update => flushJournal(update)),
       kernel.registerCommand(JOURNAL_READ, onRead),
       kernel.registerCommand(JOURNAL_APPEND_ENDED, onAppended),
+      kernel.registerCommand(RESERVE_READ, reserve.onRead),
+      kernel.registerCommand(RESERVE_READ_FAILED, reserve.onReadFailed),
+      kernel.registerCommand(RESERVE_APPEND_ENDED, reserve.onAppended),
       kernel.registerCommand(HOLDING_BEGAN, () => undefined),
       kernel.registerCommand(HOLDING_ENDED, () => undefined),
       kernel.registerCommand(PROGRESS_DURABLE, () => undefined),
@@ -393,6 +368,7 @@
           sendClaim(update, holding);
         }
         reportLateBatch(update);
+        reserve.onTick(update);
         flushJournal(update);
       }),
     );
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -30,6 +30,8 @@
 export {HEARTBEAT_INTERVAL_MILLIS, createHoldingPlugin} from './holdingPlugin';
 export {
   APPEND_JOURNAL,
+  APPEND_RESERVE,
+  FOLLOW_RESERVE,
   HOLDING_BEGAN,
   HOLDING_ENDED,
   HOLDING_EVENT,
@@ -44,5 +46,12 @@
   type StoredEntry,
   PROGRESS_DURABLE,
   PROGRESS_TOO_LARGE,
+  RESERVE_APPEND_ENDED,
+  RESERVE_READ,
+  RESERVE_READ_FAILED,
+  type ReserveEntry,
+  type ReserveRead,
+  READ_RESERVE_NOW,
   RESIGN,
+  UNFOLLOW_RESERVE,
 } from './messages';
--- a/packages/holding/src/journalBatch.ts
+++ b/packages/holding/src/journalBatch.ts
@@ -2,7 +2,6 @@
 import type {HolderRecord} from './HolderRecord';
 import {
   DEFERRED_COMMANDS,
-  type DeferredCommand,
   HOLDING,
   type HoldingState,
   type JournalBatch,
@@ -10,45 +9,88 @@
 } from './HoldingState';
 import {requestsAge} from './jobKnowledge';
 import type {JournalEntry} from './messages';
+import {OWED_ENTRIES, RESERVE, reserveEndToState} from './reserveState';
 
-/** Takes the next batch of a holding, up to its limit, from what is pending. */
+/** What a batch has beside its holder record, and what that states. */
+type BatchContent = Pick<
+  JournalBatch,
+  'deferredCommands' | 'isApplied' | 'isOwed' | 'reserveEnd'
+> & {
+  readonly entries: readonly JournalEntry[];
+  /**
+   * Whether later entries are pending, so that the batch is not the last of a holding
+   * and tells nothing of which requests were read.
+   */
+  readonly isPartial: boolean;
+};
+
+/**
+ * Takes the next batch of a holding, up to its limit: first what only the reserve
+ * journal has, in the version that it has, then what is pending.
+ */
 export function takeBatch(
   update: Update,
   holding: HoldingState,
   latestHolderRecord: HolderRecord,
 ): JournalBatch {
+  const content =
+    update.read(OWED_ENTRIES).size > 0
+      ? takeOwed(update, holding)
+      : takePending(update, holding);
+  const batch = createBatch(holding, latestHolderRecord, content, update.now);
   const {maxBatchEntries} = holding;
-  const pendingEntries = update.write(PENDING_ENTRIES);
-  const isPartial = pendingEntries.size > maxBatchEntries;
-  const entries = [...pendingEntries.entries()].slice(0, maxBatchEntries);
-  const batch = createBatch(
-    holding,
-    latestHolderRecord,
-    entries.map(([, entry]) => entry),
-    isPartial ? [] : update.write(DEFERRED_COMMANDS).takeAll(),
-    isPartial,
-    update.now,
-  );
-  entries.forEach(([key]) => pendingEntries.delete(key));
   update.write(HOLDING).set({
     ...holding,
     nextBatchNumber: batch.number + 1,
-    maxBatchEntries: isPartial ? maxBatchEntries : Infinity,
+    maxBatchEntries: content.isPartial ? maxBatchEntries : Infinity,
   });
   return batch;
 }
 
-/**
- * Creates the next batch of a holding from the entries that are pending. If it has
- * only the first of them, it is not the last of a holding and tells nothing of
- * which requests were read.
- */
+function takeOwed(
+  update: Update,
+  {maxBatchEntries}: HoldingState,
+): BatchContent {
+  const owed = update.write(OWED_ENTRIES);
+  const isLast = owed.size <= maxBatchEntries;
+  const entries = [...owed.entries()].slice(0, maxBatchEntries);
+  entries.forEach(([key]) => owed.delete(key));
+  return {
+    entries: entries.map(([, entry]) => entry),
+    deferredCommands: [],
+    isPartial: true,
+    isApplied: true,
+    isOwed: true,
+    reserveEnd: isLast
+      ? reserveEndToState(update)
+      : update.read(RESERVE).get().durableEnd,
+  };
+}
+
+function takePending(
+  update: Update,
+  {maxBatchEntries}: HoldingState,
+): BatchContent {
+  const pendingEntries = update.write(PENDING_ENTRIES);
+  const isPartial = pendingEntries.size > maxBatchEntries;
+  const entries = [...pendingEntries.entries()].slice(0, maxBatchEntries);
+  entries.forEach(([key]) => pendingEntries.delete(key));
+  return {
+    entries: entries.map(([, entry]) => entry),
+    deferredCommands: isPartial
+      ? []
+      : update.write(DEFERRED_COMMANDS).takeAll(),
+    isPartial,
+    isApplied: false,
+    isOwed: false,
+    reserveEnd: reserveEndToState(update),
+  };
+}
+
 function createBatch(
   holding: HoldingState,
   latestHolderRecord: HolderRecord,
-  pendingEntries: readonly JournalEntry[],
-  deferredCommands: readonly DeferredCommand[],
-  isPartial: boolean,
+  {entries, isPartial, ...content}: BatchContent,
   now: number,
 ): JournalBatch {
   const {nextBatchNumber} = holding;
@@ -60,11 +102,12 @@
     isResigned: isStopping,
     requestsAgeMillis: requestsAge(requestsReadUntil, holding.holderHeardAt),
     termMillis: Math.floor(now - holding.holdingBeganAt),
+    reserveEnd: content.reserveEnd,
   };
   return {
+    ...content,
     number: nextBatchNumber,
-    entries: [{kind: 'holder', record}, ...pendingEntries],
-    deferredCommands,
+    entries: [{kind: 'holder', record}, ...entries],
     jobsUntil: requestsReadUntil,
     isResignation: isStopping,
     firstSentAt: now,
--- a/packages/holding/src/messages.ts
+++ b/packages/holding/src/messages.ts
@@ -23,6 +23,15 @@
   readonly entries: readonly StoredEntry[];
 }
 
+/** A decoded record of the reserve journal, or one to append to it. */
+export type ReserveEntry =
+  | JournalEntry
+  /** The journal has the entry, so that the reserve journal need not keep it. */
+  | {readonly kind: 'withdrawn'; readonly entry: JournalEntry};
+
+/** What one read of the reserve journal returned; it has no withdrawn entries. */
+export type ReserveRead = JournalRead;
+
 /** Reports entries read from the journal. */
 export const JOURNAL_READ = createCommand<JournalRead>('journal-read');
 
@@ -81,6 +90,36 @@
   readonly timeoutMillis: number;
 }>('append-journal');
 
+/** Reports entries read from the reserve journal. */
+export const RESERVE_READ = createCommand<ReserveRead>('reserve-read');
+
+/** A read of the reserve journal failed. */
+export const RESERVE_READ_FAILED = createCommand<void>('reserve-read-failed');
+
+/** Reports the outcome of an append to the reserve journal. */
+export const RESERVE_APPEND_ENDED = createCommand<{
+  /** Number of the batch. */
+  readonly batch: number;
+  readonly outcome: AppendOutcome;
+}>('reserve-appended');
+
+/** Appends a batch, on condition that the reserve journal ends at `expectedEnd`. */
+export const APPEND_RESERVE = createEffect<{
+  readonly batch: number;
+  readonly expectedEnd: number;
+  readonly entries: readonly ReserveEntry[];
+  readonly timeoutMillis: number;
+}>('append-reserve');
+
+/** Starts reading the reserve journal, from a snapshot on. */
+export const FOLLOW_RESERVE = createEffect<void>('follow-reserve');
+
+/** Stops reading the reserve journal. */
+export const UNFOLLOW_RESERVE = createEffect<void>('unfollow-reserve');
+
+/** Reads the reserve journal at once, without the usual pause between reads. */
+export const READ_RESERVE_NOW = createEffect<void>('hurry-reserve');
+
 /** Reads the journal at once, without the usual pause between reads. */
 export const READ_JOURNAL_NOW = createEffect<void>('hurry-journal');
 
--- a/packages/record-codec/src/index.ts
+++ b/packages/record-codec/src/index.ts
@@ -2,7 +2,12 @@
 export type {OnMalformed} from './decodeEntries';
 export {type OnInvalid, decodeJson, decodeValue} from './decodeJson';
 export {decodeHosts, encodeHost} from './hostCodec';
-export {decodeJournal, encodeJournalEntry} from './journalCodec';
+export {
+  decodeJournal,
+  decodeReserve,
+  encodeJournalEntry,
+  encodeReserveEntry,
+} from './journalCodec';
 export {parseJson} from './parseJson';
 export {
   decodeProgress,
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -1,6 +1,7 @@
 import {
   type JournalEntry,
   type LeaseBound,
+  type ReserveEntry,
   type StoredEntry,
   holderRecordSchema,
 } from '@samphireramp/holding';
@@ -15,6 +16,8 @@
 const JOB_PREFIX = 'job.';
 const LEASE_BOUND_PREFIX = 'lease.';
 const TOMBSTONE = Buffer.alloc(0);
+/** Value of a deletion in the reserve journal, where a tombstone says nothing. */
+const DELETED = Buffer.from('deleted');
 
 const leaseBoundSchema = z.tuple([
   z.number(), // term
@@ -47,6 +50,33 @@
     .exhaustive();
 }
 
+/**
+ * Encodes an entry of the reserve journal as a record. A deletion has a value, since the
+ * next holder has to learn of it; a withdrawn entry has none.
+ */
+export function encodeReserveEntry(entry: ReserveEntry): LogRecord {
+  if (entry.kind === 'withdrawn') {
+    return {key: encodeJournalEntry(entry.entry).key, value: TOMBSTONE};
+  }
+  const {key, value} = encodeJournalEntry(entry);
+  return {key, value: value.length === 0 ? DELETED : value};
+}
+
+/** Decodes records of the reserve journal, without those that are withdrawn. */
+export function decodeReserve(
+  records: readonly StoredRecord[],
+  onMalformed: OnMalformed,
+): StoredEntry[] {
+  return decodeJournal(
+    records
+      .filter(({value}) => value.length > 0)
+      .map(record =>
+        record.value.equals(DELETED) ? {...record, value: TOMBSTONE} : record,
+      ),
+    onMalformed,
+  );
+}
+
 /**
  * Decodes records of the journal. Of several valid ones about a job, only the newest
  * is decoded, which replaces the others. Calls `onMalformed` for each invalid record.
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -59,6 +59,7 @@
   createMalformedReporter,
 } from './malformedRecords';
 import {applyRecords} from './applyRecords';
+import {createReserveStreamPlugin} from './reserveStream';
 import {createListenerFactory} from './streamListener';
 import {
   type DecodeWorker,
@@ -241,6 +242,14 @@
       () => [states, configuration].forEach(handle => handle.stop()),
       unfollowJournal,
       unfollowHolderStreams,
+      kernel.register(
+        createReserveStreamPlugin({
+          streams,
+          followOptions: LOW_TRAFFIC_OPTIONS,
+          createListener: listenerFor('reserve'),
+          onMalformed: onMalformed('reserve'),
+        }),
+      ),
       kernel.registerEffect(FOLLOW_JOURNAL, followJournal),
       kernel.registerEffect(UNFOLLOW_JOURNAL, unfollowJournal),
       kernel.registerEffect(READ_STATES_NOW, () => states.readNow()),
--- a/packages/stream-log/src/StreamLog.ts
+++ b/packages/stream-log/src/StreamLog.ts
@@ -1,6 +1,12 @@
 /** Names of the streams that the log consists of. */
 export type StreamName =
-  'configuration' | 'workers' | 'requests' | 'progress' | 'states' | 'hosts';
+  | 'configuration'
+  | 'workers'
+  | 'requests'
+  | 'progress'
+  | 'reserve'
+  | 'states'
+  | 'hosts';
 
 /** A keyed record; the log keeps at least the newest record of each key. */
 export interface LogRecord {
--- a/testing/src/__tests__/unit/journalOutage.test.ts
+++ b/testing/src/__tests__/unit/journalOutage.test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import {snapshotOf} from '../../site/ModelLog';
 import {
   type ModelSite,
   buildJob,
@@ -41,3 +42,56 @@
     t.same(site.checker.violations, []);
   },
 );
+
+void t.test(
+  'a new holder starts nothing twice that is recorded in the reserve journal alone',
+  async t => {
+    const site = await buildSiteWithoutJournal();
+    const job = submitJob(site, '00000000000000e1');
+    await site.run(400);
+    const started = site.checker.countStarts(job.id);
+    t.ok(started > 0);
+    const holder = site.holder();
+    if (holder !== undefined) {
+      site.kill(holder);
+    }
+    site.log.isStreamDown = () => false;
+    await site.run(6000);
+    const other = site.hosts.find(host => host.isUp) ?? site.hosts[0];
+    t.equal(site.readJobState(other, job.id), 'completed');
+    t.equal(site.checker.countStarts(job.id), 5);
+    t.same(site.checker.violations, []);
+  },
+);
+
+void t.test(
+  'the reserve journal keeps nothing that the journal has again',
+  async t => {
+    const site = await buildSiteWithoutJournal();
+    submitJob(site, '00000000000000e2');
+    await site.run(1000);
+    const keysInReserve = () =>
+      snapshotOf(site.log.records('reserve', 0)).map(({key}) => key);
+    t.ok(keysInReserve().includes('job.00000000000000e2'));
+    site.log.isStreamDown = () => false;
+    await site.run(3000);
+    t.same(keysInReserve(), ['holder']);
+  },
+);
+
+void t.test(
+  'a take-over does not wait for a reserve journal that the holder could not read',
+  async t => {
+    const site = buildModelSite({workers: 4, policies: [POLICY]});
+    await site.run(1500);
+    site.log.isStreamDown = stream => stream === 'reserve';
+    await site.run(1500);
+    const holder = site.holder();
+    if (holder !== undefined) {
+      site.kill(holder);
+    }
+    await site.run(1500);
+    t.ok(site.holder());
+    t.not(site.holder(), holder);
+  },
+);
--- a/testing/src/site/ScheduleFaults.ts
+++ b/testing/src/site/ScheduleFaults.ts
@@ -34,6 +34,8 @@
   readonly accounts?: number;
   /** Number of times that the limits of all accounts are lowered for a while. */
   readonly limitChanges?: number;
+  /** Number of times that the journal or its reserve alone is out of reach. */
+  readonly streamOutages?: number;
 }
 
 /** A few faults of each kind, but those that have schedules of their own. */
@@ -63,6 +65,16 @@
   workerRefusals: 20,
 };
 
+/** The journal or its reserve alone is out of reach, and hosts end meanwhile. */
+export const STREAM_FAULTS: ScheduleFaults = {
+  ...ALL_FAULTS,
+  hostKills: 3,
+  rollingRestarts: 0,
+  hostLogDisconnects: 1,
+  logOutages: 0,
+  streamOutages: 4,
+};
+
 /** Client accounts with limits, and frequent cancels and changes of the holder. */
 export const ACCOUNT_FAULTS: ScheduleFaults = {
   ...ALL_FAULTS,
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -8,6 +8,7 @@
 import {ModelSite} from './ModelSite';
 import type {ModelWorker} from './ModelWorker';
 import type {ScheduleFaults} from './ScheduleFaults';
+import {scheduleStreamOutages} from './streamFaults';
 
 /** Faults are injected and jobs submitted during this phase. */
 const FAULT_PHASE_MILLIS = 12_000;
@@ -275,6 +276,9 @@
       repeatAtRandomTimes,
     });
   }
+  if (faults.streamOutages !== undefined) {
+    scheduleStreamOutages(site, faults.streamOutages, FAULT_PHASE_MILLIS, seed);
+  }
   const readRandomAnswers = () => {
     readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
     after(READ_INTERVAL_MILLIS, readRandomAnswers);
