Requests of ended jobs are deleted after seconds, not after minutes

Cause: the requests of each job stayed for as long as its state, two minutes and one more, and a new holder reads them all to find the few of open jobs. Change: the holder deletes the requests of a job some 3 to 7 s after its end, from the partitions in which it has read them.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -178,6 +178,7 @@
   });
   kernel.dispatch(HOLDING_TICK, undefined);
   kernel.dispatch(REQUESTS_READ, {
+    jobIds: [],
     partition: 0,
     requests: [],
     completeUntil: 0,
@@ -202,6 +203,7 @@
     kernel,
     submitJobs: jobs =>
       kernel.dispatch(REQUESTS_READ, {
+        jobIds: [],
         partition: 0,
         completeUntil: 0,
         requests: jobs.map(job => ({kind: 'submit' as const, job})),
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -44,6 +44,11 @@
   PARTITIONS_READ,
 } from './DispatchState';
 import {onWorkerCrashed} from './crashFlow';
+import {
+  REQUEST_PARTITIONS,
+  deleteEndedRequests,
+  notePartition,
+} from './endedRequests';
 import {LIMITED_SINCE} from './accountWaits';
 import {CRASH_TRIALS, endTrials} from './crashTrials';
 import {
@@ -91,7 +96,7 @@
 } from './waitingSteps';
 
 /** Interval between two searches for ended jobs that can be forgotten. */
-const FORGET_CHECK_INTERVAL_MILLIS = 5000;
+const FORGET_CHECK_INTERVAL_MILLIS = 2000;
 
 /** When ended jobs that can be forgotten were last searched for. */
 const FORGET_CHECKED_AT = createValueSlice('forgot-at', 0);
@@ -122,6 +127,7 @@
     if (heldTerm(update) === undefined) {
       return;
     }
+    notePartition(update, payload.partition, payload.jobIds);
     applyRequests(update, payload, wallClock, functions.virtualDelayMillis);
     if (payload.completeUntil === undefined) {
       return;
@@ -145,6 +151,7 @@
     if (update.now - checkedAt.get() > FORGET_CHECK_INTERVAL_MILLIS) {
       checkedAt.set(update.now);
       forgetEndedJobs(update, keepEndedMillis);
+      deleteEndedRequests(update);
     }
     discardRunsOnUnknownWorkers(update);
     endTrials(update);
@@ -157,6 +164,7 @@
       kernel.registerSlice(JOBS),
       kernel.registerSlice(CANCELLED_JOBS),
       kernel.registerSlice(END_SEEN_AT),
+      kernel.registerSlice(REQUEST_PARTITIONS),
       kernel.registerSlice(SITE_CONFIGURATION),
       kernel.registerSlice(PARTITIONS_READ),
       kernel.registerSlice(CRASH_TRIALS),
@@ -240,6 +248,7 @@
   update.write(JOBS).clear();
   update.write(CANCELLED_JOBS).clear();
   update.write(END_SEEN_AT).clear();
+  update.write(REQUEST_PARTITIONS).clear();
   update.write(PARTITIONS_READ).clear();
   update.write(CRASH_TRIALS).clear();
   update.write(ADVICE).clear();
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -12,6 +12,7 @@
   PlacementFunctions,
   StartQuota,
 } from './placementFunctions';
+export {isOver} from './endedRequests';
 export {
   REQUEST_ADVICE,
   ADVICE_RECEIVED,
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -29,6 +29,7 @@
   newJobRow,
   setProgress,
 } from './DispatchState';
+import {REQUEST_PARTITIONS, onRequestsDeleted} from './endedRequests';
 import {
   adoptRunsOfEndedJob,
   listPlacedRuns,
@@ -274,7 +275,7 @@
     }
   }
   if (jobIds.length > 0) {
-    update.emit(FORGET_REQUESTS, {jobIds});
+    update.emit(FORGET_REQUESTS, {jobIds, partition: undefined});
   }
 }
 
@@ -285,13 +286,18 @@
  */
 export function onRequestsForgotten(
   update: Update,
-  {jobIds}: PayloadOf<typeof REQUESTS_FORGOTTEN>,
+  {jobIds, partition}: PayloadOf<typeof REQUESTS_FORGOTTEN>,
 ): void {
+  if (partition !== undefined) {
+    onRequestsDeleted(update, partition, jobIds);
+    return;
+  }
   for (const jobId of jobIds) {
     recordForgottenJob(update, jobId);
     update.write(JOBS).delete(jobId);
     update.write(CANCELLED_JOBS).delete(jobId);
     update.write(END_SEEN_AT).delete(jobId);
+    update.write(REQUEST_PARTITIONS).delete(jobId);
   }
 }
 
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -28,6 +28,8 @@
 export const REQUESTS_READ = createCommand<{
   readonly requests: readonly Request[];
   readonly partition: number;
+  /** Ids of all jobs that the requests in the read are about, also of ended ones. */
+  readonly jobIds: readonly string[];
   /**
    * If the read reached the end of the partition, when it was sent, on the
    * runtime's monotonic clock.
@@ -80,14 +82,18 @@
 /** Stops reading the streams of `FOLLOW_HOLDER_STREAMS`. */
 export const UNFOLLOW_HOLDER_STREAMS = createEffect<void>('unfollow-site');
 
-/** Removes the requests about the given jobs from all partitions of the log. */
+/** Removes the requests about the given jobs from one or all partitions of the log. */
 export const FORGET_REQUESTS = createEffect<{
   readonly jobIds: readonly string[];
+  /** Undefined for all partitions. */
+  readonly partition: number | undefined;
 }>('forget-requests');
 
-/** The requests about the given jobs were removed from all partitions. */
+/** The requests about the given jobs were removed from one or all partitions. */
 export const REQUESTS_FORGOTTEN = createCommand<{
   readonly jobIds: readonly string[];
+  /** Undefined for all partitions. */
+  readonly partition: number | undefined;
 }>('requests-forgotten');
 
 /** A decision about a job, step or run, for logs and metrics. */
--- a/packages/record-codec/src/index.ts
+++ b/packages/record-codec/src/index.ts
@@ -18,5 +18,6 @@
   decodeRequests,
   encodeRequestTombstones,
   encodeRequest,
+  jobIdsOf,
 } from './requestCodec';
 export {decodeStates, encodeStateEntry} from './stateCodec';
--- a/packages/record-codec/src/requestCodec.ts
+++ b/packages/record-codec/src/requestCodec.ts
@@ -37,6 +37,17 @@
   ];
 }
 
+/** Lists the jobs that requests are about, whether or not they are decoded. */
+export function jobIdsOf(records: readonly StoredRecord[]): string[] {
+  return records
+    .filter(({value}) => value.length > 0)
+    .map(({key}) => jobIdIn(key));
+}
+
+function jobIdIn(key: string): string {
+  return key.slice(key.indexOf('.') + 1);
+}
+
 /**
  * Decodes requests. Skips tombstones and jobs that are over, and calls `onMalformed`
  * for each invalid record. Most requests that a new holder reads are
@@ -49,8 +60,7 @@
 ): Request[] {
   const requests: Request[] = [];
   for (const {key, value} of records) {
-    const jobId = key.slice(key.indexOf('.') + 1);
-    if (value.length === 0 || isOver(jobId)) {
+    if (value.length === 0 || isOver(jobIdIn(key))) {
       continue;
     }
     let reason = UNKNOWN_FORM;
--- a/packages/site-daemon/src/requestTombstones.ts
+++ b/packages/site-daemon/src/requestTombstones.ts
@@ -6,18 +6,19 @@
 const FORGET_APPEND_TIMEOUT_MILLIS = 2000;
 
 /**
- * Appends tombstones for the requests about jobs to every partition: a request
- * may be in any partition, and in several, since a batch may be sent again to
- * another one. Resolves to true if all tombstones are durable.
+ * Appends tombstones for the requests about jobs to partitions: a request may be in
+ * any partition, and in several, since a batch may be sent again to another one.
+ * Resolves to true if all tombstones are durable.
  */
 export async function forgetRequests(
   streams: StreamLog,
+  partitions: readonly number[],
   jobIds: readonly string[],
   log: Log,
 ): Promise<boolean> {
   const records = jobIds.flatMap(encodeRequestTombstones);
   let areDeleted = true;
-  for (let partition = 0; partition < streams.partitions; partition++) {
+  for (const partition of partitions) {
     const outcome = await streams.append({
       stream: 'requests',
       partition,
--- a/packages/site-daemon/src/routineEvents.ts
+++ b/packages/site-daemon/src/routineEvents.ts
@@ -17,6 +17,7 @@
   'worker-held',
   'worker-listed',
   'connection-closed',
+  'requests-forgotten',
 ]);
 
 /** Whether an event belongs to the usual course of jobs, runs and workers. */
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -30,6 +30,7 @@
   REQUESTS_FORGOTTEN,
   REQUESTS_READ,
   UNFOLLOW_HOLDER_STREAMS,
+  isOver as isProgressOver,
 } from '@samphireramp/dispatch';
 import {WORKER_REGISTRY_READ} from '@samphireramp/fleet';
 import {
@@ -42,6 +43,7 @@
   encodeJournalEntry,
   encodeRequest,
   encodeStateEntry,
+  jobIdsOf,
 } from '@samphireramp/record-codec';
 import {
   type AppendOutcome,
@@ -51,7 +53,7 @@
   type StreamName,
   reachedLogEnd,
 } from '@samphireramp/stream-log';
-import {type SiteConfiguration, isFinalState} from '@samphireramp/jobs';
+import type {SiteConfiguration} from '@samphireramp/jobs';
 import type {Log} from '@samphireramp/telemetry';
 import {forgetRequests} from './requestTombstones';
 import {
@@ -148,6 +150,10 @@
       }),
     );
     let journal: FollowHandle | undefined;
+    const allPartitions = Array.from(
+      {length: streams.partitions},
+      (_, partition) => partition,
+    );
 
     function followJournal(): void {
       unfollowJournal();
@@ -182,12 +188,8 @@
 
     function isOver(jobId: string): boolean {
       const progress = kernel.read(DURABLE_PROGRESS).get(jobId);
-      // One with occurrences has runs that may not be gone, which its job describes.
-      return (
-        progress !== undefined &&
-        isFinalState(progress.state) &&
-        progress.occurrences.length === 0
-      );
+      // Otherwise there are runs that may not be gone, which its job describes.
+      return progress !== undefined && isProgressOver(progress);
     }
 
     function followHolderStreams(): void {
@@ -222,6 +224,7 @@
                 (requests, hasAll) =>
                   kernel.dispatch(REQUESTS_READ, {
                     partition,
+                    jobIds: hasAll ? jobIdsOf(records) : [],
                     completeUntil:
                       hasAll && reachedLogEnd(read) ? read.sentAt : undefined,
                     requests,
@@ -297,12 +300,16 @@
             kernel.dispatch(REQUEST_APPEND_ENDED, {batchId, outcome}),
           );
       }),
-      kernel.registerEffect(FORGET_REQUESTS, ({jobIds}) => {
-        void forgetRequests(streams, jobIds, log).then(areDeleted => {
-          if (areDeleted) {
-            kernel.dispatch(REQUESTS_FORGOTTEN, {jobIds});
-          }
-        });
+      kernel.registerEffect(FORGET_REQUESTS, ({jobIds, partition}) => {
+        const partitions =
+          partition === undefined ? allPartitions : [partition];
+        void forgetRequests(streams, partitions, jobIds, log).then(
+          areDeleted => {
+            if (areDeleted) {
+              kernel.dispatch(REQUESTS_FORGOTTEN, {jobIds, partition});
+            }
+          },
+        );
       }),
     );
   };
