The end of a job looks at its own runs, not at all; the key of an entry needs no patterns

Change: the runs follow from the placed tasks of the job; those of tasks that were opened again are being stopped already, and their orders are repeated as before. The key is found by a switch.

--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -4,7 +4,7 @@
   recordForgottenJob,
   recordProgress,
 } from '@samphireramp/holding';
-import {RUNS, type Run, adoptRun, stopRun} from '@samphireramp/fleet';
+import {RUNS, adoptRun, stopRun} from '@samphireramp/fleet';
 import {
   type Job,
   type JobState,
@@ -16,6 +16,7 @@
   newOccurrence,
   newProgress,
   reservedResources,
+  runKey,
 } from '@samphireramp/jobs';
 import {deleteAdviceOfJob} from './adviceState';
 import {beginTrial} from './crashTrials';
@@ -202,10 +203,12 @@
   const ended = {...progress, occurrences, state, endedAt: wallNow};
   setProgress(update, row, ended);
   deleteAdviceOfJob(update, row.job.id);
-  for (const run of runsOf(update, row.job.id)) {
+  // Its other runs are being stopped already.
+  for (const {runId} of listPlacedRuns(row.progress)) {
+    const run = update.read(RUNS).get(runKey(runId));
     // The tasks of a gang finish together, so its other runs end by themselves.
-    const {isGang} = row.job.steps[run.runId.step];
-    if (state !== 'completed' || !isGang) {
+    const {isGang} = row.job.steps[runId.step];
+    if (run !== undefined && (state !== 'completed' || !isGang)) {
       stopRun(update, run, `job-${state}`);
     }
   }
@@ -246,12 +249,6 @@
   }
 }
 
-function runsOf(update: Update, jobId: string): Run[] {
-  return [...update.read(RUNS).values()].filter(
-    run => run.runId.jobId === jobId,
-  );
-}
-
 /**
  * Has the log remove the requests about jobs that this holder has known to be over
  * for more than `keepMillis`; `onRequestsForgotten` then deletes their records. The
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -8,7 +8,6 @@
   createValueSlice,
 } from '@samphireramp/kernel';
 import type {Progress} from '@samphireramp/jobs';
-import {match} from 'ts-pattern';
 import type {JournalEntry} from './messages';
 import {EMPTY_COPY, type StreamCopy} from './streamCopy';
 
@@ -134,16 +133,19 @@
 
 /** Returns the key of an entry among the pending ones: what it is about. */
 export function pendingKeyOf(entry: JournalEntry): string {
-  return match(entry)
-    .with({kind: 'holder'}, () => HOLDER_KEY)
-    .with({kind: 'progress'}, ({progress}) => progress.jobId)
-    .with({kind: 'forgotten'}, ({jobId}) => jobId)
-    .with({kind: 'lease-bound'}, ({bound}) => `lease.${bound.incarnation}`)
-    .with(
-      {kind: 'lease-bound-lifted'},
-      ({incarnation}) => `lease.${incarnation}`,
-    )
-    .exhaustive();
+  // Each change of a job comes here: matching patterns costs more than the rest.
+  switch (entry.kind) {
+    case 'holder':
+      return HOLDER_KEY;
+    case 'progress':
+      return entry.progress.jobId;
+    case 'forgotten':
+      return entry.jobId;
+    case 'lease-bound':
+      return `lease.${entry.bound.incarnation}`;
+    case 'lease-bound-lifted':
+      return `lease.${entry.incarnation}`;
+  }
 }
 
 /**
