--- a/packages/holding/src/holdingPhases.ts
+++ b/packages/holding/src/holdingPhases.ts
@@ -17,6 +17,7 @@
   READ_JOURNAL_NOW,
   UNFOLLOW_RESERVE,
 } from './messages';
+import {fenceReserve} from './reserveFence';
 import {resetReserve} from './reserveState';
 
 /**
@@ -33,7 +34,11 @@
   const holding = update.write(HOLDING);
   const current = holding.get();
   const {term, reserveEnd} = record;
-  resetReserve(update, reserveEnd);
+  const isFollowed = current.phase === 'claiming' && reserveEnd !== undefined;
+  if (!isFollowed) {
+    resetReserve(update, reserveEnd);
+    update.emit(FOLLOW_RESERVE, undefined);
+  }
   holding.set({
     ...current,
     phase: 'fencing',
@@ -44,11 +49,11 @@
     logEndOffset: Math.max(current.logEndOffset, endOffset),
     confirmedAt,
   });
-  update.emit(FOLLOW_RESERVE, undefined);
   if (reserveEnd === undefined) {
     beginHolding(update, self);
   } else {
     update.emit(HOLDING_EVENT, {event: 'fencing-began', term, holder: self});
+    fenceReserve(update);
   }
 }
 
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -34,6 +34,7 @@
 import {DURABLE_LEASE_BOUNDS} from './leaseBounds';
 import {
   APPEND_JOURNAL,
+  FOLLOW_RESERVE,
   HOLDING_BEGAN,
   HOLDING_ENDED,
   HOLDING_EVENT,
@@ -49,6 +50,7 @@
   RESERVE_READ,
   RESERVE_READ_FAILED,
   RESIGN,
+  UNFOLLOW_RESERVE,
 } from './messages';
 import {createReserveHandlers} from './reserveHandlers';
 import {
@@ -56,6 +58,7 @@
   RESERVE,
   RESERVE_COPY,
   changeReserve,
+  resetReserve,
 } from './reserveState';
 import {flushReserve, reportUse, takeBackReserveBatch} from './reserveUse';
 
@@ -81,6 +84,11 @@
       lastAppendAt: update.now,
       nextClaimAt: update.now + CLAIM_TIMEOUT_MILLIS + CLAIM_RETRY_DELAY_MILLIS,
     });
+    if (record.reserveEnd !== undefined) {
+      // What it has is read by the time the claim is durable.
+      resetReserve(update, record.reserveEnd);
+      update.emit(FOLLOW_RESERVE, undefined);
+    }
     update.emit(HOLDING_EVENT, {
       event: 'claim-sent',
       term: record.term,
@@ -234,6 +242,7 @@
     }
     const nextClaimAt = update.now + CLAIM_RETRY_DELAY_MILLIS;
     holding.set({...current, phase: 'following', nextClaimAt});
+    update.emit(UNFOLLOW_RESERVE, undefined);
     update.emit(READ_JOURNAL_NOW, undefined);
     update.emit(HOLDING_EVENT, {
       event: 'claim-failed',
--- a/packages/holding/src/reserveHandlers.ts
+++ b/packages/holding/src/reserveHandlers.ts
@@ -44,7 +44,7 @@
   return {
     onRead(update: Update, read: ReserveRead): void {
       const {phase} = update.read(HOLDING).get();
-      if (phase !== 'fencing' && phase !== 'holding') {
+      if (phase === 'following') {
         return;
       }
       if (isFencedBy(update, read)) {
