Late outcomes of fences of an earlier claim count for nothing

Found by reading, not seen in a play. Change: the numbers go on within a process.

staleFence.test.ts failed before: the holding began by the first fence (4, expected undefined).

--- a/packages/holding/src/reserveState.ts
+++ b/packages/holding/src/reserveState.ts
@@ -15,7 +15,7 @@
 
 /** An append to the reserve journal that is not known to be durable. */
 export interface ReserveBatch {
-  /** Number within the holding, in its holder record. */
+  /** Number within this process of the host, in its holder record. */
   readonly number: number;
   /**
    * `fence`: moves the end, so that no earlier append can take effect any more;
@@ -85,12 +85,16 @@
   reserve.set({...reserve.get(), ...change});
 }
 
-/** Forgets what is known of the reserve journal. */
+/**
+ * Forgets what is known of the reserve journal. The numbers of batches go on, so that a
+ * late outcome of an earlier holding is not taken for one of the next.
+ */
 export function resetReserve(
   update: Update,
   durableEnd: number | undefined,
 ): void {
-  update.write(RESERVE).set({...INITIAL_RESERVE, durableEnd});
+  const {nextBatchNumber} = update.read(RESERVE).get();
+  update.write(RESERVE).set({...INITIAL_RESERVE, nextBatchNumber, durableEnd});
   update.write(RESERVE_COPY).clear();
   update.write(OWED_ENTRIES).clear();
 }
