--- a/packages/operator-command/src/__tests__/unit/explainJob.test.ts
+++ b/packages/operator-command/src/__tests__/unit/explainJob.test.ts
@@ -206,3 +206,16 @@
     }
   },
 );
+
+void t.test('a journal that was late is part of the history', async t => {
+  const late =
+    '2026-02-05T22:23:13.500Z samphireramp:host event=journal-late term=6531 holder=host-b detail="14 entries, 299 commands wait" silentMillis=500';
+  const history = explainJob(
+    '00000000000000a1',
+    parseLines(ACCEPTED, late, OTHER_JOB, COMPLETED),
+  );
+  t.same(
+    history?.lines.map(({event}) => event),
+    ['submit-accepted', 'journal-late', 'job-completed'],
+  );
+});
--- a/packages/operator-command/src/explainJob.ts
+++ b/packages/operator-command/src/explainJob.ts
@@ -8,10 +8,15 @@
   readonly verdict: string;
 }
 
-/** Events that affect all jobs: the holder or access to the log changed. */
+/** Events that affect all jobs: the holder or access to the log changed, or is late. */
 const HOST_EVENTS = new Set([
   'holding-began',
   'holding-ended',
+  'fencing-began',
+  'journal-late',
+  'journal-answered',
+  'reserve-used',
+  'reserve-settled',
   'stream-lost',
   'stream-regained',
 ]);
