--- a/packages/holding/src/journalBatch.ts
+++ b/packages/holding/src/journalBatch.ts
@@ -96,16 +96,19 @@
   const {nextBatchNumber} = holding;
   const isStopping = holding.isStopping && !isPartial;
   const requestsReadUntil = isPartial ? -Infinity : holding.requestsReadUntil;
+  // A holder that resigns has recorded all, so that the next one needs no fence.
+  const reserveEnd = isStopping ? undefined : content.reserveEnd;
   const record: HolderRecord = {
     ...latestHolderRecord,
     batch: nextBatchNumber,
     isResigned: isStopping,
     requestsAgeMillis: requestsAge(requestsReadUntil, holding.holderHeardAt),
     termMillis: Math.floor(now - holding.holdingBeganAt),
-    reserveEnd: content.reserveEnd,
+    reserveEnd,
   };
   return {
     ...content,
+    reserveEnd,
     number: nextBatchNumber,
     entries: [{kind: 'holder', record}, ...entries],
     jobsUntil: requestsReadUntil,
--- a/packages/holding/src/reserveAppends.ts
+++ b/packages/holding/src/reserveAppends.ts
@@ -5,7 +5,7 @@
   MIN_APPEND_TIMEOUT_MILLIS,
   REFUSED_APPEND_RETRY_DELAY_MILLIS,
 } from './appendTiming';
-import {HOLDING} from './HoldingState';
+import {HOLDING, pendingKeyOf} from './HoldingState';
 import {
   APPEND_RESERVE,
   READ_RESERVE_NOW,
@@ -19,7 +19,6 @@
   changeReserve,
   isOwnReserveRecord,
 } from './reserveState';
-import {pendingKeyOf} from './HoldingState';
 
 /** What a batch of the reserve journal consists of. */
 export type ReserveBatchContent = Pick<
--- a/packages/holding/src/reserveState.ts
+++ b/packages/holding/src/reserveState.ts
@@ -8,7 +8,6 @@
   type DeferredCommand,
   HOLDING,
   type HoldingState,
-  heldTerm,
   pendingKeyOf,
 } from './HoldingState';
 import type {JournalEntry, ReserveEntry, StoredEntry} from './messages';
@@ -150,8 +149,3 @@
     ? holding.latestHolderRecord?.term
     : undefined;
 }
-
-/** Whether this host holds the site. */
-export function isHolding(state: StateReader): boolean {
-  return heldTerm(state) !== undefined;
-}
--- a/packages/holding/src/reserveUse.ts
+++ b/packages/holding/src/reserveUse.ts
@@ -44,6 +44,7 @@
   if (
     journalBatch === undefined ||
     !isJournalLate(update) ||
+    reserve.endOffset === undefined ||
     reserve.isUnfenced ||
     !isReserveStated(update)
   ) {
--- a/testing/src/__tests__/unit/journalOutage.test.ts
+++ b/testing/src/__tests__/unit/journalOutage.test.ts
@@ -95,3 +95,16 @@
     t.not(site.holder(), holder);
   },
 );
+
+void t.test('a host that follows one that resigned needs no fence', async t => {
+  const site = buildModelSite({workers: 4, policies: [POLICY]});
+  await site.run(1500);
+  const holder = site.holder();
+  if (holder !== undefined) {
+    site.stop(holder, 1000);
+  }
+  await site.run(1000);
+  t.ok(site.holder());
+  t.not(site.holder(), holder);
+  t.notOk(site.events.some(event => event.includes('fencing-began')));
+});
