--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -60,7 +60,7 @@
   changeReserve,
   resetReserve,
 } from './reserveState';
-import {flushReserve, reportUse, takeBackReserveBatch} from './reserveUse';
+import {flushReserve, reportSettled, takeBackReserveBatch} from './reserveUse';
 
 /** Interval at which an idle holder appends a holder record as a heartbeat. */
 export const HEARTBEAT_INTERVAL_MILLIS = 150;
@@ -180,7 +180,7 @@
     takeBackReserveBatch(update);
     changeReserve(update, {durableEnd: batch.reserveEnd});
     if (batch.isOwed && update.read(OWED_ENTRIES).size === 0) {
-      reportUse(update, 'reserve-settled', batch);
+      reportSettled(update, batch);
     }
     if (!batch.isApplied) {
       batch.entries.forEach(entry => applyEntry(update, entry));
--- a/packages/holding/src/reserveAppends.ts
+++ b/packages/holding/src/reserveAppends.ts
@@ -1,5 +1,5 @@
 import type {Update} from '@samphireramp/kernel';
-import type {AppendOutcome} from '@samphireramp/stream-log';
+import {type AppendOutcome, reachedLogEnd} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
 import {
   MIN_APPEND_TIMEOUT_MILLIS,
@@ -27,7 +27,9 @@
 >;
 
 /** A fence with the entries that the reserve journal no longer needs. */
-export function fenceOf(entries: readonly ReserveEntry[]): ReserveBatchContent {
+export function fenceContent(
+  entries: readonly ReserveEntry[],
+): ReserveBatchContent {
   return {
     purpose: 'fence',
     entries,
@@ -152,7 +154,6 @@
     copy.set(pendingKeyOf(stored.entry), stored);
   }
   const reserve = update.read(RESERVE).get();
-  const isAtEnd = read.endOffset >= read.logEndOffset;
   const batch = reserve.batchInFlight;
   changeReserve(update, {isReadable: true});
   const own = read.entries.find(
@@ -165,7 +166,7 @@
     settleBatch(update, batch, own.offset, own.offset + batch.entries.length);
     return batch;
   }
-  if (isAtEnd) {
+  if (reachedLogEnd(read)) {
     changeReserve(update, {
       endOffset: Math.max(read.endOffset, reserve.endOffset ?? 0),
       // A batch after a conflict that isn't in the stream is sent again.
--- a/packages/holding/src/reserveFence.ts
+++ b/packages/holding/src/reserveFence.ts
@@ -1,7 +1,11 @@
 import type {Update} from '@samphireramp/kernel';
 import {applyEntry} from './applyEntries';
 import {HOLDER_KEY, HOLDING} from './HoldingState';
-import {fenceOf, resendReserveBatch, sendReserveBatch} from './reserveAppends';
+import {
+  fenceContent,
+  resendReserveBatch,
+  sendReserveBatch,
+} from './reserveAppends';
 import {RESERVE, RESERVE_COPY, addOwedEntry} from './reserveState';
 
 /**
@@ -10,7 +14,7 @@
  */
 export function fenceReserve(update: Update): void {
   if (update.read(RESERVE).get().batchInFlight === undefined) {
-    sendReserveBatch(update, fenceOf([]));
+    sendReserveBatch(update, fenceContent([]));
   } else {
     resendReserveBatch(update);
   }
--- a/packages/holding/src/reserveUse.ts
+++ b/packages/holding/src/reserveUse.ts
@@ -7,13 +7,17 @@
   PENDING_ENTRIES,
   pendingKeyOf,
 } from './HoldingState';
+import {emitBatchEvent, isJournalLate} from './lateBatch';
 import {
-  HOLDING_EVENT,
   type JournalEntry,
   PROGRESS_DURABLE,
   type ReserveEntry,
 } from './messages';
-import {fenceOf, resendReserveBatch, sendReserveBatch} from './reserveAppends';
+import {
+  fenceContent,
+  resendReserveBatch,
+  sendReserveBatch,
+} from './reserveAppends';
 import {
   RESERVE,
   RESERVE_COPY,
@@ -23,8 +27,6 @@
   isReserveStated,
 } from './reserveState';
 
-/** The reserve journal is used once the journal has not taken a batch for this long. */
-export const RESERVE_AFTER_MILLIS = 500;
 /** Interval at which an idle holder proves with an append that it still holds. */
 const RESERVE_HEARTBEAT_MILLIS = 300;
 /** Most entries that one fence withdraws. */
@@ -43,7 +45,7 @@
   }
   if (
     journalBatch === undefined ||
-    !isJournalLate(update) ||
+    !isJournalLate(update, update.now) ||
     reserve.endOffset === undefined ||
     reserve.isUnfenced ||
     !isReserveStated(update)
@@ -59,19 +61,15 @@
       deferredCommands: [],
       jobsUntil: journalBatch.jobsUntil,
     });
-    reportUse(update, 'reserve-used', journalBatch);
+    emitBatchEvent(
+      update,
+      'reserve-used',
+      journalBatch,
+      describeEntries(journalBatch),
+    );
   }
 }
 
-/** Whether the journal has not taken a batch for long. */
-function isJournalLate(update: Update): boolean {
-  const {batchInFlight} = update.read(HOLDING).get();
-  return (
-    batchInFlight !== undefined &&
-    update.now - batchInFlight.firstSentAt >= RESERVE_AFTER_MILLIS
-  );
-}
-
 /** Sends what was recorded since the batch that the journal does not take. */
 function sendPending(update: Update): void {
   const {maxBatchEntries, lastAppendAt} = update.read(RESERVE).get();
@@ -179,7 +177,11 @@
   const {batchInFlight, isReadable, isUnfenced, durableEnd} = update
     .read(RESERVE)
     .get();
-  if (batchInFlight !== undefined || !isReadable || isJournalLate(update)) {
+  if (
+    batchInFlight !== undefined ||
+    !isReadable ||
+    isJournalLate(update, update.now)
+  ) {
     return;
   }
   const needless: ReserveEntry[] = [];
@@ -194,24 +196,17 @@
     }
   }
   if (isUnfenced || needless.length > 0) {
-    sendReserveBatch(update, fenceOf(needless));
+    sendReserveBatch(update, fenceContent(needless));
   }
 }
 
-/** Logs that the reserve journal is used, or that the journal has all of it again. */
-export function reportUse(
-  update: Update,
-  event: 'reserve-used' | 'reserve-settled',
-  {firstSentAt, entries}: JournalBatch,
-): void {
-  const {latestHolderRecord} = update.read(HOLDING).get();
-  update.emit(HOLDING_EVENT, {
-    event,
-    term: latestHolderRecord?.term ?? 0,
-    holder: latestHolderRecord?.holder ?? '',
-    detail: `${entries.length - 1} entries`,
-    silentMillis: Math.round(update.now - firstSentAt),
-  });
+/** Logs that the journal has all again that only the reserve journal had. */
+export function reportSettled(update: Update, batch: JournalBatch): void {
+  emitBatchEvent(update, 'reserve-settled', batch, describeEntries(batch));
+}
+
+function describeEntries({entries}: JournalBatch): string {
+  return `${withoutHolder(entries).length} entries`;
 }
 
 function journalEntriesOf(entries: readonly ReserveEntry[]): JournalEntry[] {
