The outcome of an append counts only for the newest append

Each append of a process has a number of its own now, and only the outcome of the newest one counts. Batches keep their numbers in holder records, which other hosts read.

The same class elsewhere: appends to states and requests have numbers of their own already.

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -91,14 +91,14 @@
   ]) {
     kernel.register(plugin);
   }
-  kernel.registerEffect(APPEND_JOURNAL, ({batch, entries}) => {
+  kernel.registerEffect(APPEND_JOURNAL, ({append, entries}) => {
     totalBytes += entries
       .map(encodeJournalEntry)
       .reduce((sum, {key, value}) => sum + key.length + value.length, 0);
     const offset = endOffset;
     endOffset += entries.length;
     kernel.dispatch(JOURNAL_APPEND_ENDED, {
-      batch,
+      append,
       outcome: {kind: 'appended', offset, endOffset},
     });
   });
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -83,6 +83,11 @@
   readonly maxBatchEntries: number;
   /** When a claim or a batch was last sent to the log. */
   readonly lastAppendAt: number;
+  /**
+   * Number of appends sent, in all holdings of this process. The outcome of any but
+   * the newest says nothing of what is in flight.
+   */
+  readonly appendCount: number;
 }
 
 const INITIAL_STATE: HoldingState = {
@@ -99,6 +104,7 @@
   batchInFlight: undefined,
   maxBatchEntries: Infinity,
   lastAppendAt: 0,
+  appendCount: 0,
 };
 
 /** The state of the holding, as this host knows it. */
--- a/packages/holding/src/__tests__/buildHost.ts
+++ b/packages/holding/src/__tests__/buildHost.ts
@@ -42,7 +42,7 @@
     clock.now = now;
     kernel.dispatch(HOLDING_TICK, undefined);
     const outcome = {kind: 'appended', offset: 0, endOffset: 1} as const;
-    kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+    kernel.dispatch(JOURNAL_APPEND_ENDED, {append: 0, outcome});
   };
   return {clock, kernel, readEmptyJournal, claimAt};
 }
--- a/packages/holding/src/__tests__/unit/lateBatch.test.ts
+++ b/packages/holding/src/__tests__/unit/lateBatch.test.ts
@@ -26,7 +26,7 @@
     t.equal(late.length, 1);
     clock.now = 2000;
     const outcome = {kind: 'appended', offset: 1, endOffset: 2} as const;
-    kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 1, outcome});
+    kernel.dispatch(JOURNAL_APPEND_ENDED, {append: 1, outcome});
     t.match(events.at(-1), {event: 'journal-answered', silentMillis: 800});
   },
 );
--- a/packages/holding/src/__tests__/unit/leaseBounds.test.ts
+++ b/packages/holding/src/__tests__/unit/leaseBounds.test.ts
@@ -52,7 +52,7 @@
     offset: endOffset,
     endOffset: endOffset + 1,
   } as const;
-  kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+  kernel.dispatch(JOURNAL_APPEND_ENDED, {append: 0, outcome});
   return {clock, kernel};
 }
 
@@ -131,7 +131,7 @@
   clock.now = 1000;
   kernel.dispatch(HOLDING_TICK, undefined);
   const outcome = {kind: 'unknown', detail: 'no answer'} as const;
-  kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+  kernel.dispatch(JOURNAL_APPEND_ENDED, {append: 0, outcome});
   clock.now = 4000;
   kernel.dispatch(HOLDING_TICK, undefined);
   const claim = {holder: HOST_NAME, incarnation: HOST_INCARNATION};
--- a/packages/holding/src/__tests__/unit/snapshotOlderThanOwnBatch.test.ts
+++ b/packages/holding/src/__tests__/unit/snapshotOlderThanOwnBatch.test.ts
@@ -34,7 +34,7 @@
   clock.now = 1600;
   kernel.dispatch(RECORD_JOB, undefined);
   kernel.dispatch(JOURNAL_APPEND_ENDED, {
-    batch: 1,
+    append: 1,
     outcome: {kind: 'appended', offset: 1, endOffset: 3},
   });
   return {clock, kernel};
--- a/packages/holding/src/__tests__/unit/staleFence.test.ts
+++ b/packages/holding/src/__tests__/unit/staleFence.test.ts
@@ -41,7 +41,7 @@
         isSnapshot: offset === 0,
       });
     /** Claims the site, and reads the end of the reserve journal. */
-    const claim = (offset: number) => {
+    const claim = (offset: number, append: number) => {
       clock.now += 2000;
       kernel.dispatch(JOURNAL_READ, {
         entries: [],
@@ -56,7 +56,7 @@
         offset,
         endOffset: offset + 1,
       } as const;
-      kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+      kernel.dispatch(JOURNAL_APPEND_ENDED, {append, outcome});
       kernel.dispatch(RESERVE_READ, {
         entries: [],
         endOffset: 5,
@@ -68,10 +68,10 @@
     const outcome = {kind: 'appended', offset: 5, endOffset: 6} as const;
 
     readOtherClaim(0);
-    claim(1);
+    claim(1, 0);
     t.equal(fences.length, 1, `${HOST_NAME} ${HOST_INCARNATION} fences`);
     readOtherClaim(2);
-    claim(3);
+    claim(3, 1);
     t.equal(fences.length, 2);
     kernel.dispatch(RESERVE_APPEND_ENDED, {batch: fences[0], outcome});
     t.equal(heldTerm(kernel), undefined);
--- a/packages/holding/src/__tests__/unit/tooLargeBatch.test.ts
+++ b/packages/holding/src/__tests__/unit/tooLargeBatch.test.ts
@@ -31,7 +31,7 @@
   const durableAtCommand: number[] = [];
   let endOffset = 1;
   let isAnswering = false;
-  kernel.registerEffect(APPEND_JOURNAL, ({batch, entries}) => {
+  kernel.registerEffect(APPEND_JOURNAL, ({append, entries}) => {
     const isRefused =
       entries.length - 1 > maxEntries ||
       entries.some(
@@ -45,7 +45,7 @@
     const outcome = isRefused
       ? ({kind: 'too-large', detail: 'of many bytes'} as const)
       : ({kind: 'appended', offset, endOffset} as const);
-    kernel.dispatch(JOURNAL_APPEND_ENDED, {batch, outcome});
+    kernel.dispatch(JOURNAL_APPEND_ENDED, {append, outcome});
   });
   kernel.registerCommand(RECORD, (update, all) => {
     all.forEach(progress => recordProgress(update, progress));
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -1,4 +1,9 @@
-import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
+import {
+  type PayloadOf,
+  type Plugin,
+  type Update,
+  mergeUnregister,
+} from '@samphireramp/kernel';
 import type {AppendOutcome} from '@samphireramp/stream-log';
 import {match} from 'ts-pattern';
 import {
@@ -82,6 +87,7 @@
       // The claim takes effect only if the journal ends where this copy does.
       predecessor: predecessorOf(holding),
       lastAppendAt: update.now,
+      appendCount: holding.appendCount + 1,
       nextClaimAt: update.now + CLAIM_TIMEOUT_MILLIS + CLAIM_RETRY_DELAY_MILLIS,
     });
     if (record.reserveEnd !== undefined) {
@@ -96,7 +102,7 @@
       silentMillis: Math.round(update.now - holding.holderHeardAt),
     });
     update.emit(APPEND_JOURNAL, {
-      batch: 0,
+      append: holding.appendCount,
       expectedEnd: holding.endOffset,
       entries: [{kind: 'holder', record}],
       timeoutMillis: CLAIM_TIMEOUT_MILLIS,
@@ -141,9 +147,10 @@
       ...current,
       batchInFlight: {...batch, sentAt: update.now},
       lastAppendAt: update.now,
+      appendCount: current.appendCount + 1,
     });
     update.emit(APPEND_JOURNAL, {
-      batch: batch.number,
+      append: current.appendCount,
       expectedEnd: current.endOffset,
       entries: batch.entries,
       timeoutMillis,
@@ -226,9 +233,6 @@
   function onClaimAppended(update: Update, outcome: AppendOutcome): void {
     const holding = update.write(HOLDING);
     const current = holding.get();
-    if (current.phase !== 'claiming') {
-      return;
-    }
     if (outcome.kind === 'appended') {
       const {reserveEnd} = current.latestHolderRecord ?? {};
       onClaimDurable(
@@ -254,14 +258,17 @@
 
   function onAppended(
     update: Update,
-    {batch, outcome}: {batch: number; outcome: AppendOutcome},
+    {append, outcome}: PayloadOf<typeof JOURNAL_APPEND_ENDED>,
   ): void {
-    const {phase, batchInFlight} = update.read(HOLDING).get();
-    if (batch === 0) {
+    const {phase, batchInFlight, appendCount} = update.read(HOLDING).get();
+    if (append !== appendCount - 1) {
+      return;
+    }
+    if (phase === 'claiming') {
       onClaimAppended(update, outcome);
       return;
     }
-    if (phase !== 'holding' || batchInFlight?.number !== batch) {
+    if (phase !== 'holding' || batchInFlight === undefined) {
       return;
     }
     match(outcome)
--- a/packages/holding/src/messages.ts
+++ b/packages/holding/src/messages.ts
@@ -37,8 +37,8 @@
 
 /** Reports the outcome of an append to the journal. */
 export const JOURNAL_APPEND_ENDED = createCommand<{
-  /** Number of the batch; 0 is a claim. */
-  readonly batch: number;
+  /** `append` of `APPEND_JOURNAL`. */
+  readonly append: number;
   readonly outcome: AppendOutcome;
 }>('journal-appended');
 
@@ -81,10 +81,10 @@
 /** Resigns the holding, if any, and ends claims: the host is shutting down. */
 export const RESIGN = createCommand<void>('resign');
 
-/** Appends a batch, on condition that the journal ends at `expectedEnd`. */
+/** Appends a claim or a batch, on condition that the journal ends at `expectedEnd`. */
 export const APPEND_JOURNAL = createEffect<{
-  /** Number of the batch; 0 is a claim. */
-  readonly batch: number;
+  /** Number of the append, from 0 on, among all of this process. */
+  readonly append: number;
   readonly expectedEnd: number;
   readonly entries: readonly JournalEntry[];
   readonly timeoutMillis: number;
--- a/packages/job-states/src/__tests__/buildHost.ts
+++ b/packages/job-states/src/__tests__/buildHost.ts
@@ -95,7 +95,7 @@
     });
     kernel.dispatch(HOLDING_TICK, undefined);
     const outcome = {kind: 'appended', offset: 0, endOffset: 1} as const;
-    kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+    kernel.dispatch(JOURNAL_APPEND_ENDED, {append: 0, outcome});
   };
   /** Answers the newest append to the states stream. */
   const answerAppend = (
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -260,7 +260,7 @@
       kernel.registerEffect(UNFOLLOW_HOLDER_STREAMS, unfollowHolderStreams),
       kernel.registerEffect(READ_JOURNAL_NOW, () => journal?.readNow()),
       kernel.registerEffect(APPEND_JOURNAL, request => {
-        const {batch, expectedEnd, entries, timeoutMillis} = request;
+        const {append, expectedEnd, entries, timeoutMillis} = request;
         const records = entries.map(encodeJournalEntry);
         const partition = ONLY_PARTITION;
         void streams
@@ -272,7 +272,7 @@
             timeoutMillis,
           })
           .then(outcome =>
-            kernel.dispatch(JOURNAL_APPEND_ENDED, {batch, outcome}),
+            kernel.dispatch(JOURNAL_APPEND_ENDED, {append, outcome}),
           );
       }),
       kernel.registerEffect(APPEND_STATES, request => {
--- a/testing/src/__tests__/unit/updateMemory.test.ts
+++ b/testing/src/__tests__/unit/updateMemory.test.ts
@@ -120,7 +120,7 @@
     clock.now = 1000;
     kernel.dispatch(HOLDING_TICK, undefined);
     const outcome = {kind: 'appended', offset: 0, endOffset: 1} as const;
-    kernel.dispatch(JOURNAL_APPEND_ENDED, {batch: 0, outcome});
+    kernel.dispatch(JOURNAL_APPEND_ENDED, {append: 0, outcome});
     t.not(heldTerm(kernel), undefined);
     const kept = keptMegabytes(site, update => {
       for (let count = 0; count < ITEMS; count++) {
