--- a/packages/holding/src/HolderRecord.ts
+++ b/packages/holding/src/HolderRecord.ts
@@ -26,7 +26,7 @@
   /**
    * Time from the beginning of the holding to when the batch was created. With it
    * a reader can tell times that the journal counts from that beginning. Absent in
-   * a claim.
+   * a claim, and in the batches of a host that fences the reserve journal.
    */
   termMillis: z.optional(z.number()),
   /**
--- a/packages/holding/src/HoldingState.ts
+++ b/packages/holding/src/HoldingState.ts
@@ -66,6 +66,8 @@
   readonly isStopping: boolean;
   /** When this host's latest holding began. */
   readonly holdingBeganAt: number;
+  /** When the latest claim of this host was known to be durable. */
+  readonly claimDurableAt: number;
   /** The holding of the newest holder record began before this time. */
   readonly termBeganBefore: number;
   /** The holding before the latest claim of this host. */
@@ -97,6 +99,7 @@
   nextClaimAt: 0,
   isStopping: false,
   holdingBeganAt: 0,
+  claimDurableAt: 0,
   termBeganBefore: Infinity,
   predecessor: {term: undefined, beganBefore: Infinity, heardAt: 0},
   confirmedAt: -Infinity,
--- a/packages/holding/src/holdingPhases.ts
+++ b/packages/holding/src/holdingPhases.ts
@@ -44,6 +44,11 @@
     phase: 'fencing',
     latestHolderRecord: record,
     holderHeardAt: update.now,
+    claimDurableAt: update.now,
+    nextBatchNumber: 1,
+    batchInFlight: undefined,
+    maxBatchEntries: Infinity,
+    lastAppendAt: update.now,
     readAt: update.now,
     endOffset,
     logEndOffset: Math.max(current.logEndOffset, endOffset),
@@ -76,10 +81,6 @@
       ...NO_JOB_KNOWLEDGE,
       jobsUntil: current.jobKnowledge.jobsUntil,
     },
-    nextBatchNumber: 1,
-    batchInFlight: undefined,
-    maxBatchEntries: Infinity,
-    lastAppendAt: update.now,
   });
   update.write(DEFERRED_COMMANDS).takeAll();
   update.emit(HOLDING_EVENT, {event: 'holding-began', term, holder: self});
--- a/packages/holding/src/holdingPlugin.ts
+++ b/packages/holding/src/holdingPlugin.ts
@@ -12,7 +12,6 @@
   MIN_APPEND_TIMEOUT_MILLIS,
   REFUSED_APPEND_RETRY_DELAY_MILLIS,
   UNANSWERED_APPEND_RETRY_DELAY_MILLIS,
-  appendTimeoutMillis,
 } from './appendTiming';
 import {applyEntry, applyReadEntries} from './applyEntries';
 import {endHolding, onClaimDurable} from './holdingPhases';
@@ -24,16 +23,21 @@
   termOfClaim,
 } from './claimRules';
 import {
-  type JournalBatch,
   DEFERRED_COMMANDS,
   HOLDING,
   type HoldingState,
   DURABLE_PROGRESS,
   FLUSH_JOURNAL,
   PENDING_ENTRIES,
-  heldTerm,
 } from './HoldingState';
 import {splitBatch} from './batchSplitting';
+import {
+  isHeartbeatDue,
+  resendIfDue,
+  scheduleResend,
+  sendBatch,
+  sendFencingHeartbeat,
+} from './journalAppends';
 import {takeBatch} from './journalBatch';
 import {reportBatchAnswered, reportLateBatch} from './lateBatch';
 import {DURABLE_LEASE_BOUNDS} from './leaseBounds';
@@ -63,13 +67,11 @@
   RESERVE,
   RESERVE_COPY,
   changeReserve,
+  ownTerm,
   resetReserve,
 } from './reserveState';
 import {flushReserve, reportSettled, takeBackReserveBatch} from './reserveUse';
 
-/** Interval at which an idle holder appends a holder record as a heartbeat. */
-export const HEARTBEAT_INTERVAL_MILLIS = 150;
-
 /** Claims the site for this host, and writes the journal while it holds it. */
 export function createHoldingPlugin(options: HoldingOptions): Plugin {
   const {self, incarnation} = options;
@@ -112,10 +114,14 @@
   function flushJournal(update: Update): void {
     const holding = update.write(HOLDING);
     const current = holding.get();
-    if (
-      current.phase !== 'holding' ||
-      current.latestHolderRecord === undefined
-    ) {
+    if (current.latestHolderRecord === undefined) {
+      return;
+    }
+    if (current.phase === 'fencing') {
+      sendFencingHeartbeat(update, current, current.latestHolderRecord);
+      return;
+    }
+    if (current.phase !== 'holding') {
       return;
     }
     if (current.batchInFlight !== undefined) {
@@ -127,50 +133,13 @@
       update.read(PENDING_ENTRIES).size === 0 &&
       update.read(OWED_ENTRIES).size === 0 &&
       update.read(DEFERRED_COMMANDS).size === 0;
-    const isHeartbeatDue =
-      update.now - current.lastAppendAt >= HEARTBEAT_INTERVAL_MILLIS;
-    if (isIdle && !isHeartbeatDue && !current.isStopping) {
+    if (isIdle && !isHeartbeatDue(update, current) && !current.isStopping) {
       return;
     }
     const batch = takeBatch(update, current, current.latestHolderRecord);
     sendBatch(update, batch, MIN_APPEND_TIMEOUT_MILLIS);
   }
 
-  function sendBatch(
-    update: Update,
-    batch: JournalBatch,
-    timeoutMillis: number,
-  ): void {
-    const holding = update.write(HOLDING);
-    const current = holding.get();
-    holding.set({
-      ...current,
-      batchInFlight: {...batch, sentAt: update.now},
-      lastAppendAt: update.now,
-      appendCount: current.appendCount + 1,
-    });
-    update.emit(APPEND_JOURNAL, {
-      append: current.appendCount,
-      expectedEnd: current.endOffset,
-      entries: batch.entries,
-      timeoutMillis,
-    });
-  }
-
-  function resendIfDue(
-    update: Update,
-    holding: HoldingState,
-    batch: JournalBatch,
-  ): void {
-    if (batch.sentAt === undefined && update.now >= batch.retryAt) {
-      sendBatch(
-        update,
-        batch,
-        appendTimeoutMillis(update.now - holding.readAt),
-      );
-    }
-  }
-
   /** Applies the batch in flight, which is durable, up to `endOffset`. */
   function commitBatch(
     update: Update,
@@ -216,20 +185,6 @@
     flushJournal(update);
   }
 
-  function scheduleResend(update: Update, millis: number): void {
-    const holding = update.write(HOLDING);
-    const current = holding.get();
-    if (current.batchInFlight !== undefined) {
-      const retryAt = update.now + millis;
-      const batchInFlight = {
-        ...current.batchInFlight,
-        sentAt: undefined,
-        retryAt,
-      };
-      holding.set({...current, batchInFlight});
-    }
-  }
-
   function onClaimAppended(update: Update, outcome: AppendOutcome): void {
     const holding = update.write(HOLDING);
     const current = holding.get();
@@ -260,7 +215,8 @@
     update: Update,
     {append, outcome}: PayloadOf<typeof JOURNAL_APPEND_ENDED>,
   ): void {
-    const {phase, batchInFlight, appendCount} = update.read(HOLDING).get();
+    const holding = update.read(HOLDING).get();
+    const {phase, batchInFlight, appendCount} = holding;
     if (append !== appendCount - 1) {
       return;
     }
@@ -268,7 +224,7 @@
       onClaimAppended(update, outcome);
       return;
     }
-    if (phase !== 'holding' || batchInFlight === undefined) {
+    if (ownTerm(holding) === undefined || batchInFlight === undefined) {
       return;
     }
     match(outcome)
@@ -299,19 +255,14 @@
   }
 
   function onRead(update: Update, read: JournalRead): void {
-    const {phase, endOffset: knownEndOffset} = update.read(HOLDING).get();
-    if (phase === 'holding') {
-      onReadWhileHolding(update, read);
+    const previous = update.read(HOLDING).get();
+    if (ownTerm(previous) !== undefined) {
+      onReadAfterClaim(update, read);
       return;
     }
     applyReadEntries(update, read);
+    const {endOffset: knownEndOffset} = previous;
     const {latestHolderRecord, endOffset} = update.read(HOLDING).get();
-    if (phase === 'fencing') {
-      if (latestHolderRecord?.incarnation !== incarnation) {
-        endHolding(update, 'other-claim');
-      }
-      return;
-    }
     // A claim whose answer was lost may be in the journal all the same. If this
     // read finds it, the holding begins.
     const hasNewEntries = read.entries.some(
@@ -328,7 +279,7 @@
   }
 
   // A new holder record is that of the batch in flight or another host's claim.
-  function onReadWhileHolding(update: Update, read: JournalRead): void {
+  function onReadAfterClaim(update: Update, read: JournalRead): void {
     const {endOffset: knownEndOffset, batchInFlight} = update
       .read(HOLDING)
       .get();
@@ -345,7 +296,7 @@
       }
     }
     // No later read returns these entries.
-    if (heldTerm(update) === undefined) {
+    if (ownTerm(update.read(HOLDING).get()) === undefined) {
       applyReadEntries(update, read);
     }
   }
--- a/packages/holding/src/index.ts
+++ b/packages/holding/src/index.ts
@@ -27,7 +27,8 @@
 } from './streamCopy';
 export {requestsAge} from './jobKnowledge';
 export {MIN_HOLDER_TIMEOUT_MILLIS, type HoldingOptions} from './claimRules';
-export {HEARTBEAT_INTERVAL_MILLIS, createHoldingPlugin} from './holdingPlugin';
+export {createHoldingPlugin} from './holdingPlugin';
+export {HEARTBEAT_INTERVAL_MILLIS} from './journalAppends';
 export {
   APPEND_JOURNAL,
   APPEND_RESERVE,
--- a/packages/holding/src/journalBatch.ts
+++ b/packages/holding/src/journalBatch.ts
@@ -25,18 +25,16 @@
 };
 
 /**
- * Takes the next batch of a holding, up to its limit: first what only the reserve
- * journal has, in the version that it has, then what is pending.
+ * Takes the next batch, up to its limit: first what only the reserve journal has, in
+ * the version that it has, then what is pending. Before the holding has begun, a batch
+ * only shows that the host is up.
  */
 export function takeBatch(
   update: Update,
   holding: HoldingState,
   latestHolderRecord: HolderRecord,
 ): JournalBatch {
-  const content =
-    update.read(OWED_ENTRIES).size > 0
-      ? takeOwed(update, holding)
-      : takePending(update, holding);
+  const content = takeContent(update, holding);
   const batch = createBatch(holding, latestHolderRecord, content, update.now);
   const {maxBatchEntries} = holding;
   update.write(HOLDING).set({
@@ -47,6 +45,22 @@
   return batch;
 }
 
+function takeContent(update: Update, holding: HoldingState): BatchContent {
+  if (holding.phase === 'fencing') {
+    return {
+      entries: [],
+      deferredCommands: [],
+      isPartial: true,
+      isApplied: true,
+      isOwed: false,
+      reserveEnd: update.read(RESERVE).get().durableEnd,
+    };
+  }
+  return update.read(OWED_ENTRIES).size > 0
+    ? takeOwed(update, holding)
+    : takePending(update, holding);
+}
+
 function takeOwed(
   update: Update,
   {maxBatchEntries}: HoldingState,
@@ -103,7 +117,10 @@
     batch: nextBatchNumber,
     isResigned: isStopping,
     requestsAgeMillis: requestsAge(requestsReadUntil, holding.holderHeardAt),
-    termMillis: Math.floor(now - holding.holdingBeganAt),
+    termMillis:
+      holding.phase === 'holding'
+        ? Math.floor(now - holding.holdingBeganAt)
+        : undefined,
     reserveEnd,
   };
   return {
--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -95,7 +95,7 @@
   requestAppendMillis: (partition: number) => number = () => APPEND_MILLIS;
 
   /** Time that an append to another stream takes; tests replace it. */
-  otherAppendMillis: () => number = () => APPEND_MILLIS;
+  otherAppendMillis: (stream: StreamName) => number = () => APPEND_MILLIS;
 
   /** Whether calls to a stream other than `requests` are reset; tests replace it. */
   isStreamDown: (stream: StreamName) => boolean = () => false;
@@ -126,7 +126,7 @@
       const appendMillis =
         request.stream === 'requests'
           ? this.requestAppendMillis(request.partition)
-          : this.otherAppendMillis();
+          : this.otherAppendMillis(request.stream);
       const delayMillis = appendMillis + faultState.appendDelayMillis();
       timeline.after(delayMillis, () => {
         const outcome = this.applyAppend(request);
