--- a/packages/holding/src/__tests__/buildHost.ts
+++ b/packages/holding/src/__tests__/buildHost.ts
@@ -44,5 +44,23 @@
     const outcome = {kind: 'appended', offset: 0, endOffset: 1} as const;
     kernel.dispatch(JOURNAL_APPEND_ENDED, {append: 0, outcome});
   };
-  return {clock, kernel, readEmptyJournal, claimAt};
+  /** Reads the claim of a host, after which the reserve journal may be in use. */
+  const readClaim = (
+    offset: number,
+    holder: string,
+    incarnation: string,
+    reserveEnd?: number,
+  ) => {
+    const term = offset + 1;
+    const claim = {holder, incarnation, term, batch: 0, isResigned: false};
+    const record = {...claim, reserveEnd};
+    kernel.dispatch(JOURNAL_READ, {
+      entries: [{offset, entry: {kind: 'holder', record}}],
+      endOffset: offset + 1,
+      logEndOffset: offset + 1,
+      sentAt: clock.now,
+      isSnapshot: offset === 0,
+    });
+  };
+  return {clock, kernel, readEmptyJournal, claimAt, readClaim};
 }
--- a/packages/holding/src/__tests__/unit/staleAppend.test.ts
+++ b/packages/holding/src/__tests__/unit/staleAppend.test.ts
@@ -11,37 +11,13 @@
 
 /** Builds a host that counts its appends, and reads what the test says. */
 function buildFollower() {
-  const {clock, kernel, readEmptyJournal} = buildHost();
+  const {clock, kernel, readEmptyJournal, readClaim} = buildHost();
   const appends: number[] = [];
   kernel.registerEffect(APPEND_JOURNAL, ({append}) => {
     appends.push(append);
   });
   readEmptyJournal();
 
-  /** Reads the claim of a host. */
-  const readClaim = (offset: number, holder: string, incarnation: string) =>
-    kernel.dispatch(JOURNAL_READ, {
-      entries: [
-        {
-          offset,
-          entry: {
-            kind: 'holder',
-            record: {
-              holder,
-              incarnation,
-              term: offset + 1,
-              batch: 0,
-              isResigned: false,
-            },
-          },
-        },
-      ],
-      endOffset: offset + 1,
-      logEndOffset: offset + 1,
-      sentAt: clock.now,
-      isSnapshot: false,
-    });
-
   /** Sends a claim, after a silence, or a heartbeat. */
   const tickAfter = (millis: number) => {
     clock.now += millis;
--- a/packages/holding/src/__tests__/unit/staleFence.test.ts
+++ b/packages/holding/src/__tests__/unit/staleFence.test.ts
@@ -13,33 +13,12 @@
 void t.test(
   'the outcome of a fence of an earlier claim is not taken for that of the newest',
   async t => {
-    const {clock, kernel} = buildHost();
+    const {clock, kernel, readClaim} = buildHost();
     const fences: number[] = [];
     kernel.registerEffect(APPEND_RESERVE, ({batch}) => fences.push(batch));
     /** Reads a claim of another host, which may use the reserve journal. */
     const readOtherClaim = (offset: number) =>
-      kernel.dispatch(JOURNAL_READ, {
-        entries: [
-          {
-            offset,
-            entry: {
-              kind: 'holder',
-              record: {
-                holder: 'host-b',
-                incarnation: 'incarnation-b',
-                term: offset + 1,
-                batch: 0,
-                isResigned: false,
-                reserveEnd: 5,
-              },
-            },
-          },
-        ],
-        endOffset: offset + 1,
-        logEndOffset: offset + 1,
-        sentAt: clock.now,
-        isSnapshot: offset === 0,
-      });
+      readClaim(offset, 'host-b', 'incarnation-b', 5);
     /** Claims the site, and reads the end of the reserve journal. */
     const claim = (offset: number, append: number) => {
       clock.now += 2000;
