--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -97,8 +97,9 @@
   /** Time that an append to another stream takes; tests replace it. */
   otherAppendMillis: (stream: StreamName) => number = () => APPEND_MILLIS;
 
-  /** Whether calls to a stream other than `requests` are reset; tests replace it. */
-  isStreamDown: (stream: StreamName) => boolean = () => false;
+  /** Whether calls to a partition of a stream are reset; tests replace it. */
+  isStreamDown: (stream: StreamName, partition: number) => boolean = () =>
+    false;
 
   /** How reads of a host are answered; tests replace it. */
   readBehaviour: (host: string, stream: StreamName) => ReadBehaviour = () =>
@@ -114,7 +115,7 @@
       }
       const resolveUnknown = () =>
         resolve({kind: 'unknown', detail: 'no answer'});
-      if (this.isStreamDown(request.stream)) {
+      if (this.isStreamDown(request.stream, request.partition)) {
         timeline.after(1, resolveUnknown);
         return;
       }
@@ -168,7 +169,7 @@
       const {isAvailable, maxRecords, intervalMillis} = behaviour;
       if (
         !isAvailable ||
-        this.isStreamDown(stream) ||
+        this.isStreamDown(stream, partition) ||
         this.faultState.logAvailability(host) !== 'answers'
       ) {
         listener.onFailure('out of reach');
--- a/testing/src/site/ScheduleFaults.ts
+++ b/testing/src/site/ScheduleFaults.ts
@@ -36,6 +36,8 @@
   readonly limitChanges?: number;
   /** Number of times that the journal or its reserve alone is out of reach. */
   readonly streamOutages?: number;
+  /** Number of times that one partition of another stream alone is out of reach. */
+  readonly partitionOutages?: number;
 }
 
 /** A few faults of each kind, but those that have schedules of their own. */
@@ -75,6 +77,13 @@
   streamOutages: 4,
 };
 
+/** Single partitions of any stream are out of reach, and hosts end meanwhile. */
+export const PARTITION_FAULTS: ScheduleFaults = {
+  ...STREAM_FAULTS,
+  streamOutages: 2,
+  partitionOutages: 6,
+};
+
 /** Client accounts with limits, and frequent cancels and changes of the holder. */
 export const ACCOUNT_FAULTS: ScheduleFaults = {
   ...ALL_FAULTS,
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -50,6 +50,7 @@
   ACCOUNT_FAULTS,
   ALL_FAULTS,
   REFUSAL_FAULTS,
+  PARTITION_FAULTS,
   STREAM_FAULTS,
   type ScheduleFaults,
 } from './ScheduleFaults';
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -277,7 +277,7 @@
     });
   }
   if (faults.streamOutages !== undefined) {
-    scheduleStreamOutages(site, faults.streamOutages, FAULT_PHASE_MILLIS, seed);
+    scheduleStreamOutages(site, faults, FAULT_PHASE_MILLIS, seed);
   }
   const readRandomAnswers = () => {
     readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
