Failing test: a task runs twice beside a lease from a call to the earlier life

A worker that is back under its id takes a start order that was meant for its earlier life, refuses it for its ticket, and holds the lease in it: up to 10 s, since the order names a time of the earlier clock.

The model could not make this fault: clocks of its workers began at zero with each life, which is what the holder takes for granted. They begin anywhere now (ModelClock), ahead of the earlier clock or behind it, near zero or near the largest exact number.

--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -10,6 +10,7 @@
 import type {Timeline} from '../EventQueue';
 import type {InvariantChecker} from './InvariantChecker';
 import {ModelCapacity, sumReserved} from './ModelCapacity';
+import {ModelClock} from './ModelClock';
 import {type ModelRun, type TaskScript, isSameGangRun} from './ModelRun';
 
 /** Time between an order to stop a run and its end. */
@@ -49,8 +50,7 @@
   private highestTerm = 0;
   /** End of its lease, by its own clock. */
   private leaseUntil = 0;
-  /** Time on the timeline at which its clock showed 0. */
-  private clockStartedAt: number;
+  private readonly ownClock: ModelClock;
   /** Ends that no poll has acknowledged yet; each report repeats them. */
   private unacknowledgedEnds: ReportedEnd[] = [];
   /** Number of the latest end; ends are numbered from 1 in each incarnation. */
@@ -70,7 +70,7 @@
     readonly address: string,
     capacity: Resources,
     /** Speed of its clock relative to the timeline: 0.98 to 1.02. */
-    private readonly clockRate: number,
+    clockRate: number,
     private readonly timeline: Timeline,
     private readonly checker: InvariantChecker,
     /** Returns undefined for runs of unknown jobs. */
@@ -78,7 +78,7 @@
     private readonly acceptsTicket: (order: StartOrder) => boolean = () => true,
   ) {
     this.capacity = new ModelCapacity(timeline, capacity);
-    this.clockStartedAt = timeline.now;
+    this.ownClock = new ModelClock(id, clockRate, timeline);
     this.tick();
   }
 
@@ -104,7 +104,7 @@
 
   /** Returns the time of its own monotonic clock in milliseconds. */
   clock(): number {
-    return (this.timeline.now - this.clockStartedAt) * this.clockRate;
+    return this.ownClock.read();
   }
 
   /** Leaves for good without notice; its registry entry stays. */
@@ -115,7 +115,7 @@
   }
 
   /** Drops all runs and state, and begins a new incarnation of the same id. */
-  restart(born = this.born + 1): void {
+  restart(born = this.born + 1, firstClockMillis?: number): void {
     const lostRuns = this.runs;
     this.runs = [];
     for (const run of lostRuns) {
@@ -132,7 +132,7 @@
     this.endCount = 0;
     this.lapsedEnd = 0;
     this.lastEnded.clear();
-    this.clockStartedAt = this.timeline.now;
+    this.ownClock.restart(firstClockMillis);
   }
 
   /** Ends its process, which begins again after a while under the same id. */
