--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -73,6 +73,14 @@
   /** Another worker or incarnation answers at its address. */
   | 'other-life';
 
+/** What became of a start order. */
+export interface StartAnswer {
+  /** `silent`: no answer came in time, so that it may still be carried out. */
+  readonly outcome: 'started' | 'silent' | StartRefusal;
+  /** Time on the clock of the life that answered; undefined if it isn't known. */
+  readonly clockMillis?: number;
+}
+
 /** Why a worker that the holder still commands rejected a start order. */
 export type RejectedStartReason = Exclude<
   StartRefusal,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -17,6 +17,7 @@
   RejectedStartReason,
   Run,
   RunPhase,
+  StartAnswer,
   StartOrder,
   StartRefusal,
 } from './Run';
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -24,14 +24,17 @@
   return now - confirmedAt <= MAX_UNCONFIRMED_MILLIS;
 }
 
+/** Returns what the clock of a worker shows now if it runs as fast as this host's. */
+export function expectedClock(clock: ClockReading, now: number): number {
+  return Math.floor(clock.clockMillis + (now - clock.receivedAt));
+}
+
 /**
  * Returns the end of a lease granted now, in milliseconds of the worker's
  * clock.
  */
 export function leaseEnd(clock: ClockReading, now: number): number {
-  return Math.floor(
-    clock.clockMillis + (now - clock.receivedAt) + LEASE_MILLIS,
-  );
+  return expectedClock(clock, now) + LEASE_MILLIS;
 }
 
 /**
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -1,6 +1,11 @@
 import {createCommand, createEffect} from '@samphireramp/kernel';
 import type {RunId} from '@samphireramp/jobs';
-import type {RejectedStartReason, StartOrder, StartRefusal} from './Run';
+import type {
+  RejectedStartReason,
+  StartAnswer,
+  StartOrder,
+  StartRefusal,
+} from './Run';
 import type {RunOutcome, WorkerRecord} from './Worker';
 
 /** A run that a worker reports as running. */
@@ -77,14 +82,15 @@
 export const START_RESERVED_RUN = createCommand<StartOrder>('start-run');
 
 /** A start order was answered, or its answer did not come in time. */
-export const START_ANSWERED = createCommand<{
-  readonly order: StartOrder;
-  readonly term: number;
-  /** The worker that the order was sent to, and the fence of the order. */
-  readonly workerId: string;
-  readonly fence: number;
-  readonly outcome: 'started' | 'silent' | StartRefusal;
-}>('start-answered');
+export const START_ANSWERED = createCommand<
+  StartAnswer & {
+    readonly order: StartOrder;
+    readonly term: number;
+    /** The worker that the order was sent to, and the fence of the order. */
+    readonly workerId: string;
+    readonly fence: number;
+  }
+>('start-answered');
 
 /** A stop order was answered, or its answer did not come in time. */
 export const STOP_ANSWERED = createCommand<{
@@ -219,8 +225,10 @@
   readonly runs?: number;
   /** Number of ends that the answer lists. */
   readonly ends?: number;
-  /** Latest lease end sent to the worker, in milliseconds of its clock. */
+  /** Latest lease end that it may have, in milliseconds of the worker's clock. */
   readonly leaseUntil?: number;
-  /** The worker's clock at its newest answer, in milliseconds. */
+  /** The worker's clock in the newest answer, in milliseconds. */
   readonly workerClock?: number;
+  /** What the clock of the life that a call was meant for shows now. */
+  readonly expectedClock?: number;
 }>('fleet-event');
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -13,7 +13,7 @@
 import {fenceOf, isFencedByOwnCall} from './fence';
 import {isLeaseBounded} from './leaseBounds';
 import {isGrantingLeases} from './leaseGranting';
-import {leaseEnd} from './leaseTiming';
+import {expectedClock, leaseEnd} from './leaseTiming';
 import {
   FLEET_EVENT,
   ORDER_START,
@@ -102,7 +102,7 @@
   if (run === undefined) {
     return;
   }
-  emitStartAnswered(update, run, order, outcome);
+  emitStartAnswered(update, run, {...answer, outcome});
   match(outcome)
     .with('started', () => confirmRun(update, run))
     .with('silent', () => onStartUnanswered(update, run, order))
@@ -152,13 +152,14 @@
 function emitStartAnswered(
   update: Update,
   {startOrders, lastOrderAt}: Run,
-  {runId, incarnation}: StartOrder,
-  outcome: PayloadOf<typeof START_ANSWERED>['outcome'],
+  {order, outcome, clockMillis}: PayloadOf<typeof START_ANSWERED>,
 ): void {
+  const {runId, incarnation} = order;
   const isConfirmed = outcome === 'started';
   if (isConfirmed && startOrders <= 1) {
     return;
   }
+  const clock = update.read(WORKERS).get(incarnation)?.clock;
   update.emit(FLEET_EVENT, {
     event: isConfirmed ? 'start-confirmed' : 'start-not-confirmed',
     worker: incarnation,
@@ -166,6 +167,8 @@
     detail: outcome,
     millis: Math.round(update.now - lastOrderAt),
     orders: startOrders,
+    workerClock: clockMillis,
+    expectedClock: clock && expectedClock(clock, update.now),
   });
 }
 
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -119,12 +119,17 @@
     pollAgainIfDue(update, report.incarnation);
     return;
   }
+  const leaseGrantedUntil = worker.hasReported
+    ? worker.leaseGrantedUntil
+    : latestUnknownLeaseEnd(report.clockMillis);
   if (!worker.hasReported || worker.isSilent) {
     update.emit(FLEET_EVENT, {
       event: worker.hasReported ? 'worker-regained' : 'worker-held',
       worker: incarnation,
       detail: `running-${report.running.length}`,
       millis: Math.round(update.now - worker.answeredAt),
+      leaseUntil: leaseGrantedUntil,
+      workerClock: report.clockMillis,
     });
   }
   const appliedEnd = applyReportedEnds(update, worker, report);
@@ -137,9 +142,7 @@
     doubtedAt: sentAt >= (worker.doubtedAt ?? 0) ? undefined : worker.doubtedAt,
     isPollOpen: false,
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
-    leaseGrantedUntil: worker.hasReported
-      ? worker.leaseGrantedUntil
-      : latestUnknownLeaseEnd(report.clockMillis),
+    leaseGrantedUntil,
     answeredAt: update.now,
     appliedEnd,
     nextPollAt:
--- a/packages/site-daemon/src/workersPlugin.ts
+++ b/packages/site-daemon/src/workersPlugin.ts
@@ -45,13 +45,13 @@
       }),
       kernel.registerEffect(ORDER_START, async call => {
         const {order, term, id: workerId, fence} = call;
-        const outcome = await client.start(call, order);
+        const answer = await client.start(call, order);
         kernel.dispatch(START_ANSWERED, {
+          ...answer,
           order,
           term,
           workerId,
           fence,
-          outcome,
         });
       }),
       kernel.registerEffect(ORDER_STOP, async call => {
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -327,7 +327,9 @@
       createWorkersPlugin(
         {
           poll: call => this.network.pollWorker(name, call),
-          start: (call, order) => this.network.startRun(name, call, order),
+          start: async (call, order) => ({
+            outcome: await this.network.startRun(name, call, order),
+          }),
           stop: (call, runId) => this.network.stopRun(name, call, runId),
         },
         () => this.clock.now,
--- a/testing/src/site/createWorkerApp.ts
+++ b/testing/src/site/createWorkerApp.ts
@@ -88,7 +88,13 @@
     );
     return answer === 'started'
       ? context.json({clock_ms: Math.floor(worker.clock())})
-      : context.json({reason: REFUSAL_REASONS[answer] ?? 'room'}, 409);
+      : context.json(
+          {
+            clock_ms: Math.floor(worker.clock()),
+            reason: REFUSAL_REASONS[answer] ?? 'room',
+          },
+          409,
+        );
   });
   app.post('/api/run-stop', async context => {
     const body = await context.req.json<WorkerCallBody>();
