A life is reckoned to hold what any call before its first report may have granted

The holder took a life for young, and its lease for up to 10 s, if its clock showed less than 25 s, and else for 6 s.

The age of a life is no longer read from a clock. The holder knows what it sent to earlier lives of the worker (until when, and when), and compares that with the clock in the first report: a lease end behind it granted nothing, one ahead of it ends 10 s later at most.

For that to hold, no call to an earlier life may carry the fence of a later one: a life gets a number of its own after a poll that another life answered or refused, and a worker that an entry puts in doubt gets no start orders, as it gets no lease by polls.

nextLifeLeases.test.ts (4 of 12 tests) and latePolls.test.ts (1 of 3) failed before and pass.

--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -38,8 +38,10 @@
   readonly hasReported: boolean;
   /** The newest reading of its clock; undefined before its first report. */
   readonly clock: ClockReading | undefined;
-  /** Latest lease end sent to it, in milliseconds of its clock. */
+  /** Latest lease end that it may have, in milliseconds of its clock. */
   readonly leaseGrantedUntil: number;
+  /** When this holder last sent it a lease; -Infinity if it never has. */
+  readonly leaseSentAt: number;
   /**
    * When it last answered a poll; before the first answer, when it was added.
    */
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -14,7 +14,11 @@
   LEASE_BOUND_LIFTED,
   takeOverBounds,
 } from './leaseBounds';
-import {GRANTS_LEASES, reportLeaseGranting} from './leaseGranting';
+import {
+  ENDED_LIVES_LEASES,
+  GRANTS_LEASES,
+  reportLeaseGranting,
+} from './leaseGranting';
 import {
   UNLISTED_CHECKED_AT,
   maintainLeaseBounds,
@@ -65,6 +69,7 @@
       kernel.registerSlice(WORKERS),
       kernel.registerSlice(RUNS),
       kernel.registerSlice(GRANTS_LEASES),
+      kernel.registerSlice(ENDED_LIVES_LEASES),
       kernel.registerSlice(UNANSWERED_ORDERS),
       kernel.registerSlice(LATEST_LIVES),
       kernel.registerSlice(BOUNDED_LEASES),
@@ -108,6 +113,7 @@
   update.write(RUNS).clear();
   update.write(UNANSWERED_ORDERS).clear();
   update.write(LATEST_LIVES).clear();
+  update.write(ENDED_LIVES_LEASES).clear();
   update.write(BOUNDED_LEASES).clear();
   update.write(NEWEST_LOG_SLOWDOWNS).set([]);
   update.write(FLEET_LOG_SLOWDOWN).set(0);
--- a/packages/fleet/src/leaseGranting.ts
+++ b/packages/fleet/src/leaseGranting.ts
@@ -1,11 +1,26 @@
 import {
   type StateReader,
   type Update,
+  createTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
 import {HOLDING} from '@samphireramp/holding';
+import {RUNS, WORKERS, listOtherLives} from './FleetState';
 import {FLEET_EVENT} from './messages';
-import {mayGrantLeases} from './leaseTiming';
+import {
+  LEASE_EXPIRY_MILLIS,
+  MAX_CALL_DELAY_MILLIS,
+  latestUnknownLeaseEnd,
+  mayGrantLeases,
+} from './leaseTiming';
+import type {Worker} from './Worker';
+
+/** The newest lease that this holder sent to a life, or to any of several. */
+type SentLease = Pick<Worker, 'leaseGrantedUntil' | 'leaseSentAt'>;
+
+/** The newest leases sent to lives that are not known any more, by worker id. */
+export const ENDED_LIVES_LEASES =
+  createTableSlice<SentLease>('ended-lives-leases');
 
 /** Whether this holder granted leases when that was last checked. */
 export const GRANTS_LEASES = createValueSlice('grants-leases', true);
@@ -31,3 +46,76 @@
     millis: Math.round(update.now - confirmedAt),
   });
 }
+
+/** Returns the change of a worker to which a lease is sent now, by a poll or an order. */
+export function grantLease(
+  {leaseGrantedUntil}: Worker,
+  leaseUntil: number,
+  now: number,
+): SentLease {
+  return {
+    leaseGrantedUntil: Math.max(leaseGrantedUntil, leaseUntil),
+    leaseSentAt: now,
+  };
+}
+
+/**
+ * Deletes a life of a worker. The next one may still take calls that were meant for it,
+ * so that the lease in them is kept in mind.
+ */
+export function deleteLife(update: Update, incarnation: string): void {
+  const worker = update.read(WORKERS).get(incarnation);
+  if (worker === undefined) {
+    return;
+  }
+  update.write(WORKERS).delete(incarnation);
+  const leases = update.write(ENDED_LIVES_LEASES);
+  leases.set(worker.id, latestLease(worker, leases.get(worker.id)));
+}
+
+function latestLease(lease: SentLease, other: SentLease = lease): SentLease {
+  return {
+    leaseGrantedUntil: Math.max(
+      lease.leaseGrantedUntil,
+      other.leaseGrantedUntil,
+    ),
+    leaseSentAt: Math.max(lease.leaseSentAt, other.leaseSentAt),
+  };
+}
+
+/**
+ * Returns the latest end of the leases that a life may have when it reports to this
+ * holder for the first time, in milliseconds of its clock.
+ */
+export function leaseEndAtFirstReport(
+  state: StateReader,
+  worker: Worker,
+  clockMillis: number,
+  now: number,
+): number {
+  const {predecessor} = state.read(HOLDING).get();
+  return latestUnknownLeaseEnd(clockMillis, now, {
+    earlierLivesUntil: earlierLivesLeaseEnd(state, worker, now),
+    predecessorHeardAt: predecessor.heardAt,
+    // At its first report, a life has no runs but those that the journal names.
+    wasHeldBefore: state.read(RUNS).withKey(worker.incarnation).length > 0,
+  });
+}
+
+/** Returns the latest lease end that a life may have taken from calls to earlier ones. */
+function earlierLivesLeaseEnd(
+  state: StateReader,
+  worker: Worker,
+  now: number,
+): number {
+  const ended = state.read(ENDED_LIVES_LEASES).get(worker.id);
+  const leases = [...listOtherLives(state, worker), ...(ended ? [ended] : [])];
+  const recent = leases.filter(
+    ({leaseSentAt}) =>
+      now - leaseSentAt <= MAX_CALL_DELAY_MILLIS + LEASE_EXPIRY_MILLIS,
+  );
+  return Math.max(
+    -Infinity,
+    ...recent.map(({leaseGrantedUntil}) => leaseGrantedUntil),
+  );
+}
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -4,7 +4,7 @@
 export const CLOCK_DRIFT_BOUND = 0.02;
 /** Duration of a lease, counted from when the holder sends it. */
 export const LEASE_MILLIS = 6000;
-/** A worker cuts a longer lease to this duration. */
+/** A worker cuts a longer lease to this duration, counted from when it arrives. */
 const MAX_LEASE_MILLIS = 10_000;
 /** How long after it was sent a worker may still carry out a call. */
 export const MAX_CALL_DELAY_MILLIS = 15_000;
@@ -15,6 +15,22 @@
  * that it holds the site.
  */
 const MAX_UNCONFIRMED_MILLIS = 4000;
+/** Lowest rate of a worker's clock. */
+const MIN_CLOCK_RATE = 1 - CLOCK_DRIFT_BOUND;
+/**
+ * After this time on a host's clock, a lease has expired that a worker took from any
+ * call, also one that was meant for an earlier life of it.
+ */
+export const LEASE_EXPIRY_MILLIS =
+  MAX_LEASE_MILLIS / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MILLIS;
+/**
+ * After this time, a lease has expired that an earlier holder granted a life which it
+ * had heard, or that this life took before that.
+ */
+const EARLIER_LEASES_MILLIS = Math.max(
+  LEASE_MILLIS + MAX_UNCONFIRMED_MILLIS,
+  MAX_LEASE_MILLIS,
+);
 
 /**
  * Whether a holder may grant leases. If not, another host may have claimed the
@@ -37,14 +53,53 @@
   return expectedClock(clock, now) + LEASE_MILLIS;
 }
 
+/** What is known of the grants that a life may have taken before its first report. */
+export interface EarlierGrants {
+  /**
+   * Latest lease end that this holder sent to earlier lives of the worker, whose clocks
+   * were others; -Infinity if no call to them can be carried out any more.
+   */
+  readonly earlierLivesUntil: number;
+  /** When the newest record of an earlier holder was read, on this host's clock. */
+  readonly predecessorHeardAt: number;
+  /** Whether an earlier holder had heard this life by then. */
+  readonly wasHeldBefore: boolean;
+}
+
 /**
- * Returns the latest end of the leases that a worker may have at its first report
- * to a holder, in milliseconds of its clock: of an earlier holder or, shortly after
- * its start, from a late call to its earlier life, whose clock was ahead.
+ * Returns the latest end of the leases that a life may have at its first report to a
+ * holder, in milliseconds of its clock. It may have taken calls that were meant for an
+ * earlier life, until that report refuses them. The lease end in such a call is a time
+ * of another clock, ahead or behind, and only the maximum from its arrival is certain.
  */
-export function latestUnknownLeaseEnd(clockMillis: number): number {
-  const isYoung = clockMillis < MAX_CALL_DELAY_MILLIS + MAX_LEASE_MILLIS;
-  return clockMillis + (isYoung ? MAX_LEASE_MILLIS : LEASE_MILLIS);
+export function latestUnknownLeaseEnd(
+  clockMillis: number,
+  now: number,
+  grants: EarlierGrants,
+): number {
+  const earlierLivesUntil = Math.min(
+    grants.earlierLivesUntil,
+    clockMillis + MAX_LEASE_MILLIS,
+  );
+  return Math.max(
+    earlierLivesUntil,
+    clockMillis + earlierHoldersLeaseMillis(now, grants),
+  );
+}
+
+/** How long leases from calls of earlier holders last, on the worker's clock. */
+function earlierHoldersLeaseMillis(
+  now: number,
+  {predecessorHeardAt, wasHeldBefore}: EarlierGrants,
+): number {
+  const silentMillis = now - predecessorHeardAt;
+  if (wasHeldBefore) {
+    return Math.max(0, EARLIER_LEASES_MILLIS - silentMillis * MIN_CLOCK_RATE);
+  }
+  const lastCallMillis = MAX_UNCONFIRMED_MILLIS + MAX_CALL_DELAY_MILLIS;
+  return silentMillis > lastCallMillis + LEASE_EXPIRY_MILLIS
+    ? 0
+    : MAX_LEASE_MILLIS;
 }
 
 /**
@@ -57,10 +112,9 @@
   worker: Worker | undefined,
   predecessorHeardAt: number,
 ): number {
-  const minClockRate = 1 - CLOCK_DRIFT_BOUND;
   const earlierLeasesExpiredAt =
     predecessorHeardAt +
-    (LEASE_MILLIS + MAX_UNCONFIRMED_MILLIS) / minClockRate +
+    EARLIER_LEASES_MILLIS / MIN_CLOCK_RATE +
     LEASE_EXPIRY_MARGIN_MILLIS;
   if (worker?.clock === undefined) {
     return earlierLeasesExpiredAt;
@@ -70,7 +124,7 @@
   return Math.max(
     worker.hasReported ? 0 : earlierLeasesExpiredAt,
     clock.receivedAt +
-      remainingMillis / minClockRate +
+      remainingMillis / MIN_CLOCK_RATE +
       LEASE_EXPIRY_MARGIN_MILLIS,
   );
 }
@@ -83,8 +137,6 @@
 export function nextLifeLeasesExpiredAt(leasesEndAt: number): number {
   const longerMillis = MAX_LEASE_MILLIS - LEASE_MILLIS;
   return (
-    leasesEndAt +
-    longerMillis / (1 - CLOCK_DRIFT_BOUND) +
-    LEASE_EXPIRY_MARGIN_MILLIS
+    leasesEndAt + longerMillis / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MILLIS
   );
 }
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -12,7 +12,7 @@
 } from './FleetState';
 import {fenceOf, isFencedByOwnCall} from './fence';
 import {isLeaseBounded} from './leaseBounds';
-import {isGrantingLeases} from './leaseGranting';
+import {grantLease, isGrantingLeases} from './leaseGranting';
 import {expectedClock, leaseEnd} from './leaseTiming';
 import {
   FLEET_EVENT,
@@ -53,7 +53,9 @@
     giveUpStart(update, run, 'unconfirmed-holding');
     return;
   }
-  if (isLeaseBounded(update, worker.incarnation)) {
+  // Of two lives of a worker, the other one may receive the order.
+  const isDoubted = worker.doubtedAt !== undefined;
+  if (isDoubted || isLeaseBounded(update, worker.incarnation)) {
     giveUpStart(update, run, 'no-answer');
     return;
   }
@@ -64,9 +66,11 @@
     return;
   }
   const leaseUntil = leaseEnd(worker.clock, update.now);
-  changeWorker(update, worker.incarnation, {
-    leaseGrantedUntil: Math.max(worker.leaseGrantedUntil, leaseUntil),
-  });
+  changeWorker(
+    update,
+    worker.incarnation,
+    grantLease(worker, leaseUntil, update.now),
+  );
   changeRun(update, runKey(order.runId), {
     phase: 'ordered',
     lastOrderAt: update.now,
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -2,6 +2,7 @@
 import {type RunId, runKey} from '@samphireramp/jobs';
 import {RUNS, WORKERS, changeWorker, listOtherLives} from './FleetState';
 import {beginLife} from './fence';
+import {deleteLife} from './leaseGranting';
 import {FLEET_EVENT} from './messages';
 import type {Worker, WorkerRecord} from './Worker';
 import {reportCrash} from './workerCrashes';
@@ -26,6 +27,7 @@
     hasReported: false,
     clock: undefined,
     leaseGrantedUntil: 0,
+    leaseSentAt: -Infinity,
     answeredAt: update.now,
     appliedEnd: 0,
     durableEnd: 0,
@@ -74,8 +76,9 @@
       worker.incarnation,
     );
   } else {
-    // It has seen the fence of this poll, and refuses lower ones.
-    const life = Math.max(known.life, worker.life);
+    // It has seen the fence of this poll, which late calls to `worker` carry, too.
+    const life =
+      known.life > worker.life ? known.life : beginLife(update, known.id);
     changeWorker(update, present, {life, doubtedAt: undefined});
   }
   const hasRuns = update.read(RUNS).withKey(worker.incarnation).length > 0;
@@ -113,7 +116,7 @@
         discardRun(update, run, 'worker-gone');
       }
     }
-    update.write(WORKERS).delete(worker.incarnation);
+    deleteLife(update, worker.incarnation);
   }
 }
 
@@ -149,7 +152,7 @@
     if (worker.isPollOpen) {
       changeWorker(update, worker.incarnation, {isRegistered: false});
     } else {
-      update.write(WORKERS).delete(worker.incarnation);
+      deleteLife(update, worker.incarnation);
     }
   }
 }
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -12,10 +12,15 @@
   changeRun,
   changeWorker,
 } from './FleetState';
-import {fenceOf, isFencedByOwnCall, latestLife} from './fence';
+import {beginLife, fenceOf, isFencedByOwnCall} from './fence';
 import {isLeaseBounded, liftBound} from './leaseBounds';
-import {isGrantingLeases} from './leaseGranting';
-import {latestUnknownLeaseEnd, leaseEnd} from './leaseTiming';
+import {
+  deleteLife,
+  grantLease,
+  isGrantingLeases,
+  leaseEndAtFirstReport,
+} from './leaseGranting';
+import {leaseEnd} from './leaseTiming';
 import {
   ENDS_DURABLE,
   ENDS_APPLIED,
@@ -82,7 +87,7 @@
   const waitMillis = mayLongPoll ? maxWaitMillis : 0;
   changeWorker(update, worker.incarnation, {
     isPollOpen: true,
-    leaseGrantedUntil: Math.max(worker.leaseGrantedUntil, leaseUntil ?? 0),
+    ...(leaseUntil && grantLease(worker, leaseUntil, update.now)),
   });
   update.emit(POLL_WORKER, {
     incarnation: worker.incarnation,
@@ -121,7 +126,7 @@
   }
   const leaseGrantedUntil = worker.hasReported
     ? worker.leaseGrantedUntil
-    : latestUnknownLeaseEnd(report.clockMillis);
+    : leaseEndAtFirstReport(update, worker, report.clockMillis, update.now);
   if (!worker.hasReported || worker.isSilent) {
     update.emit(FLEET_EVENT, {
       event: worker.hasReported ? 'worker-regained' : 'worker-held',
@@ -300,7 +305,7 @@
   }
   const hasRuns = update.read(RUNS).withKey(incarnation).length > 0;
   if (!worker.hasReported && !worker.isRegistered && !hasRuns) {
-    update.write(WORKERS).delete(incarnation);
+    deleteLife(update, incarnation);
     return;
   }
   // At an address that an entry named, the worker may never have been.
@@ -335,7 +340,8 @@
     update.dispatch(HOLDING_FENCED, {worker: incarnation});
     return;
   }
-  const life = latestLife(update, id);
+  // A number of its own, as another life may be the one that refused the poll.
+  const life = beginLife(update, id);
   changeWorker(update, incarnation, {life, isPollOpen: false, nextPollAt: 0});
   pollAgainIfDue(update, incarnation);
 }
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -9,6 +9,7 @@
 } from './FleetState';
 import {beginLife} from './fence';
 import {leasesEndAt} from './leaseBounds';
+import {deleteLife} from './leaseGranting';
 import {nextLifeLeasesExpiredAt} from './leaseTiming';
 import {
   FLEET_EVENT,
@@ -77,7 +78,7 @@
     const change = {isGone: true, isRegistered: false, isSilent: true};
     changeWorker(update, incarnation, {...change, endedBy: by});
   } else {
-    update.write(WORKERS).delete(incarnation);
+    deleteLife(update, incarnation);
   }
   update.dispatchOnce(RESOURCES_CHANGED, '', undefined);
 }
