A start order is settled by the life it was meant for, not by any answer

Callers would see: two runs of one task, if its order needs no ticket. A worker that restarts takes an order meant for its earlier life and confirms it, or carries it out seconds later; it is cut off before a poll shows which life it is. The answer, or 15 s after the order, counted as its end, and the task began elsewhere while the next life held its lease of up to 10 s.

An order is settled when it is refused, when the life it was meant for reports the run, or once the run of a late order must have ended (25.5 s after it was sent, if nobody answers). Orders with tickets don't wait: the next life rejects these.

--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -43,7 +43,7 @@
   resendStopOrders,
 } from './runOrders';
 import {type RunExpectation, stopStalledRuns} from './stalledRuns';
-import {UNANSWERED_ORDERS, forgetUnansweredOrders} from './unansweredOrders';
+import {UNSETTLED_ORDERS, forgetSettledOrders} from './unsettledOrders';
 import {FLEET_LOG_SLOWDOWN, NEWEST_LOG_SLOWDOWNS} from './workerHealth';
 import {onWorkerRegistryRead} from './workerRegistry';
 import {discardLostRuns} from './workerRemoval';
@@ -70,7 +70,7 @@
       kernel.registerSlice(RUNS),
       kernel.registerSlice(GRANTS_LEASES),
       kernel.registerSlice(ENDED_LIVES_LEASES),
-      kernel.registerSlice(UNANSWERED_ORDERS),
+      kernel.registerSlice(UNSETTLED_ORDERS),
       kernel.registerSlice(LATEST_LIVES),
       kernel.registerSlice(BOUNDED_LEASES),
       kernel.registerSlice(UNLISTED_CHECKED_AT),
@@ -102,7 +102,7 @@
     discardLostRuns(update, worker.incarnation);
   }
   maintainLeaseBounds(update);
-  forgetUnansweredOrders(update);
+  forgetSettledOrders(update);
   resendStopOrders(update);
   stopStalledRuns(update, expectRun);
 }
@@ -111,7 +111,7 @@
 function clearFleetState(update: Update): void {
   update.write(WORKERS).clear();
   update.write(RUNS).clear();
-  update.write(UNANSWERED_ORDERS).clear();
+  update.write(UNSETTLED_ORDERS).clear();
   update.write(LATEST_LIVES).clear();
   update.write(ENDED_LIVES_LEASES).clear();
   update.write(BOUNDED_LEASES).clear();
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -29,7 +29,11 @@
   STOP_RETRY_MILLIS,
   STOP_TIMEOUT_MILLIS,
 } from './stopTiming';
-import {recordStartAnswer, recordStartOrder} from './unansweredOrders';
+import {
+  recordStartOrder,
+  recordStartRefused,
+  recordStartTaken,
+} from './unsettledOrders';
 import {removeWorker, discardRun} from './workerRemoval';
 
 /** Timeout of a start order, which is then repeated on another connection. */
@@ -100,8 +104,10 @@
     return;
   }
   const outcome = reinterpretFenced(update, answer);
-  if (outcome !== 'silent') {
-    recordStartAnswer(update, order.runId);
+  if (outcome === 'started') {
+    recordStartTaken(update, order.runId);
+  } else if (outcome !== 'silent') {
+    recordStartRefused(update, order.runId);
   }
   if (run === undefined) {
     return;
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -37,7 +37,7 @@
 } from './messages';
 import type {Run} from './Run';
 import type {Worker} from './Worker';
-import {recordStartAnswer} from './unansweredOrders';
+import {recordRunReported} from './unsettledOrders';
 import {endOtherLives, onOtherLifeAnswered} from './workerLives';
 import {discardRun, removeWorker} from './workerRemoval';
 
@@ -160,7 +160,7 @@
     const reportedRuns = report.running.map(({runId}) => runId);
     endOtherLives(update, worker, reportedRuns);
   }
-  applyReportedRuns(update, incarnation, report.running);
+  applyReportedRuns(update, incarnation, report.running, sentAt);
   discardMissingRuns(update, incarnation, report, sentAt);
   if (!worker.hasReported || appliedEnd > worker.appliedEnd) {
     update.dispatchOnce(RESOURCES_CHANGED, '', undefined);
@@ -209,6 +209,7 @@
   update: Update,
   incarnation: string,
   running: readonly ReportedRun[],
+  sentAt: number,
 ): void {
   for (const reported of running) {
     const key = runKey(reported.runId);
@@ -220,9 +221,7 @@
       });
       continue;
     }
-    if (run.startOrders === 1 && !run.isReported) {
-      recordStartAnswer(update, run.runId);
-    }
+    recordRunReported(update, key, sentAt, run.startOrders === 1);
     const isNew = run.confirmedAt === undefined;
     const isAdopted = run.startOrders === 0 && !run.isReported;
     const hasProgressed = reported.percentDone !== run.percentDone || isNew;
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -18,7 +18,7 @@
   START_GIVEN_UP,
 } from './messages';
 import type {Run} from './Run';
-import {mayNextIncarnationStart} from './unansweredOrders';
+import {mayNextIncarnationStart} from './unsettledOrders';
 import type {Worker} from './Worker';
 import {reportCrash} from './workerCrashes';
 
@@ -133,7 +133,7 @@
   const lapsedRuns = update
     .read(RUNS)
     .withKey(incarnation)
-    .filter(({runId}) => !mayNextIncarnationStart(update, runId));
+    .filter(({runId}) => !mayNextIncarnationStart(update, runId, update.now));
   if (lapsedRuns.length > 0) {
     emitLapsed(update, worker, lapsedRuns.length);
     // The poll that it answers next refuses the orders that may still arrive.
@@ -192,7 +192,7 @@
   by: string | undefined,
 ): boolean {
   return by === undefined
-    ? mayNextIncarnationStart(update, run.runId)
+    ? mayNextIncarnationStart(update, run.runId, update.now)
     : mayStillStart(run);
 }
 
