Model: calls that are kept while a worker is down; no answer from a life that has ended

A call to a worker that was down was always lost. A fault of the model network now keeps such calls, and late ones that come due meanwhile, for the next life of the worker, for up to 12 s after they were sent. A poll that waited at a life that has ended was answered by the next life, which had not seen its fence: such polls get no answer now, as their connection has ended. Refusals of the workers of the soak have a reading of the clock.

--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -10,6 +10,10 @@
 
 /** One-way latency of each call and answer. */
 const NETWORK_DELAY_MILLIS = 2;
+/** How long after it was sent a call without an answer may be carried out. */
+const MAX_LATE_CALL_MILLIS = 12_000;
+/** Interval at which a call that is kept for a worker that is down is tried again. */
+const KEPT_CALL_RETRY_MILLIS = 10;
 
 /** The worker that a call is meant for, and the address that it is sent to. */
 interface AddressedCall {
@@ -18,6 +22,15 @@
   readonly timeoutMillis: number;
 }
 
+/** A call without an answer that its worker carries out late. */
+interface LateCall {
+  readonly worker: ModelWorker;
+  /** The worker that it is meant for. */
+  readonly id: string;
+  readonly sentAt: number;
+  readonly execute: (worker: ModelWorker) => unknown;
+}
+
 /**
  * Simulates the network: delays each call from a host to a worker or through
  * another host to the adviser, and fails those that faults hit.
@@ -53,6 +66,8 @@
     },
   ) {
     const worker = this.findListener(call.address);
+    const sentAt = this.timeline.now;
+    const {fence, acknowledgedEnd, leaseUntil, waitMillis} = call;
     const noAnswer = {
       kind: 'failed',
       failure: 'silent',
@@ -66,7 +81,18 @@
     ) {
       return {kind: 'failed', failure: 'closed', detail: 'refused'} as const;
     }
-    if (!worker.isUp || !this.faultState().canCall(host, worker.id)) {
+    const lateCall: LateCall = {
+      worker,
+      id: call.id,
+      sentAt,
+      execute: () => worker.poll(fence, acknowledgedEnd, leaseUntil, 0),
+    };
+    if (!this.faultState().canCall(host, worker.id)) {
+      await this.delay(call.timeoutMillis);
+      return noAnswer;
+    }
+    if (!worker.isUp) {
+      this.keepCall(lateCall);
       await this.delay(call.timeoutMillis);
       return noAnswer;
     }
@@ -78,16 +104,14 @@
         detail: 'status 421',
       } as const;
     }
-    const {fence, acknowledgedEnd, leaseUntil, waitMillis} = call;
     if (this.faultState().losesPollAnswer(call.id)) {
-      this.timeline.after(this.faultState().orderDelayMillis(), () => {
-        if (worker.isUp) {
-          void worker.poll(fence, acknowledgedEnd, leaseUntil, 0);
-        }
-      });
+      this.timeline.after(this.faultState().orderDelayMillis(), () =>
+        this.carryOutLate(lateCall),
+      );
       await this.delay(call.timeoutMillis);
       return noAnswer;
     }
+    const {incarnation} = worker;
     const report = await worker.poll(
       fence,
       acknowledgedEnd,
@@ -98,7 +122,9 @@
     if (worker.refusesConnections) {
       return noAnswer;
     }
-    if (!worker.isUp || !this.faultState().canCall(host, call.id)) {
+    // The connection to a life that has ended brings no answer.
+    const hasEnded = worker.incarnation !== incarnation;
+    if (hasEnded || !worker.isUp || !this.faultState().canCall(host, call.id)) {
       await this.delay(call.timeoutMillis);
       return noAnswer;
     }
@@ -146,15 +172,22 @@
     execute: (worker: ModelWorker) => Answer,
   ): Promise<Answer | Failure | 'silent' | 'other-life'> {
     const worker = this.findListener(call.address);
+    const sentAt = this.timeline.now;
     await this.delay(NETWORK_DELAY_MILLIS);
-    const isAnswerLost = this.faultState().losesOrderAnswer();
+    const isAnswerLost = this.faultState().losesOrderAnswer(call.id);
     if (worker === undefined) {
       return failures.closed;
     }
+    const lateCall: LateCall = {worker, id: call.id, sentAt, execute};
     if (worker.refusesConnections) {
       return 'silent';
     }
-    if (!worker.isUp || !this.faultState().canCall(host, worker.id)) {
+    if (!this.faultState().canCall(host, worker.id)) {
+      await this.delay(call.timeoutMillis);
+      return 'silent';
+    }
+    if (!worker.isUp) {
+      this.keepCall(lateCall);
       await this.delay(call.timeoutMillis);
       return 'silent';
     }
@@ -163,11 +196,9 @@
       return 'other-life';
     }
     if (isAnswerLost) {
-      this.timeline.after(this.faultState().orderDelayMillis(), () => {
-        if (worker.isUp) {
-          execute(worker);
-        }
-      });
+      this.timeline.after(this.faultState().orderDelayMillis(), () =>
+        this.carryOutLate(lateCall),
+      );
       await this.delay(call.timeoutMillis);
       return 'silent';
     }
@@ -178,6 +209,27 @@
     return answer;
   }
 
+  /** Has a worker carry out a call without an answer, now or when it is up again. */
+  private carryOutLate(call: LateCall): void {
+    if (!call.worker.isUp) {
+      this.keepCall(call);
+    } else if (call.worker.id === call.id) {
+      call.execute(call.worker);
+    }
+  }
+
+  /** Keeps a call for a worker that is down, if a fault says so. */
+  private keepCall(call: LateCall): void {
+    const nextTryAt = this.timeline.now + KEPT_CALL_RETRY_MILLIS;
+    const isTooLate = nextTryAt - call.sentAt > MAX_LATE_CALL_MILLIS;
+    const isLost = call.worker.isGone || isTooLate;
+    if (!isLost && this.faultState().keepsCallsToDownWorkers(call.worker.id)) {
+      this.timeline.after(KEPT_CALL_RETRY_MILLIS, () =>
+        this.carryOutLate(call),
+      );
+    }
+  }
+
   /**
    * Requests advice through another host. Fails if that host is down or frozen
    * at either end of the call, or restarts in between.
--- a/testing/src/site/ScheduleFaults.ts
+++ b/testing/src/site/ScheduleFaults.ts
@@ -38,6 +38,13 @@
   readonly streamOutages?: number;
   /** Number of times that one partition of another stream alone is out of reach. */
   readonly partitionOutages?: number;
+  /**
+   * Number of times that a worker restarts under its id while calls to it are late,
+   * and is cut off from all hosts soon after. If not 0, tasks take longer.
+   */
+  readonly cutOffRestarts?: number;
+  /** Whether all queues need tickets, or none does; by default some do. */
+  readonly needTickets?: boolean;
 }
 
 /** A few faults of each kind, but those that have schedules of their own. */
@@ -92,3 +99,32 @@
   accounts: 3,
   limitChanges: 2,
 };
+
+/** Workers restart under their ids and are cut off soon after, without tickets. */
+export const RESTART_FAULTS: ScheduleFaults = {
+  hostKills: 3,
+  rollingRestarts: 0,
+  hostLogDisconnects: 0,
+  hostFreezes: 0,
+  clockSteps: 0,
+  logOutages: 0,
+  lostAppendAnswers: true,
+  workerDisconnects: 1,
+  workerRestarts: 0,
+  workerLosses: 0,
+  workerDrains: 0,
+  workerStalls: 0,
+  workerFailures: 0,
+  workerShrinks: 0,
+  lostOrderAnswers: true,
+  workerRefusals: 0,
+  cancels: 2,
+  cutOffRestarts: 12,
+  needTickets: false,
+};
+
+/** The same with queues that need tickets, which bind an order to one life. */
+export const TICKET_RESTART_FAULTS: ScheduleFaults = {
+  ...RESTART_FAULTS,
+  needTickets: true,
+};
--- a/testing/src/site/SiteFaultState.ts
+++ b/testing/src/site/SiteFaultState.ts
@@ -9,11 +9,16 @@
   /** Whether the answer to a poll is lost, and the poll executed late. */
   losesPollAnswer(worker: string): boolean;
   /** Whether the answer to an order to start or stop a run is lost. */
-  losesOrderAnswer(): boolean;
+  losesOrderAnswer(worker: string): boolean;
   /** Whether a worker refuses an order as unhealthy, without executing it. */
   refusesOrder(worker: string): boolean;
   /** Delay before an order or a poll with a lost answer is executed. */
   orderDelayMillis(): number;
+  /**
+   * Whether a call that a worker can't carry out while it is down is carried out by
+   * its next life, once that is up; otherwise it is lost.
+   */
+  keepsCallsToDownWorkers(worker: string): boolean;
 }
 
 /** No call fails or has an additional delay. */
@@ -27,4 +32,5 @@
   losesOrderAnswer: () => false,
   refusesOrder: () => false,
   orderDelayMillis: () => 0,
+  keepsCallsToDownWorkers: () => false,
 };
--- a/testing/src/site/createWorkerApp.ts
+++ b/testing/src/site/createWorkerApp.ts
@@ -45,14 +45,19 @@
   });
   app.post('/api/hold', async context => {
     const body = await context.req.json<WorkerCallBody>();
+    const {incarnation} = worker;
     const report = await worker.poll(
       body.fencing_token,
       body.ack_cursor,
       body.until_ms,
       body.wait_ms ?? 0,
     );
+    // The connection to a life that has ended brings no answer.
+    if (worker.incarnation !== incarnation) {
+      return new Promise<Response>(() => undefined);
+    }
     if (report === 'fenced') {
-      return context.json({reason: 'fence'}, 409);
+      return context.json(refuse(worker, 'fence'), 409);
     }
     return context.json({
       clock_ms: report.clockMillis,
@@ -88,23 +93,22 @@
     );
     return answer === 'started'
       ? context.json({clock_ms: Math.floor(worker.clock())})
-      : context.json(
-          {
-            clock_ms: Math.floor(worker.clock()),
-            reason: REFUSAL_REASONS[answer] ?? 'room',
-          },
-          409,
-        );
+      : context.json(refuse(worker, REFUSAL_REASONS[answer] ?? 'room'), 409);
   });
   app.post('/api/run-stop', async context => {
     const body = await context.req.json<WorkerCallBody>();
     return worker.stop(runIdOf(body), body.fencing_token) === 'stopped'
       ? context.json({clock_ms: Math.floor(worker.clock())})
-      : context.json({reason: 'fence'}, 409);
+      : context.json(refuse(worker, 'fence'), 409);
   });
   return app;
 }
 
+/** Returns the content of a refusal; each answer has a reading of the clock. */
+function refuse(worker: ModelWorker, reason: string) {
+  return {clock_ms: Math.floor(worker.clock()), reason};
+}
+
 /** Returns the name of a run's task on the wire. */
 function taskNameOf({jobId, occurrence, step, index}: RunId): string {
   return [jobId, occurrence, step, index].join('.');
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -51,7 +51,9 @@
   ALL_FAULTS,
   REFUSAL_FAULTS,
   PARTITION_FAULTS,
+  RESTART_FAULTS,
   STREAM_FAULTS,
+  TICKET_RESTART_FAULTS,
   type ScheduleFaults,
 } from './ScheduleFaults';
 export {
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -1,4 +1,9 @@
-import {type Job, type Step, isFinalState} from '@samphireramp/jobs';
+import {
+  type Job,
+  type QueuePolicy,
+  type Step,
+  isFinalState,
+} from '@samphireramp/jobs';
 import {createRandom} from '../seededRandom';
 import {drawAccount, drawAccounts, scheduleLimitChanges} from './accountFaults';
 import {readAnswers} from './answerChecks';
@@ -8,6 +13,7 @@
 import {ModelSite} from './ModelSite';
 import type {ModelWorker} from './ModelWorker';
 import type {ScheduleFaults} from './ScheduleFaults';
+import {MAX_RESTART_FAULT_MILLIS, scheduleRestarts} from './restartFaults';
 import {scheduleStreamOutages} from './streamFaults';
 
 /** Faults are injected and jobs submitted during this phase. */
@@ -25,6 +31,9 @@
 /** Time from the start of a task until it crashes its worker, if it does. */
 const CRASH_MILLIS = 10;
 
+/** Lengthens tasks where workers are cut off, so that they outlast their leases. */
+const LONG_WORK_FACTOR = 5;
+
 /** What a schedule led to. */
 export interface ScheduleReport {
   readonly violations: readonly string[];
@@ -52,7 +61,7 @@
     least + Math.floor(random() * (most - least + 1));
   const pick = <Type>(list: readonly Type[]): Type =>
     list[Math.floor(random() * list.length)];
-  const policies = [
+  const policies = selectPolicies(faults.needTickets, [
     buildPolicy({name: 'urgent', priority: 0, targetMillis: 500}),
     buildPolicy({name: 'batch', priority: 2, maxAttempts: 6}),
     buildPolicy({
@@ -63,7 +72,7 @@
       name: 'slowly-advised',
       advice: {decisionMillis: 390, perWorkerMillis: 6, validityMillis: 2000},
     }),
-  ];
+  ]);
   const logAvailabilityByHost = new Map<string, 'refuses' | 'silent'>();
   const brokenLinks = new Set<string>();
   const failingJobs = new Set<string>();
@@ -95,7 +104,9 @@
     },
     script: (job, runId) => ({
       step: job.steps[runId.step],
-      workMillis: job.steps[runId.step].estimateMillis,
+      workMillis:
+        job.steps[runId.step].estimateMillis *
+        (isCuttingRestarted ? LONG_WORK_FACTOR : 1),
       crashMillis:
         runId.index === 0 && crashingJobs.has(job.id)
           ? CRASH_MILLIS
@@ -104,8 +115,12 @@
     }),
   });
   prepare(site);
-  site.checker.areFaultsOver = () =>
-    site.clock.now > FAULT_PHASE_MILLIS + SETTLING_MILLIS;
+  const isCuttingRestarted = (faults.cutOffRestarts ?? 0) > 0;
+  const settledAt =
+    FAULT_PHASE_MILLIS +
+    SETTLING_MILLIS +
+    (isCuttingRestarted ? MAX_RESTART_FAULT_MILLIS : 0);
+  site.checker.areFaultsOver = () => site.clock.now > settledAt;
   const {clock} = site;
   const after = (millis: number, callback: () => void) =>
     clock.after(millis, callback);
@@ -279,6 +294,14 @@
   if (faults.streamOutages !== undefined) {
     scheduleStreamOutages(site, faults, FAULT_PHASE_MILLIS, seed);
   }
+  if (isCuttingRestarted) {
+    scheduleRestarts(
+      site,
+      faults.cutOffRestarts ?? 0,
+      FAULT_PHASE_MILLIS,
+      seed,
+    );
+  }
   const readRandomAnswers = () => {
     readAnswers(site, randomHost(), pick(jobs).id, pick(policies).name);
     after(READ_INTERVAL_MILLIS, readRandomAnswers);
@@ -313,6 +336,17 @@
   };
 }
 
+/** Returns the policies of queues that need tickets or of those that need none. */
+function selectPolicies(
+  needTickets: boolean | undefined,
+  policies: readonly QueuePolicy[],
+): readonly QueuePolicy[] {
+  return policies.filter(
+    ({advice}) =>
+      needTickets === undefined || needTickets === (advice !== undefined),
+  );
+}
+
 /** Draws one or two steps for a job. */
 export function drawSteps(
   random: () => number,
