--- /dev/null
+++ b/testing/src/__tests__/unit/restartSchedules.test.ts
@@ -0,0 +1,12 @@
+import t from 'tap';
+import {RESTART_FAULTS, TICKET_RESTART_FAULTS} from '../../site';
+import {checkSchedules} from './checkSchedule';
+
+void t.test(
+  'no invariant breaks as workers restart and are cut off soon after',
+  t => checkSchedules(t, RESTART_FAULTS, {firstSeed: 810_001, count: 3}),
+);
+
+void t.test('no invariant breaks as such workers have runs with tickets', t =>
+  checkSchedules(t, TICKET_RESTART_FAULTS, {firstSeed: 820_001, count: 3}),
+);
--- a/testing/src/site/ScheduleFaults.ts
+++ b/testing/src/site/ScheduleFaults.ts
@@ -40,7 +40,8 @@
   readonly partitionOutages?: number;
   /**
    * Number of times that a worker restarts under its id while calls to it are late,
-   * and is cut off from all hosts soon after. If not 0, tasks take longer.
+   * and is cut off from all hosts soon after. If not 0, tasks take longer, and
+   * none fails.
    */
   readonly cutOffRestarts?: number;
   /** Whether all queues need tickets, or none does; by default some do. */
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -22,6 +22,8 @@
 const RECOVERY_MILLIS = 60_000;
 /** Interval at which callers read the state of a random job and a count. */
 const READ_INTERVAL_MILLIS = 50;
+/** Interval at which a schedule that may end early checks if its jobs have ended. */
+const END_CHECK_MILLIS = 1000;
 /** Time after which the worker registry deletes the entry of a lost worker. */
 const REGISTRY_EXPIRY_MILLIS = 4500;
 /** Time from the end of the fault phase until time limits apply. */
@@ -30,9 +32,8 @@
 
 /** Time from the start of a task until it crashes its worker, if it does. */
 const CRASH_MILLIS = 10;
-
 /** Lengthens tasks where workers are cut off, so that they outlast their leases. */
-const LONG_WORK_FACTOR = 5;
+const LONG_WORK_FACTOR = 3;
 
 /** What a schedule led to. */
 export interface ScheduleReport {
@@ -104,14 +105,13 @@
     },
     script: (job, runId) => ({
       step: job.steps[runId.step],
-      workMillis:
-        job.steps[runId.step].estimateMillis *
-        (isCuttingRestarted ? LONG_WORK_FACTOR : 1),
+      workMillis: job.steps[runId.step].estimateMillis,
       crashMillis:
         runId.index === 0 && crashingJobs.has(job.id)
           ? CRASH_MILLIS
           : undefined,
-      fails: run => failingJobs.has(job.id) && run % 3 !== 0,
+      fails: run =>
+        failingJobs.has(job.id) && run % 3 !== 0 && !isCuttingRestarted,
     }),
   });
   prepare(site);
@@ -232,6 +232,7 @@
     };
   });
 
+  const workFactor = isCuttingRestarted ? LONG_WORK_FACTOR : 1;
   const jobs: Job[] = [];
   // Draws of their own, so that schedules without accounts stay as they were.
   const accountRandom = createRandom(seed);
@@ -240,7 +241,11 @@
     const id = index.toString(16).padStart(16, '0');
     const submitAt = between(0, FAULT_PHASE_MILLIS);
     const policy = pick(policies);
-    const job = buildJob(id, drawSteps(random, between), {
+    const steps = drawSteps(random, between).map(step => ({
+      ...step,
+      estimateMillis: step.estimateMillis * workFactor,
+    }));
+    const job = buildJob(id, steps, {
       policy,
       receivedAt: submitAt,
       account: accountCount > 0 ? drawAccount(accountRandom, accountCount) : '',
@@ -311,8 +316,25 @@
   await site.run(FAULT_PHASE_MILLIS);
   areFaultsActive = false;
   site.hosts.filter(host => !host.isUp).forEach(host => site.restart(host));
-  await site.run(RECOVERY_MILLIS);
+  const recoveredAt = site.clock.now + RECOVERY_MILLIS;
+  do {
+    await site.run(isCuttingRestarted ? END_CHECK_MILLIS : RECOVERY_MILLIS);
+  } while (
+    site.clock.now < recoveredAt &&
+    (!site.checker.areFaultsOver() || listUnfinished(site).length > 0)
+  );
+  return {
+    violations: site.checker.violations,
+    errors: site.errors,
+    unfinished: listUnfinished(site),
+    accepted: [...site.checker.jobs.values()].filter(each => each.acceptedAt)
+      .length,
+    site,
+  };
+}
 
+/** Returns the accepted jobs that no caller cancelled and that haven't ended. */
+function listUnfinished(site: ModelSite): string[] {
   const unfinished: string[] = [];
   for (const {
     job,
@@ -326,14 +348,7 @@
       unfinished.push(`${job.id} is ${state}`);
     }
   }
-  return {
-    violations: site.checker.violations,
-    errors: site.errors,
-    unfinished,
-    accepted: [...site.checker.jobs.values()].filter(each => each.acceptedAt)
-      .length,
-    site,
-  };
+  return unfinished;
 }
 
 /** Returns the policies of queues that need tickets or of those that need none. */
