--- /dev/null
+++ b/testing/src/__tests__/unit/nextLifeFixture.ts
@@ -0,0 +1,60 @@
+/** Sites on which a worker restarts, and its next life gets calls to the earlier one. */
+import {
+  type ModelSite,
+  type ModelWorker,
+  buildJob,
+  buildModelSite,
+  buildPolicy,
+  buildStep,
+} from '../../index';
+
+/** A queue that needs no tickets, so that any life of a worker may start its tasks. */
+const POLICY = buildPolicy();
+/** First reading of the next clock: behind the earlier one, so that no order is late. */
+const NEXT_CLOCK_MILLIS = 0;
+/** Age of the earlier life, so that its clock is ahead of the next one. */
+const EARLIER_LIFE_MILLIS = 30_000;
+
+/** Builds a site whose workers have long been up. Returns it with its first worker. */
+export async function buildSiteOfOldWorkers(): Promise<
+  [ModelSite, ModelWorker]
+> {
+  const site = buildModelSite({workers: 2, policies: [POLICY]});
+  await site.run(EARLIER_LIFE_MILLIS);
+  return [site, site.workers[0]];
+}
+
+/** Submits a job of one task for the first worker. */
+export function submitTask(
+  site: ModelSite,
+  jobId: string,
+  estimateMillis: number,
+): void {
+  const step = buildStep({estimateMillis, dataRack: site.workers[0].rack});
+  const receivedAt = site.clock.now;
+  const job = buildJob(jobId, [step], {policy: POLICY, receivedAt});
+  void site.submit(site.hosts[0], job);
+}
+
+/** Begins the next life of a worker; no entry names it. */
+export function beginNextLife(worker: ModelWorker): void {
+  worker.restart(worker.born + 1, NEXT_CLOCK_MILLIS);
+}
+
+/** Cuts the first worker off from all hosts, or ends that. */
+export function setCutOff(site: ModelSite, isCutOff: boolean): void {
+  const {id} = site.workers[0];
+  site.faultState = {
+    ...site.faultState,
+    canCall: (_, worker) => !isCutOff || worker !== id,
+  };
+}
+
+/** Leaves the orders from now on without an answer; each is carried out later. */
+export function delayOrders(site: ModelSite, delayMillis: number): void {
+  site.faultState = {
+    ...site.faultState,
+    losesOrderAnswer: () => true,
+    orderDelayMillis: () => delayMillis,
+  };
+}
