--- a/packages/fleet/src/leaseGranting.ts
+++ b/packages/fleet/src/leaseGranting.ts
@@ -8,7 +8,7 @@
 import {RUNS, WORKERS, listOtherLives} from './FleetState';
 import {FLEET_EVENT} from './messages';
 import {
-  LEASE_EXPIRY_MILLIS,
+  LONGEST_LEASE_EXPIRY_MILLIS,
   MAX_CALL_DELAY_MILLIS,
   latestUnknownLeaseEnd,
   mayGrantLeases,
@@ -70,10 +70,18 @@
   }
   update.write(WORKERS).delete(incarnation);
   const leases = update.write(ENDED_LIVES_LEASES);
-  leases.set(worker.id, latestLease(worker, leases.get(worker.id)));
+  const earlier = leases.get(worker.id);
+  const counts = earlier !== undefined && mayCount(earlier, update.now);
+  leases.set(worker.id, latestLease(worker, counts ? earlier : worker));
 }
 
-function latestLease(lease: SentLease, other: SentLease = lease): SentLease {
+/** Whether a call that carried a lease may have granted one that goes on. */
+function mayCount({leaseSentAt}: SentLease, now: number): boolean {
+  const lastCallMillis = MAX_CALL_DELAY_MILLIS + LONGEST_LEASE_EXPIRY_MILLIS;
+  return now - leaseSentAt <= lastCallMillis;
+}
+
+function latestLease(lease: SentLease, other: SentLease): SentLease {
   return {
     leaseGrantedUntil: Math.max(
       lease.leaseGrantedUntil,
@@ -91,11 +99,11 @@
   state: StateReader,
   worker: Worker,
   clockMillis: number,
-  now: number,
+  polledAt: number,
 ): number {
   const {predecessor} = state.read(HOLDING).get();
-  return latestUnknownLeaseEnd(clockMillis, now, {
-    earlierLivesUntil: earlierLivesLeaseEnd(state, worker, now),
+  return latestUnknownLeaseEnd(clockMillis, polledAt, {
+    earlierLivesUntil: earlierLivesLeaseEnd(state, worker, polledAt),
     predecessorHeardAt: predecessor.heardAt,
     // At its first report, a life has no runs but those that the journal names.
     wasHeldBefore: state.read(RUNS).withKey(worker.incarnation).length > 0,
@@ -110,10 +118,7 @@
 ): number {
   const ended = state.read(ENDED_LIVES_LEASES).get(worker.id);
   const leases = [...listOtherLives(state, worker), ...(ended ? [ended] : [])];
-  const recent = leases.filter(
-    ({leaseSentAt}) =>
-      now - leaseSentAt <= MAX_CALL_DELAY_MILLIS + LEASE_EXPIRY_MILLIS,
-  );
+  const recent = leases.filter(lease => mayCount(lease, now));
   return Math.max(
     -Infinity,
     ...recent.map(({leaseGrantedUntil}) => leaseGrantedUntil),
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -21,7 +21,7 @@
  * After this time on a host's clock, a lease has expired that a worker took from any
  * call, also one that was meant for an earlier life of it.
  */
-export const LEASE_EXPIRY_MILLIS =
+export const LONGEST_LEASE_EXPIRY_MILLIS =
   MAX_LEASE_MILLIS / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MILLIS;
 /**
  * After this time, a lease has expired that an earlier holder granted a life which it
@@ -71,10 +71,11 @@
  * holder, in milliseconds of its clock. It may have taken calls that were meant for an
  * earlier life, until that report refuses them. The lease end in such a call is a time
  * of another clock, ahead or behind, and only the maximum from its arrival is certain.
+ * `polledAt` is when the poll was sent, so that its clock was read no earlier.
  */
 export function latestUnknownLeaseEnd(
   clockMillis: number,
-  now: number,
+  polledAt: number,
   grants: EarlierGrants,
 ): number {
   const earlierLivesUntil = Math.min(
@@ -83,21 +84,21 @@
   );
   return Math.max(
     earlierLivesUntil,
-    clockMillis + earlierHoldersLeaseMillis(now, grants),
+    clockMillis + earlierHoldersLeaseMillis(polledAt, grants),
   );
 }
 
 /** How long leases from calls of earlier holders last, on the worker's clock. */
 function earlierHoldersLeaseMillis(
-  now: number,
+  polledAt: number,
   {predecessorHeardAt, wasHeldBefore}: EarlierGrants,
 ): number {
-  const silentMillis = now - predecessorHeardAt;
+  const silentMillis = polledAt - predecessorHeardAt;
   if (wasHeldBefore) {
     return Math.max(0, EARLIER_LEASES_MILLIS - silentMillis * MIN_CLOCK_RATE);
   }
   const lastCallMillis = MAX_UNCONFIRMED_MILLIS + MAX_CALL_DELAY_MILLIS;
-  return silentMillis > lastCallMillis + LEASE_EXPIRY_MILLIS
+  return silentMillis > lastCallMillis + LONGEST_LEASE_EXPIRY_MILLIS
     ? 0
     : MAX_LEASE_MILLIS;
 }
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -40,6 +40,7 @@
 const START_TIMEOUT_MILLIS = 450;
 /** Number of unanswered start orders after which the run is stopped instead. */
 const MAX_START_ORDERS = 3;
+
 /** Sends the start order of a reserved run, or repeats it. */
 export function sendStartOrder(update: Update, order: StartOrder): void {
   const run = update.read(RUNS).get(runKey(order.runId));
@@ -106,7 +107,7 @@
   const outcome = reinterpretFenced(update, answer);
   if (outcome === 'started') {
     recordStartTaken(update, order.runId);
-  } else if (outcome !== 'silent') {
+  } else if (answer.outcome !== 'silent') {
     recordStartRefused(update, order.runId);
   }
   if (run === undefined) {
--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -4,7 +4,10 @@
   createTableSlice,
 } from '@samphireramp/kernel';
 import {type RunId, runKey} from '@samphireramp/jobs';
-import {LEASE_EXPIRY_MILLIS, MAX_CALL_DELAY_MILLIS} from './leaseTiming';
+import {
+  LONGEST_LEASE_EXPIRY_MILLIS,
+  MAX_CALL_DELAY_MILLIS,
+} from './leaseTiming';
 import type {StartOrder} from './Run';
 
 /**
@@ -112,7 +115,7 @@
 /** Returns when a run must have ended that the next life began because of an order. */
 function runsEndAt({unanswered, sentAt, takenAt}: UnsettledOrders): number {
   const lastTakenAt = unanswered > 0 ? sentAt + MAX_CALL_DELAY_MILLIS : takenAt;
-  return (lastTakenAt ?? -Infinity) + LEASE_EXPIRY_MILLIS;
+  return (lastTakenAt ?? -Infinity) + LONGEST_LEASE_EXPIRY_MILLIS;
 }
 
 /** Deletes the orders because of which no worker can have a run any more. */
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -12,7 +12,7 @@
   changeRun,
   changeWorker,
 } from './FleetState';
-import {beginLife, fenceOf, isFencedByOwnCall} from './fence';
+import {fenceOf, isFencedByOwnCall, latestLife} from './fence';
 import {isLeaseBounded, liftBound} from './leaseBounds';
 import {
   deleteLife,
@@ -126,7 +126,7 @@
   }
   const leaseGrantedUntil = worker.hasReported
     ? worker.leaseGrantedUntil
-    : leaseEndAtFirstReport(update, worker, report.clockMillis, update.now);
+    : leaseEndAtFirstReport(update, worker, report.clockMillis, sentAt);
   if (!worker.hasReported || worker.isSilent) {
     update.emit(FLEET_EVENT, {
       event: worker.hasReported ? 'worker-regained' : 'worker-held',
@@ -339,8 +339,8 @@
     update.dispatch(HOLDING_FENCED, {worker: incarnation});
     return;
   }
-  // A number of its own, as another life may be the one that refused the poll.
-  const life = beginLife(update, id);
+  // If that is refused, too, there is a newer holder.
+  const life = latestLife(update, id);
   changeWorker(update, incarnation, {life, isPollOpen: false, nextPollAt: 0});
   pollAgainIfDue(update, incarnation);
 }
--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -118,7 +118,7 @@
       leaseUntil,
       waitMillis,
     );
-    await this.delay(NETWORK_DELAY_MILLIS);
+    await this.delay(this.faultState().pollAnswerMillis());
     if (worker.refusesConnections) {
       return noAnswer;
     }
--- a/testing/src/site/SiteFaultState.ts
+++ b/testing/src/site/SiteFaultState.ts
@@ -8,6 +8,8 @@
   refusesConnections(worker: string): boolean;
   /** Whether the answer to a poll is lost, and the poll executed late. */
   losesPollAnswer(worker: string): boolean;
+  /** How long an answer to a poll takes from the worker to the host. */
+  pollAnswerMillis(): number;
   /** Whether the answer to an order to start or stop a run is lost. */
   losesOrderAnswer(worker: string): boolean;
   /** Whether a worker refuses an order as unhealthy, without executing it. */
@@ -29,6 +31,7 @@
   canCall: () => true,
   refusesConnections: () => false,
   losesPollAnswer: () => false,
+  pollAnswerMillis: () => 2,
   losesOrderAnswer: () => false,
   refusesOrder: () => false,
   orderDelayMillis: () => 0,
