--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -122,12 +122,14 @@
     if (worker.refusesConnections) {
       return noAnswer;
     }
-    // The connection to a life that has ended brings no answer.
-    const hasEnded = worker.incarnation !== incarnation;
-    if (hasEnded || !worker.isUp || !this.faultState().canCall(host, call.id)) {
+    if (!worker.isUp || !this.faultState().canCall(host, call.id)) {
       await this.delay(call.timeoutMillis);
       return noAnswer;
     }
+    // The connection to a life that has ended is reset.
+    if (worker.incarnation !== incarnation) {
+      return noAnswer;
+    }
     return report === 'fenced'
       ? ({kind: 'failed', failure: 'fenced', detail: 'status 409'} as const)
       : ({kind: 'reported', report} as const);
--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -133,6 +133,7 @@
     this.lapsedEnd = 0;
     this.lastEnded.clear();
     this.ownClock.restart(firstClockMillis);
+    this.waitingPolls.splice(0).forEach(resolve => resolve());
   }
 
   /** Ends its process, which begins again after a while under the same id. */
@@ -140,7 +141,6 @@
     this.restart();
     this.isUp = false;
     this.refusesConnections = true;
-    this.waitingPolls.splice(0).forEach(resolve => resolve());
     this.timeline.after(this.crashRecoveryMillis, () => {
       this.refusesConnections = false;
       this.isUp = !this.isGone;
