--- a/testing/src/__tests__/unit/crashOfNextLife.test.ts
+++ b/testing/src/__tests__/unit/crashOfNextLife.test.ts
@@ -1,7 +1,6 @@
-import {RUNS} from '@samphireramp/fleet';
 import t from 'tap';
-import type {ModelSite} from '../../index';
 import {
+  awaitOrder,
   beginNextLife,
   buildSiteOfOldWorkers,
   submitTask,
@@ -11,24 +10,6 @@
 const TASK_MILLIS = 10_000;
 /** Number of crashes for which a task that alone began last is given up. */
 const RESTARTS = 2;
-const MAX_WAIT_MILLIS = 5000;
-
-/** Runs the site until a run of the task is ordered; returns its worker. */
-async function awaitOrder(site: ModelSite, run: number) {
-  for (let millis = 0; millis < MAX_WAIT_MILLIS; millis++) {
-    await site.run(1);
-    const ordered = [...(site.holder()?.kernel.read(RUNS).values() ?? [])].find(
-      ({runId, startOrders}) => runId.run === run && startOrders > 0,
-    );
-    const worker = site.workers.find(
-      ({incarnation}) => incarnation === ordered?.incarnation,
-    );
-    if (worker !== undefined) {
-      return worker;
-    }
-  }
-  return undefined;
-}
 
 void t.test(
   'no crash is charged to a run that the next life has started and goes on with',
--- a/testing/src/__tests__/unit/nextLifeFixture.ts
+++ b/testing/src/__tests__/unit/nextLifeFixture.ts
@@ -1,4 +1,5 @@
 /** Sites on which a worker restarts, and its next life gets calls to the earlier one. */
+import {RUNS} from '@samphireramp/fleet';
 import {
   type ModelSite,
   type ModelWorker,
@@ -14,6 +15,8 @@
 const NEXT_CLOCK_MILLIS = 0;
 /** Age of the earlier life, so that its clock is ahead of the next one. */
 const EARLIER_LIFE_MILLIS = 30_000;
+/** By when a task is ordered. */
+const MAX_WAIT_MILLIS = 5000;
 
 /** Builds a site whose workers have long been up. Returns it with its first worker. */
 export async function buildSiteOfOldWorkers(): Promise<
@@ -36,6 +39,23 @@
   void site.submit(site.hosts[0], job);
 }
 
+/** Runs the site until a run of the task is ordered; returns its worker. */
+export async function awaitOrder(site: ModelSite, run: number) {
+  for (let millis = 0; millis < MAX_WAIT_MILLIS; millis++) {
+    await site.run(1);
+    const ordered = [...(site.holder()?.kernel.read(RUNS).values() ?? [])].find(
+      ({runId, startOrders}) => runId.run === run && startOrders > 0,
+    );
+    const worker = site.workers.find(
+      ({incarnation}) => incarnation === ordered?.incarnation,
+    );
+    if (worker !== undefined) {
+      return worker;
+    }
+  }
+  return undefined;
+}
+
 /** Begins the next life of a worker; no entry names it. */
 export function beginNextLife(worker: ModelWorker): void {
   worker.restart(worker.born + 1, NEXT_CLOCK_MILLIS);
