Hosts pace their appends of requests by what the log takes now

While the log was slow, callers got no answer in time: on the model, 22 of 200 jobs were accepted within 3 s with six hosts and partitions that take 200 ms an append (slowLogIntake.test.ts). While one of two partitions was silent, 170 of 200 were accepted, the last after 2.5 s.

Cause: a partition takes one append at a time, and each host had up to three batches in flight and sent each up to three times within 0.75 s; after 1.6 s it gave up, while the log still carried them out. The time of an append was that of the whole batch, with the wait for a silent partition, so that each repetition put off the next ones, until a batch had none.

Once a batch is 50 ms old, or appends take more than 150 ms, a host has one batch in flight. A batch is repeated after three times what an append takes, measured from the attempt that is acknowledged; each repetition without an answer, of any batch, makes the next one four times as late. When it is due is decided anew when the timer fires. A partition that did not take an append in time is avoided for 2 s. A batch fails after 2.4 s. A request that waits for 1.6 s without being sent, or that can't be expected to be accepted in 3 s, is refused with detail=log-slow; it was never sent.

--- a/packages/intake/src/intakePlugin.ts
+++ b/packages/intake/src/intakePlugin.ts
@@ -7,12 +7,15 @@
 import {JOB_STATES, STATES_COPY} from '@samphireramp/job-states';
 import {isFinalState} from '@samphireramp/jobs';
 import {answerCall, createRefusal} from './answerCall';
+import {canAcceptInTime} from './appendPacing';
 import {
   ACCEPTED_JOBS,
+  AVOIDED_PARTITIONS,
   BATCHES_IN_FLIGHT,
   BATCH_COUNT,
   MEAN_APPEND_TIME,
   UNBATCHED_CALLS,
+  WAIT_ENDS_AT,
 } from './IntakeState';
 import {isOfOtherAccount} from './jobStatus';
 import {
@@ -24,7 +27,12 @@
   REQUEST_RECEIVED,
 } from './messages';
 import {type Request, jobIdOf} from './Request';
-import {flushRequests, hedgeBatch, onBatchAppendEnded} from './requestBatches';
+import {
+  flushRequests,
+  hedgeBatch,
+  onBatchAppendEnded,
+  readAppendLoad,
+} from './requestBatches';
 
 /** Requests that arrive within this time are appended in one batch. */
 const BATCH_WINDOW_MILLIS = 3;
@@ -48,9 +56,11 @@
     mergeUnregister(
       kernel.registerSlice(ACCEPTED_JOBS),
       kernel.registerSlice(UNBATCHED_CALLS),
+      kernel.registerSlice(WAIT_ENDS_AT),
       kernel.registerSlice(BATCHES_IN_FLIGHT),
       kernel.registerSlice(BATCH_COUNT),
       kernel.registerSlice(MEAN_APPEND_TIME),
+      kernel.registerSlice(AVOIDED_PARTITIONS),
       kernel.registerCommand(REQUEST_RECEIVED, onReceived),
       kernel.registerCommand(FLUSH_REQUESTS, update =>
         flushRequests(update, partitions),
@@ -83,10 +93,15 @@
     return;
   }
   const unbatchedCalls = update.write(UNBATCHED_CALLS);
+  if (!canAcceptInTime(readAppendLoad(update), unbatchedCalls.get().length)) {
+    answerCall(update, call, createRefusal(), 'log-slow');
+    return;
+  }
   if (unbatchedCalls.get().length === 0) {
     update.emit(SCHEDULE_FLUSH, {millis: BATCH_WINDOW_MILLIS});
   }
-  unbatchedCalls.set([...unbatchedCalls.get(), call]);
+  const waitingCall = {...call, receivedAt: update.now};
+  unbatchedCalls.set([...unbatchedCalls.get(), waitingCall]);
 }
 
 /**
--- a/packages/intake/src/messages.ts
+++ b/packages/intake/src/messages.ts
@@ -13,13 +13,17 @@
 export const FLUSH_REQUESTS = createCommand<void>('flush-requests');
 
 /** Appends a batch once more, in parallel, if it has no answer yet. */
-export const HEDGE_REQUESTS = createCommand<{readonly batchId: string}>(
-  'hedge-requests',
-);
+export const HEDGE_REQUESTS = createCommand<{
+  readonly batchId: string;
+  /** Number of attempts when this was scheduled; void after another one. */
+  readonly attempts: number;
+}>('hedge-requests');
 
 /** Reports the outcome of one attempt to append a batch. */
 export const REQUEST_APPEND_ENDED = createCommand<{
   readonly batchId: string;
+  /** Index of the attempt in the batch. */
+  readonly attempt: number;
   readonly outcome: AppendOutcome;
 }>('requests-appended');
 
@@ -34,12 +38,15 @@
 /** Dispatches `HEDGE_REQUESTS` after `millis`. */
 export const SCHEDULE_HEDGE = createEffect<{
   readonly batchId: string;
+  readonly attempts: number;
   readonly millis: number;
 }>('plan-hedge');
 
 /** Appends a batch of requests to the log. */
 export const APPEND_REQUESTS = createEffect<{
   readonly batchId: string;
+  /** Index of the attempt in the batch. */
+  readonly attempt: number;
   readonly partition: number;
   readonly requests: readonly Request[];
   readonly timeoutMillis: number;
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -292,12 +292,12 @@
           );
       }),
       kernel.registerEffect(APPEND_REQUESTS, request => {
-        const {batchId, partition, requests, timeoutMillis} = request;
+        const {batchId, attempt, partition, requests, timeoutMillis} = request;
         const records = requests.map(encodeRequest);
         void streams
           .append({stream: 'requests', partition, records, timeoutMillis})
           .then((outcome: AppendOutcome) =>
-            kernel.dispatch(REQUEST_APPEND_ENDED, {batchId, outcome}),
+            kernel.dispatch(REQUEST_APPEND_ENDED, {batchId, attempt, outcome}),
           );
       }),
       kernel.registerEffect(FORGET_REQUESTS, ({jobIds, partition}) => {
--- a/packages/site-daemon/src/timersPlugin.ts
+++ b/packages/site-daemon/src/timersPlugin.ts
@@ -55,8 +55,8 @@
       kernel.registerEffect(SCHEDULE_PLACEMENT, ({scope}) =>
         schedulePass(scope),
       ),
-      kernel.registerEffect(SCHEDULE_HEDGE, ({batchId, millis}) => {
-        setTimeout(() => kernel.dispatch(HEDGE_REQUESTS, {batchId}), millis);
+      kernel.registerEffect(SCHEDULE_HEDGE, ({millis, ...batch}) => {
+        setTimeout(() => kernel.dispatch(HEDGE_REQUESTS, batch), millis);
       }),
       kernel.registerEffect(SCHEDULE_FLUSH, ({millis}) => {
         setTimeout(() => kernel.dispatch(FLUSH_REQUESTS, undefined), millis);
--- a/testing/src/site/modelTimers.ts
+++ b/testing/src/site/modelTimers.ts
@@ -49,8 +49,8 @@
     kernel.registerEffect(SCHEDULE_FLUSH, ({millis}) =>
       defer(millis, () => kernel.dispatch(FLUSH_REQUESTS, undefined)),
     ),
-    kernel.registerEffect(SCHEDULE_HEDGE, ({batchId, millis}) =>
-      defer(millis, () => kernel.dispatch(HEDGE_REQUESTS, {batchId})),
+    kernel.registerEffect(SCHEDULE_HEDGE, ({millis, ...batch}) =>
+      defer(millis, () => kernel.dispatch(HEDGE_REQUESTS, batch)),
     ),
   );
 }
