Failed reads of the log say whether it refused them or did not answer in time

A listener of a stream could not tell a partition that is out of reach from one that is only slow. onFailure gets the kind: `silent` for a read or a connection that timed out, `refused` for any other failure. The model log has partitions that are slow.

--- a/packages/site-daemon/src/reserveStream.ts
+++ b/packages/site-daemon/src/reserveStream.ts
@@ -57,9 +57,9 @@
         {stream: 'reserve', ...followOptions},
         {
           onRead: read => listener.onRead(read),
-          onFailure: detail => {
+          onFailure: (detail, kind) => {
             kernel.dispatch(RESERVE_READ_FAILED, undefined);
-            listener.onFailure(detail);
+            listener.onFailure(detail, kind);
           },
         },
       );
--- a/packages/site-daemon/src/streamListener.ts
+++ b/packages/site-daemon/src/streamListener.ts
@@ -1,9 +1,14 @@
-import type {StreamListener, StreamName} from '@samphireramp/stream-log';
+import type {
+  ReadFailure,
+  StreamListener,
+  StreamName,
+} from '@samphireramp/stream-log';
 import type {Log} from '@samphireramp/telemetry';
 
 /**
  * Creates a function that turns a record handler into a listener. The listener
- * logs when reads of the partition start to fail and when they succeed again.
+ * logs when reads of the partition start to fail and when they succeed again, and
+ * calls `onFailed` for each one that fails.
  */
 export function createListenerFactory(
   stream: StreamName,
@@ -11,7 +16,10 @@
   log: Log,
 ) {
   let isLost = false;
-  return (onRead: StreamListener['onRead']): StreamListener => ({
+  return (
+    onRead: StreamListener['onRead'],
+    onFailed: (kind: ReadFailure) => void = () => undefined,
+  ): StreamListener => ({
     onRead: read => {
       if (isLost) {
         isLost = false;
@@ -24,11 +32,12 @@
       }
       onRead(read);
     },
-    onFailure: detail => {
+    onFailure: (detail, kind) => {
       if (!isLost) {
         isLost = true;
         log('stream-lost', {stream, partition, detail});
       }
+      onFailed(kind);
     },
   });
 }
--- a/packages/stream-log/src/StreamLog.ts
+++ b/packages/stream-log/src/StreamLog.ts
@@ -77,9 +77,15 @@
   /** Called after each successful read, also if it returned no records. */
   onRead(read: StreamRead): void;
   /** Called when a read failed; it is retried. */
-  onFailure(detail: string): void;
+  onFailure(detail: string, kind: ReadFailure): void;
 }
 
+/**
+ * How a read failed: `refused` if the log or the connection said so, `silent` if there
+ * was no answer in time, which a log that is only slow may still give.
+ */
+export type ReadFailure = 'refused' | 'silent';
+
 /** Which partition to follow, and how often to read it. */
 export interface FollowOptions {
   readonly stream: StreamName;
--- a/testing/src/site/ModelLog.ts
+++ b/testing/src/site/ModelLog.ts
@@ -14,6 +14,8 @@
 const APPEND_MILLIS = 4;
 /** Interval at which a reader that follows a partition gets new records. */
 const READ_INTERVAL_MILLIS = 3;
+/** Timeout of a read that the log does not answer. */
+const READ_TIMEOUT_MILLIS = 300;
 /** Time after a failed read until the next one. */
 const READ_RETRY_MILLIS = 100;
 
@@ -101,6 +103,10 @@
   isStreamDown: (stream: StreamName, partition: number) => boolean = () =>
     false;
 
+  /** Whether reads of a partition take longer than their timeout; tests replace it. */
+  isStreamSlow: (stream: StreamName, partition: number) => boolean = () =>
+    false;
+
   /** How reads of a host are answered; tests replace it. */
   readBehaviour: (host: string, stream: StreamName) => ReadBehaviour = () =>
     PROMPT_READS;
@@ -172,10 +178,18 @@
         this.isStreamDown(stream, partition) ||
         this.faultState.logAvailability(host) !== 'answers'
       ) {
-        listener.onFailure('out of reach');
+        const isSilent = this.faultState.logAvailability(host) === 'silent';
+        listener.onFailure('out of reach', isSilent ? 'silent' : 'refused');
         this.timeline.after(READ_RETRY_MILLIS, read);
         return;
       }
+      if (this.isStreamSlow(stream, partition)) {
+        this.timeline.after(READ_TIMEOUT_MILLIS, () => {
+          listener.onFailure('no answer', 'silent');
+          this.timeline.after(READ_RETRY_MILLIS, read);
+        });
+        return;
+      }
       const records = this.records(stream, partition);
       const from = nextOffset;
       nextOffset = Math.min(records.length, (from ?? Infinity) + maxRecords);
