A take-over begins without a partition of requests that refuses all reads

What callers saw: while one partition of `requests` was out of reach, a new holder started nothing on the site, and all runs ended with their leases (lostRequestPartition.test.ts: "0 of 8 jobs started").

Cause: workers were commanded only once all partitions of `requests` had been read.

Change: a holder that has read the other partitions begins once this one has refused all reads for a second; one that does not answer is waited for. Ends of their runs are kept until the request is read, and neither they nor later ends of that worker are acknowledged before, so that the next holder learns of them. A cancel in that partition takes effect once it is read. Until all partitions are read, no host denies a job.

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -11,10 +11,8 @@
   HOLDING_ENDED,
   PROGRESS_TOO_LARGE,
   heldTerm,
-  recordRequestsRead,
 } from '@samphireramp/holding';
 import {
-  MAY_COMMAND_WORKERS,
   RESOURCES_CHANGED,
   RUNS,
   RUN_CONFIRMED,
@@ -67,6 +65,7 @@
   PLACE_TASKS,
   REQUESTS_FORGOTTEN,
   REQUESTS_READ,
+  REQUESTS_READ_FAILED,
   UNFOLLOW_HOLDER_STREAMS,
 } from './messages';
 import {placeTasks} from './placement';
@@ -87,8 +86,20 @@
   beginPass,
   schedulePlacement,
 } from './schedulePlacement';
-import {TAKE_OVER_STEPS, reachTakeOverStep} from './takeOverSteps';
+import {
+  REFUSED_SINCE,
+  beginIfRestIsOutOfReach,
+  onPartitionRead,
+  onRequestsReadFailed,
+} from './requestReading';
+import {TAKE_OVER_STEPS} from './takeOverSteps';
 import {AWAITS_STARTS} from './TaskAllowance';
+import {
+  ARE_REQUESTS_INCOMPLETE,
+  UNAPPLIED_ENDS,
+  applyKeptEnds,
+  stopRunsWithoutJob,
+} from './unreadJobs';
 import {
   WAITING_SINCE,
   WAITS_CHECKED_AT,
@@ -127,19 +138,25 @@
     if (heldTerm(update) === undefined) {
       return;
     }
-    notePartition(update, payload.partition, payload.jobIds);
+    const {partition, jobIds, completeUntil} = payload;
+    notePartition(update, partition, jobIds);
     applyRequests(update, payload, wallClock, functions.virtualDelayMillis);
-    if (payload.completeUntil === undefined) {
-      return;
+    const wasIncomplete = update.read(ARE_REQUESTS_INCOMPLETE).get();
+    const areAllRead = onPartitionRead(
+      update,
+      partition,
+      completeUntil,
+      partitions,
+    );
+    if (wasIncomplete && (areAllRead || payload.requests.length > 0)) {
+      applyKeptEnds(update, end =>
+        onRunEnded(update, end, wallClock, functions),
+      );
     }
-    const partitionsRead = update.write(PARTITIONS_READ);
-    partitionsRead.set(String(payload.partition), payload.completeUntil);
-    if (partitionsRead.size === partitions) {
-      // Workers are commanded only once all requests in the log are known.
-      update.write(MAY_COMMAND_WORKERS).set(true);
-      reachTakeOverStep(update, 'requests-read');
-      recordRequestsRead(update, Math.min(...partitionsRead.values()));
+    if (wasIncomplete && areAllRead) {
+      stopRunsWithoutJob(update);
     }
+    beginIfRestIsOutOfReach(update, partitions, wallClock());
   }
 
   function onTick(update: Update): void {
@@ -167,6 +184,9 @@
       kernel.registerSlice(REQUEST_PARTITIONS),
       kernel.registerSlice(SITE_CONFIGURATION),
       kernel.registerSlice(PARTITIONS_READ),
+      kernel.registerSlice(REFUSED_SINCE),
+      kernel.registerSlice(ARE_REQUESTS_INCOMPLETE),
+      kernel.registerSlice(UNAPPLIED_ENDS),
       kernel.registerSlice(CRASH_TRIALS),
       kernel.registerSlice(ADVICE),
       kernel.registerSlice(CALLS_BY_HOST),
@@ -194,6 +214,10 @@
         failJob(update, jobId, wallClock()),
       ),
       kernel.registerCommand(REQUESTS_READ, onRequestsRead),
+      kernel.registerCommand(REQUESTS_READ_FAILED, (update, payload) => {
+        onRequestsReadFailed(update, payload);
+        beginIfRestIsOutOfReach(update, partitions, wallClock());
+      }),
       kernel.registerCommand(REQUESTS_FORGOTTEN, onRequestsForgotten),
       kernel.registerCommand(RESOURCES_CHANGED, update =>
         schedulePlacement(update),
@@ -250,6 +274,9 @@
   update.write(END_SEEN_AT).clear();
   update.write(REQUEST_PARTITIONS).clear();
   update.write(PARTITIONS_READ).clear();
+  update.write(REFUSED_SINCE).clear();
+  update.write(ARE_REQUESTS_INCOMPLETE).set(false);
+  update.write(UNAPPLIED_ENDS).clear();
   update.write(CRASH_TRIALS).clear();
   update.write(ADVICE).clear();
   update.write(CALLS_BY_HOST).clear();
--- a/packages/dispatch/src/endedRuns.ts
+++ b/packages/dispatch/src/endedRuns.ts
@@ -1,5 +1,6 @@
 import {
   MAY_COMMAND_WORKERS,
+  type NewRun,
   RUNS,
   adoptRun,
   changeRun,
@@ -76,7 +77,7 @@
   progress: Progress,
   wallNow: number,
 ): void {
-  if (wallNow - progress.endedAt > MAX_RUN_AFTER_END_MILLIS) {
+  if (!hasEndedLately(progress, wallNow)) {
     return;
   }
   // Once workers may be commanded, only a repeated request tells of the job again.
@@ -84,20 +85,30 @@
     return;
   }
   for (const {runId, task} of listPlacedRuns(progress)) {
-    const key = runKey(runId);
-    if (!update.read(RUNS).has(key)) {
-      adoptRun(update, {
+    if (!update.read(RUNS).has(runKey(runId))) {
+      adoptAsStopping(update, {
         runId,
         incarnation: task.worker,
         account: job.account,
         reserved: reservedResources(job.steps[runId.step]),
         expectsProgress: false,
       });
-      changeRun(update, key, {phase: 'stopping', lastOrderAt: update.now});
     }
   }
 }
 
+/** Whether runs of a job that has ended may not be gone yet. */
+export function hasEndedLately({endedAt}: Progress, wallNow: number): boolean {
+  return wallNow - endedAt <= MAX_RUN_AFTER_END_MILLIS;
+}
+
+/** Adopts a run of a job that has ended as one being stopped. */
+export function adoptAsStopping(update: Update, run: NewRun): void {
+  adoptRun(update, run);
+  const change = {phase: 'stopping', lastOrderAt: update.now} as const;
+  changeRun(update, runKey(run.runId), change);
+}
+
 function isPlaced({phase}: Task): boolean {
   return phase === 'placed';
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -29,5 +29,6 @@
   type Permit,
   REQUESTS_FORGOTTEN,
   REQUESTS_READ,
+  REQUESTS_READ_FAILED,
   UNFOLLOW_HOLDER_STREAMS,
 } from './messages';
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -4,7 +4,7 @@
   recordForgottenJob,
   recordProgress,
 } from '@samphireramp/holding';
-import {RUNS, adoptRun, stopRun} from '@samphireramp/fleet';
+import {RUNS, adoptRun, changeRun, stopRun} from '@samphireramp/fleet';
 import {
   type Job,
   type JobState,
@@ -12,6 +12,7 @@
   occurrenceDueAt,
   isFinalState,
   isOccurrenceDone,
+  markStarted,
   mayAccessJob,
   newOccurrence,
   newProgress,
@@ -44,6 +45,7 @@
 } from './messages';
 import type {PlacementFunctions} from './placementFunctions';
 import {schedulePlacement} from './schedulePlacement';
+import {isEndKept, mayBeRequestOf} from './unreadJobs';
 
 /** Maximum ended jobs whose requests are removed at once. */
 const MAX_FORGOTTEN_JOBS = 200;
@@ -90,6 +92,14 @@
     adoptRunsOfEndedJob(update, job, durableProgress, wallNow);
     return;
   }
+  if (durableProgress !== undefined && !mayBeRequestOf(job, durableProgress)) {
+    update.emit(DISPATCH_EVENT, {
+      event: 'request-ignored',
+      subject: job.id,
+      detail: 'other-job',
+    });
+    return;
+  }
   const account = durableProgress?.account || job.account;
   const progress = {...(durableProgress ?? newProgress(job)), account};
   const row = newJobRow({...job, account}, progress, virtualDelayMillis());
@@ -118,20 +128,35 @@
  * Adopts the runs that an earlier holder placed, so that their resources stay
  * reserved until the workers report them.
  */
-function adoptPlacedRuns(update: Update, {job, progress}: JobRow): void {
+function adoptPlacedRuns(update: Update, row: JobRow): void {
+  const {job, progress} = row;
+  let isReported = false;
   for (const {runId, task} of listPlacedRuns(progress)) {
+    const key = runKey(runId);
+    if (isEndKept(update, task.worker, runId)) {
+      continue;
+    }
     const definition = job.steps[runId.step];
-    adoptRun(update, {
-      runId,
-      incarnation: task.worker,
+    const described = {
       account: job.account,
       reserved: reservedResources(definition),
       expectsProgress: expectsProgress(definition),
-    });
+    };
+    const known = update.read(RUNS).get(key);
+    if (known?.incarnation === task.worker) {
+      // It was adopted before the request of its job was read.
+      changeRun(update, key, described);
+      isReported ||= known.isReported;
+    } else {
+      adoptRun(update, {runId, incarnation: task.worker, ...described});
+    }
     if (task.crashedRuns.length > 0) {
       beginTrial(update, runId);
     }
   }
+  if (isReported && progress.state === 'queued') {
+    setProgress(update, row, markStarted(progress));
+  }
 }
 
 /** Starts the due occurrences of a job. */
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -37,6 +37,13 @@
   readonly completeUntil: number | undefined;
 }>('requests-read');
 
+/** A read of one partition of the stream of requests failed. */
+export const REQUESTS_READ_FAILED = createCommand<{
+  readonly partition: number;
+  /** Whether the log refused it; otherwise the log may only be slow. */
+  readonly isRefused: boolean;
+}>('requests-read-failed');
+
 /** The steps that a placement pass looks at. */
 export type PlacementScope = 'all' | 'urgent';
 
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -26,6 +26,7 @@
 import {reachTakeOverStep} from './takeOverSteps';
 import {AWAITS_STARTS} from './TaskAllowance';
 import {chooseTaskPlacements} from './taskPlacement';
+import {reserveForUnreadJobs} from './unreadJobs';
 
 /** Maximum steps placed in one pass, so as not to delay other commands. */
 const MAX_STEPS_PER_PASS = 64;
@@ -47,6 +48,7 @@
   ) {
     return;
   }
+  reserveForUnreadJobs(update);
   const quota = createStartQuota(update);
   const pass = new PlacementPass(update, self, quota, speedOf);
   let placedSteps = 0;
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -37,6 +37,7 @@
 import type {PlacementFunctions} from './placementFunctions';
 import {schedulePlacement} from './schedulePlacement';
 import {placeAfterStart} from './TaskAllowance';
+import {findUnreadProgress, keepEnd} from './unreadJobs';
 
 /** A worker is avoided for this long after it refused a run as unhealthy. */
 const UNHEALTHY_AVOID_MILLIS = 1000;
@@ -46,18 +47,17 @@
 /** Updates the task and job of a run that ended, as its outcome requires. */
 export function onRunEnded(
   update: Update,
-  {
-    incarnation,
-    runId,
-    outcome,
-    checkpoint,
-    ranMillis,
-  }: PayloadOf<typeof RUN_ENDED>,
+  end: PayloadOf<typeof RUN_ENDED>,
   wallClock: () => number,
   functions: Pick<PlacementFunctions, 'expectedMillis' | 'onRunFinished'>,
 ): void {
+  const {incarnation, runId, outcome, checkpoint, ranMillis} = end;
   schedulePlacement(update);
   const found = findActiveTask(update, runId);
+  if (findUnreadProgress(update, runId.jobId) !== undefined) {
+    keepEnd(update, end);
+    return;
+  }
   // The event of a completed job covers its done runs; only other outcomes are
   // logged one by one.
   if (outcome !== 'done') {
@@ -257,7 +257,7 @@
 
 /**
  * Records that the job of a confirmed run has started. Stops the run if its job
- * or occurrence is over or unknown.
+ * or occurrence is over or unknown, unless the request of the job is not read.
  */
 export function onRunConfirmed(
   update: Update,
@@ -265,10 +265,10 @@
 ): void {
   placeAfterStart(update);
   const active = findActiveTask(update, runId);
-  if (active === undefined) {
-    stopUnneededRun(update, runId);
-  } else {
+  if (active !== undefined) {
     recordStart(update, active.row);
+  } else if (findUnreadProgress(update, runId.jobId) === undefined) {
+    stopUnneededRun(update, runId);
   }
 }
 
@@ -285,6 +285,8 @@
 ): void {
   const {runId} = run;
   const active = findActiveTask(update, runId);
+  const unread = findUnreadProgress(update, runId.jobId);
+  const task = unread ? findTask(unread, runId) : active?.task;
   const job = update.read(JOBS).get(runId.jobId)?.job;
   const step = job?.steps[runId.step];
   // Without its step the needs of the run aren't known, so all resources of the
@@ -295,14 +297,14 @@
   adoptRun(update, {
     runId,
     incarnation,
-    account: job?.account ?? NO_ACCOUNT,
+    account: (job ?? unread)?.account ?? NO_ACCOUNT,
     reserved,
     expectsProgress: false,
   });
   const isNeeded =
-    active?.task.phase === 'placed' &&
-    active.task.run === runId.run &&
-    active.task.worker === incarnation;
+    task?.phase === 'placed' &&
+    task.run === runId.run &&
+    task.worker === incarnation;
   update.emit(DISPATCH_EVENT, {
     event: 'run-found',
     subject: taskKey(runId),
--- a/packages/dispatch/src/takeOverSteps.ts
+++ b/packages/dispatch/src/takeOverSteps.ts
@@ -4,7 +4,11 @@
 
 /** What a new holder reaches one after the other before its first step is placed. */
 export type TakeOverStep =
-  'requests-read' | 'advice-requested' | 'advice-received' | 'step-placed';
+  | 'requests-read'
+  | 'requests-out-of-reach'
+  | 'advice-requested'
+  | 'advice-received'
+  | 'step-placed';
 
 /** The steps that this holding has reached. */
 export const TAKE_OVER_STEPS = createTableSlice<true>('take-over-steps');
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -10,7 +10,7 @@
 
 /**
  * Whether this host may poll workers and place runs on them. False until it has
- * read the accepted jobs from the log.
+ * read the accepted jobs from the log, but for those in partitions out of reach.
  */
 export const MAY_COMMAND_WORKERS = createValueSlice('may-hold', false);
 
--- a/packages/fleet/src/fleetPlugin.ts
+++ b/packages/fleet/src/fleetPlugin.ts
@@ -4,11 +4,11 @@
 import {
   pollIfDue,
   onEndsDurable,
-  onEndsApplied,
   onWorkerReported,
   onPollFailed,
 } from './workerPolling';
 import {LATEST_LIVES} from './fence';
+import {HELD_BACK_ENDS, acknowledgeUnlessHeldBack} from './heldBackEnds';
 import {
   BOUNDED_LEASES,
   LEASE_BOUND_LIFTED,
@@ -68,6 +68,7 @@
       kernel.registerSlice(NEWEST_LOG_SLOWDOWNS),
       kernel.registerSlice(WORKERS),
       kernel.registerSlice(RUNS),
+      kernel.registerSlice(HELD_BACK_ENDS),
       kernel.registerSlice(GRANTS_LEASES),
       kernel.registerSlice(ENDED_LIVES_LEASES),
       kernel.registerSlice(UNSETTLED_ORDERS),
@@ -77,7 +78,7 @@
       kernel.registerCommand(WORKER_REGISTRY_READ, onWorkerRegistryRead),
       kernel.registerCommand(WORKER_REPORTED, onWorkerReported),
       kernel.registerCommand(POLL_FAILED, onPollFailed),
-      kernel.registerCommand(ENDS_APPLIED, onEndsApplied),
+      kernel.registerCommand(ENDS_APPLIED, acknowledgeUnlessHeldBack),
       kernel.registerCommand(ENDS_DURABLE, onEndsDurable),
       kernel.registerCommand(START_RESERVED_RUN, sendStartOrder),
       kernel.registerCommand(START_ANSWERED, onStartAnswered),
@@ -111,6 +112,7 @@
 function clearFleetState(update: Update): void {
   update.write(WORKERS).clear();
   update.write(RUNS).clear();
+  update.write(HELD_BACK_ENDS).clear();
   update.write(UNSETTLED_ORDERS).clear();
   update.write(LATEST_LIVES).clear();
   update.write(ENDED_LIVES_LEASES).clear();
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,7 @@
 /** Keeps the state of workers and their runs, and commands the workers. */
 export {
   MAY_COMMAND_WORKERS,
+  type NewRun,
   RUNS,
   WORKERS,
   adoptRun,
@@ -11,6 +12,7 @@
   totalResources,
 } from './FleetState';
 export {type FleetOptions, createFleetPlugin} from './fleetPlugin';
+export {holdBackEnds, releaseEnds} from './heldBackEnds';
 export {CLOCK_DRIFT_BOUND, LEASE_MILLIS, leasesExpiredAt} from './leaseTiming';
 export * from './messages';
 export type {
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -29,6 +29,7 @@
   FORGET_REQUESTS,
   REQUESTS_FORGOTTEN,
   REQUESTS_READ,
+  REQUESTS_READ_FAILED,
   UNFOLLOW_HOLDER_STREAMS,
   isOver as isProgressOver,
 } from '@samphireramp/dispatch';
@@ -215,21 +216,23 @@
               waitMillis: HIGH_TRAFFIC_READ_WAIT_MILLIS,
               pauseMillis: () => REQUESTS_READ_PAUSE_MILLIS,
             },
-            listenerFor(
-              'requests',
-              partition,
-            )(({records, ...read}) =>
-              applyRecords(
-                decodeRequests(records, isOver, onMalformed('requests')),
-                (requests, hasAll) =>
-                  kernel.dispatch(REQUESTS_READ, {
-                    partition,
-                    jobIds: hasAll ? jobIdsOf(records) : [],
-                    completeUntil:
-                      hasAll && reachedLogEnd(read) ? read.sentAt : undefined,
-                    requests,
-                  }),
-              ),
+            listenerFor('requests', partition)(
+              ({records, ...read}) =>
+                applyRecords(
+                  decodeRequests(records, isOver, onMalformed('requests')),
+                  (requests, hasAll) =>
+                    kernel.dispatch(REQUESTS_READ, {
+                      partition,
+                      jobIds: hasAll ? jobIdsOf(records) : [],
+                      completeUntil:
+                        hasAll && reachedLogEnd(read) ? read.sentAt : undefined,
+                      requests,
+                    }),
+                ),
+              kind => {
+                const isRefused = kind === 'refused';
+                kernel.dispatch(REQUESTS_READ_FAILED, {partition, isRefused});
+              },
             ),
           ),
         );
--- a/testing/src/site/ScheduleFaults.ts
+++ b/testing/src/site/ScheduleFaults.ts
@@ -46,6 +46,8 @@
   readonly cutOffRestarts?: number;
   /** Whether all queues need tickets, or none does; by default some do. */
   readonly needTickets?: boolean;
+  /** Number of times that a partition of requests alone is out of reach or slow. */
+  readonly requestOutages?: number;
 }
 
 /** A few faults of each kind, but those that have schedules of their own. */
@@ -92,6 +94,17 @@
   partitionOutages: 6,
 };
 
+/** Partitions of requests are out of reach or slow, and hosts end meanwhile. */
+export const REQUEST_FAULTS: ScheduleFaults = {
+  ...ALL_FAULTS,
+  hostKills: 6,
+  rollingRestarts: 0,
+  logOutages: 0,
+  cancels: 8,
+  accounts: 3,
+  requestOutages: 6,
+};
+
 /** Client accounts with limits, and frequent cancels and changes of the holder. */
 export const ACCOUNT_FAULTS: ScheduleFaults = {
   ...ALL_FAULTS,
--- a/testing/src/site/runSiteSchedule.ts
+++ b/testing/src/site/runSiteSchedule.ts
@@ -296,7 +296,10 @@
       repeatAtRandomTimes,
     });
   }
-  if (faults.streamOutages !== undefined) {
+  if (
+    faults.streamOutages !== undefined ||
+    faults.requestOutages !== undefined
+  ) {
     scheduleStreamOutages(site, faults, FAULT_PHASE_MILLIS, seed);
   }
   if (isCuttingRestarted) {
--- a/testing/src/site/streamFaults.ts
+++ b/testing/src/site/streamFaults.ts
@@ -13,23 +13,31 @@
   'hosts',
   'configuration',
 ];
+/** Marks the key of a partition that is slow. */
+const SLOW = 'slow ';
 const MIN_OUTAGE_MILLIS = 300;
 const MAX_OUTAGE_MILLIS = 6000;
 
+/** Share of the outages of partitions of requests in which they are only slow. */
+const SLOW_SHARE = 0.2;
+
 /** Schedules outages of single partitions of the log during a phase. */
 export function scheduleStreamOutages(
   site: ModelSite,
-  faults: Pick<ScheduleFaults, 'streamOutages' | 'partitionOutages'>,
+  faults: Pick<
+    ScheduleFaults,
+    'streamOutages' | 'partitionOutages' | 'requestOutages'
+  >,
   phaseMillis: number,
   seed: number,
 ): void {
-  const {streamOutages = 0, partitionOutages = 0} = faults;
+  const {streamOutages = 0, partitionOutages = 0, requestOutages = 0} = faults;
   const random = createRandom(seed);
   const down = new Map<string, number>();
   const change = (key: string, by: number) =>
     down.set(key, (down.get(key) ?? 0) + by);
-  const scheduleOutage = (stream: StreamName, partition: number) => {
-    const key = `${stream}/${partition}`;
+  const scheduleOutage = (stream: StreamName, partition: number, kind = '') => {
+    const key = `${kind}${stream}/${partition}`;
     const millis =
       MIN_OUTAGE_MILLIS + random() * (MAX_OUTAGE_MILLIS - MIN_OUTAGE_MILLIS);
     site.clock.after(random() * phaseMillis, () => {
@@ -39,6 +47,8 @@
   };
   site.log.isStreamDown = (stream, partition) =>
     (down.get(`${stream}/${partition}`) ?? 0) > 0;
+  site.log.isStreamSlow = (stream, partition) =>
+    (down.get(`${SLOW}${stream}/${partition}`) ?? 0) > 0;
   for (let time = 0; time < streamOutages; time++) {
     scheduleOutage(random() < JOURNAL_SHARE ? 'progress' : 'reserve', 0);
   }
@@ -47,4 +57,8 @@
     const partitions = stream === 'requests' ? site.log.partitionCount : 1;
     scheduleOutage(stream, Math.floor(random() * partitions));
   }
+  for (let time = 0; time < requestOutages; time++) {
+    const partition = Math.floor(random() * site.log.partitionCount);
+    scheduleOutage('requests', partition, random() < SLOW_SHARE ? SLOW : '');
+  }
 }
