--- a/packages/fleet/src/leaseGranting.ts
+++ b/packages/fleet/src/leaseGranting.ts
@@ -15,10 +15,10 @@
 } from './leaseTiming';
 import type {Worker} from './Worker';
 
-/** The newest lease that this holder sent to a life, or to any of several. */
+/** The latest lease end that a life may have, and when a lease was last sent to it. */
 type SentLease = Pick<Worker, 'leaseGrantedUntil' | 'leaseSentAt'>;
 
-/** The newest leases sent to lives that are not known any more, by worker id. */
+/** The latest of these of lives that are not known any more, by worker id. */
 export const ENDED_LIVES_LEASES =
   createTableSlice<SentLease>('ended-lives-leases');
 
--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -118,7 +118,7 @@
   return (lastTakenAt ?? -Infinity) + LONGEST_LEASE_EXPIRY_MILLIS;
 }
 
-/** Deletes the orders because of which no worker can have a run any more. */
+/** Deletes orders because of which no worker can have a run any more, the oldest first. */
 export function forgetSettledOrders(update: Update): void {
   const table = update.write(UNSETTLED_ORDERS);
   for (const [key, orders] of table.entries()) {
