--- a/testing/src/__tests__/unit/slowPollAnswers.test.ts
+++ b/testing/src/__tests__/unit/slowPollAnswers.test.ts
@@ -4,44 +4,22 @@
 import {
   type ModelHost,
   type ModelSite,
-  buildJob,
   buildModelSite,
   buildPolicy,
-  buildStep,
 } from '../../index';
 import {awaitFirstReport, silenceLog} from './earlierLeaseFixture';
+import {
+  TICKET_POLICY,
+  restartBetweenOrders,
+  submitTicketTask,
+} from './restartedWorkerFixture';
 
-const POLICY = buildPolicy({
-  advice: {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 30_000},
-});
 const LONG_JOB_ID = '00000000000000f8';
 
-/** Submits a job of one task for the first worker. */
-function submitTask(site: ModelSite, jobId: string, workMillis: number): void {
-  const [{rack}] = site.workers;
-  const step = buildStep({estimateMillis: workMillis, dataRack: rack});
-  const receivedAt = site.clock.now;
-  const job = buildJob(jobId, [step], {policy: POLICY, receivedAt});
-  void site.submit(site.hosts[0], job);
-}
-
 function holderOf(site: ModelSite): ModelHost {
   return site.holder() ?? site.hosts[0];
 }
 
-/** Restarts the first worker while the orders to it have no answer. */
-async function restartBetweenOrders(site: ModelSite): Promise<void> {
-  const [worker] = site.workers;
-  worker.isUp = false;
-  submitTask(site, '00000000000000f7', 200);
-  await site.run(600);
-  worker.restart(worker.born + 1, 0);
-  worker.isUp = true;
-  await site.run(350);
-  site.writeRegistryEntry(worker);
-  await awaitFirstReport(site, holderOf(site));
-}
-
 /** Runs the site until a host has a newer reading of the first worker's clock. */
 async function awaitNextReading(
   site: ModelSite,
@@ -61,13 +39,14 @@
     async t => {
       const site = buildModelSite({
         workers: 2,
-        policies: [POLICY],
+        policies: [TICKET_POLICY],
         random: () => 0,
       });
       const [worker] = site.workers;
       await site.run(30_000);
-      await restartBetweenOrders(site);
-      submitTask(site, LONG_JOB_ID, 20_000);
+      await restartBetweenOrders(site, worker, 0);
+      await awaitFirstReport(site, holderOf(site));
+      submitTicketTask(site, worker, LONG_JOB_ID, 20_000);
       while (worker.countRuns() === 0) {
         await site.run(1);
       }
