A crash is charged to no run that the next life has

What callers saw: a job shown as failed without cause ("task-given-up", LOST), after its worker was restarted twice while an order for the task was on its way.

Cause: an answer to a start order counted as a start by the life that the order was meant for. The next life may have taken it, and then the restart of the earlier one was charged to a run that began after it.

The crash is now noted when it is noticed, and charged at the first report of the next life. That report answers a poll with a higher fence, so that it lists each run that the life took with an earlier order, as running or ended; such a run is left out, also from the last sign of life. Runs with an answer that the report doesn't list are charged as before. A new holder knows of no noted crash and charges nobody, as for a crash that the one before hadn't noticed.

--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '@samphireramp/jobs';
+import type {Run} from './Run';
 
 /** A worker as it is described in the worker registry. */
 export interface WorkerRecord {
@@ -25,6 +26,15 @@
   readonly receivedAt: number;
 }
 
+/** The crash of the process of a worker. */
+export interface WorkerCrash {
+  /** By what it was noticed, and when. */
+  readonly reason: string;
+  readonly noticedAt: number;
+  /** The runs that the worker may have had, as they were known then. */
+  readonly runs: readonly Run[];
+}
+
 /** A worker as the holder knows it. */
 export interface Worker extends WorkerRecord {
   /**
@@ -77,6 +87,8 @@
   readonly doubtedAt: number | undefined;
   /** The life that answered in its place, which shows that it has ended. */
   readonly endedBy: string | undefined;
+  /** Its crash, from when it is noticed until it is reported. */
+  readonly crash: WorkerCrash | undefined;
   /** Whether its crash has been reported. */
   readonly isCrashReported: boolean;
   /** No new run is placed on it before this time. */
--- a/packages/fleet/src/workerCrashes.ts
+++ b/packages/fleet/src/workerCrashes.ts
@@ -3,7 +3,7 @@
 import {RUNS, WORKERS, changeWorker} from './FleetState';
 import {FLEET_EVENT, WORKER_CRASHED} from './messages';
 import type {Run} from './Run';
-import type {Worker} from './Worker';
+import type {Worker, WorkerCrash} from './Worker';
 
 /**
  * A run that began this long before the last sign of life of its worker did not
@@ -12,6 +12,7 @@
 export const CRASH_SUSPICION_MILLIS = 250;
 /** Maximum runs that the log line of a crash names. */
 const MAX_NAMED_RUNS = 8;
+const NO_RUNS: ReadonlySet<string> = new Set();
 
 /** The runs of a worker that may have crashed it. */
 export interface CrashSuspects {
@@ -36,6 +37,14 @@
   };
 }
 
+function withoutRuns(
+  crash: WorkerCrash,
+  keys: ReadonlySet<string>,
+): WorkerCrash {
+  const runs = crash.runs.filter(({runId}) => !keys.has(runKey(runId)));
+  return {...crash, runs};
+}
+
 /** When a worker last answered a poll or confirmed the start of a run. */
 function lastSignOfLife(worker: Worker, runs: readonly Run[]): number {
   return Math.max(
@@ -45,16 +54,18 @@
 }
 
 /**
- * Reports that the process of a worker has crashed, and which runs may have caused
- * it. Must be called before its runs are discarded.
+ * Notes that the process of a worker has crashed, with the runs that may have caused
+ * it. Must be called before its runs are discarded. Runs that the next life is known to
+ * have (`nextLifeRuns`, by run key) began there.
  */
-export function reportCrash(
+export function noteCrash(
   update: Update,
   incarnation: string,
   reason: string,
+  nextLifeRuns: ReadonlySet<string> = NO_RUNS,
 ): void {
   const worker = update.read(WORKERS).get(incarnation);
-  if (worker === undefined || worker.isCrashReported) {
+  if (worker?.crash !== undefined || worker?.isCrashReported !== false) {
     return;
   }
   const isPlanned = worker.isDraining || worker.hasLeft;
@@ -63,7 +74,28 @@
   if (isPlanned || wasOnlyNamed) {
     return;
   }
-  changeWorker(update, incarnation, {isCrashReported: true});
+  const crash = {reason, noticedAt: update.now, runs};
+  changeWorker(update, incarnation, {
+    crash: withoutRuns(crash, nextLifeRuns),
+  });
+}
+
+/**
+ * Reports a noted crash and the runs that may have caused it. As an answer to an order
+ * doesn't say which life took it, this waits for the first report of the next life,
+ * which lists the runs that it has (`nextLifeRuns`, by run key), if one comes.
+ */
+export function reportCrash(
+  update: Update,
+  incarnation: string,
+  nextLifeRuns: ReadonlySet<string> = NO_RUNS,
+): void {
+  const worker = update.read(WORKERS).get(incarnation);
+  if (worker?.crash === undefined) {
+    return;
+  }
+  changeWorker(update, incarnation, {crash: undefined, isCrashReported: true});
+  const {reason, noticedAt, runs} = withoutRuns(worker.crash, nextLifeRuns);
   const {started, unanswered} = findCrashSuspects(worker, runs);
   const aliveAt = lastSignOfLife(worker, runs);
   update.emit(FLEET_EVENT, {
@@ -73,7 +105,7 @@
     detail:
       `${reason}, ${runs.length} runs, ${started.length} began last` +
       `, ${unanswered.length} may have begun`,
-    millis: Math.round(update.now - worker.answeredAt),
+    millis: Math.round(noticedAt - worker.answeredAt),
   });
   update.dispatch(WORKER_CRASHED, {
     incarnation,
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -1,11 +1,11 @@
 import type {Update} from '@samphireramp/kernel';
-import {type RunId, runKey} from '@samphireramp/jobs';
+import {runKey} from '@samphireramp/jobs';
 import {RUNS, WORKERS, changeWorker, listOtherLives} from './FleetState';
 import {beginLife} from './fence';
 import {deleteLife} from './leaseGranting';
-import {FLEET_EVENT} from './messages';
+import {FLEET_EVENT, type WorkerReport} from './messages';
 import type {Worker, WorkerRecord} from './Worker';
-import {reportCrash} from './workerCrashes';
+import {noteCrash, reportCrash} from './workerCrashes';
 import {discardRun, removeWorker} from './workerRemoval';
 
 /**
@@ -43,6 +43,7 @@
     isGone: false,
     doubtedAt: undefined,
     endedBy: undefined,
+    crash: undefined,
     isCrashReported: false,
     avoidedUntil: 0,
     probationUntil: 0,
@@ -57,8 +58,9 @@
 export function onOtherLifeAnswered(
   update: Update,
   worker: Worker,
-  present: string,
+  report: WorkerReport,
 ): void {
+  const present = report.incarnation;
   const known = update.read(WORKERS).get(present);
   if (known === undefined) {
     const {id, address, zone, rack, labels, pool, capacity} = worker;
@@ -81,6 +83,7 @@
       known.life > worker.life ? known.life : beginLife(update, known.id);
     changeWorker(update, present, {life, doubtedAt: undefined});
   }
+  noteCrash(update, worker.incarnation, 'reborn', listRunKeys(report));
   const hasRuns = update.read(RUNS).withKey(worker.incarnation).length > 0;
   const detail = worker.hasReported || hasRuns ? 'reborn' : 'refuted';
   removeWorker(update, worker, detail, present);
@@ -94,16 +97,17 @@
 export function endOtherLives(
   update: Update,
   present: Worker,
-  reportedRuns: readonly RunId[],
+  report: WorkerReport,
 ): void {
-  const reportedKeys = new Set(reportedRuns.map(runKey));
+  const reportedKeys = listRunKeys(report);
   for (const worker of listOtherLives(update, present)) {
     const runs = update.read(RUNS).withKey(worker.incarnation);
     // A life that neither answered nor has runs may be the next one.
     if (!worker.hasReported && runs.length === 0) {
       continue;
     }
-    reportCrash(update, worker.incarnation, 'reborn');
+    noteCrash(update, worker.incarnation, 'reborn');
+    reportCrash(update, worker.incarnation, reportedKeys);
     emitWorkerEvent(
       update,
       worker.incarnation,
@@ -120,6 +124,11 @@
   }
 }
 
+/** Lists the keys of the runs that a life has, or had. */
+function listRunKeys({running, ended}: WorkerReport): Set<string> {
+  return new Set([...running, ...ended].map(({runId}) => runKey(runId)));
+}
+
 /**
  * Has the other lives of a worker prove that they have not ended, once an entry
  * names a new one: until they answer, polls of them grant and acknowledge nothing.
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -120,7 +120,7 @@
     return;
   }
   if (report.incarnation !== incarnation) {
-    onOtherLifeAnswered(update, {...worker, address}, report.incarnation);
+    onOtherLifeAnswered(update, {...worker, address}, report);
     pollAgainIfDue(update, report.incarnation);
     return;
   }
@@ -144,6 +144,7 @@
     isSilent: false,
     refusesConnections: false,
     isGone: false,
+    crash: undefined,
     doubtedAt: sentAt >= (worker.doubtedAt ?? 0) ? undefined : worker.doubtedAt,
     isPollOpen: false,
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
@@ -157,8 +158,7 @@
   });
   liftBound(update, incarnation, 'answered');
   if (!worker.hasReported) {
-    const reportedRuns = report.running.map(({runId}) => runId);
-    endOtherLives(update, worker, reportedRuns);
+    endOtherLives(update, worker, report);
   }
   applyReportedRuns(update, incarnation, report.running, sentAt);
   discardMissingRuns(update, incarnation, report, sentAt);
--- a/packages/fleet/src/workerRemoval.ts
+++ b/packages/fleet/src/workerRemoval.ts
@@ -20,7 +20,7 @@
 import type {Run} from './Run';
 import {mayNextIncarnationStart} from './unsettledOrders';
 import type {Worker} from './Worker';
-import {reportCrash} from './workerCrashes';
+import {noteCrash, reportCrash} from './workerCrashes';
 
 /** Reasons of a removal that show that the process of the worker has ended. */
 const CRASH_DETAILS: ReadonlySet<string> = new Set(['reborn', 'other-life']);
@@ -54,7 +54,7 @@
   by?: string,
 ): void {
   if (CRASH_DETAILS.has(detail)) {
-    reportCrash(update, worker.incarnation, detail);
+    noteCrash(update, worker.incarnation, detail);
   }
   const {incarnation, isGone, answeredAt} = worker;
   if (!isGone) {
@@ -67,14 +67,19 @@
       millis: Math.round(update.now - answeredAt),
     });
   }
-  for (const run of update.read(RUNS).withKey(incarnation)) {
-    if (mayNextLifeStart(update, run, by)) {
+  const runs = update.read(RUNS).withKey(incarnation);
+  const awaitedRuns = runs.filter(run => mayNextLifeStart(update, run, by));
+  if (awaitedRuns.length === 0) {
+    reportCrash(update, incarnation);
+  }
+  for (const run of runs) {
+    if (awaitedRuns.includes(run)) {
       awaitSettledOrders(update, run);
     } else {
       discardRun(update, run, 'worker-gone');
     }
   }
-  if (update.read(RUNS).withKey(incarnation).length > 0) {
+  if (awaitedRuns.length > 0) {
     const change = {isGone: true, isRegistered: false, isSilent: true};
     changeWorker(update, incarnation, {...change, endedBy: by});
   } else {
@@ -128,7 +133,8 @@
     return;
   }
   if (worker.refusesConnections) {
-    reportCrash(update, incarnation, 'closed');
+    noteCrash(update, incarnation, 'closed');
+    reportCrash(update, incarnation);
   }
   const lapsedRuns = update
     .read(RUNS)
