A run that the next life of a worker has is kept

What callers saw: a job ran on after its worker had restarted, as the next life had taken the order for it, and was then stopped and started anew elsewhere; or not at all, if no other worker could take it: crashOfNextLife.test.ts showed it as running after 30 s, without a run.

Cause: a run was taken for one of the life that its order was meant for. When the first report of the next life listed it, it counted as one that nobody asked for.

The first report names the life that has the run. If its task is placed with just this run on the life that has ended, the run and the task now move to the present life, with what is known of the orders. Nothing else can have that run: the earlier life has ended, and the fence of the poll refuses the orders before.

Evidence: crashOfNextLife.test.ts failed before (its first check) and passes, unchanged. keptRuns.test.ts failed before (two starts in place of one) and passes. crashingTasks.test.ts passes (6 of 6).

--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -17,6 +17,7 @@
   RUNS,
   RUN_CONFIRMED,
   RUN_ENDED,
+  RUN_MOVED,
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
   START_GIVEN_UP,
@@ -78,6 +79,7 @@
   onRunDiscarded,
   onRunEnded,
   onStartGivenUp,
+  onRunMoved,
   onUnexpectedRun,
 } from './runFlow';
 import {RESERVATIONS} from './reservations';
@@ -232,6 +234,7 @@
         onWorkerCrashed(update, payload, wallClock),
       ),
       kernel.registerCommand(UNEXPECTED_RUN_REPORTED, onUnexpectedRun),
+      kernel.registerCommand(RUN_MOVED, onRunMoved),
       kernel.registerCommand(ADVICE_RECEIVED, onAdviceReceived),
       kernel.registerCommand(BEGIN_PASS, (update, {scope}) =>
         beginPass(update, scope),
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -3,6 +3,7 @@
   RUNS,
   RUN_CONFIRMED,
   RUN_ENDED,
+  RUN_MOVED,
   UNEXPECTED_RUN_REPORTED,
   RUN_DISCARDED,
   START_GIVEN_UP,
@@ -305,12 +306,7 @@
     task?.phase === 'placed' &&
     task.run === runId.run &&
     task.worker === incarnation;
-  update.emit(DISPATCH_EVENT, {
-    event: 'run-found',
-    subject: taskKey(runId),
-    worker: incarnation,
-    detail: isNeeded ? 'kept' : 'unneeded',
-  });
+  emitRunFound(update, runId, incarnation, isNeeded);
   if (active !== undefined) {
     recordStart(update, active.row);
   }
@@ -319,6 +315,46 @@
   }
 }
 
+/**
+ * Keeps a run that the next life of its worker has, or stops it if it is unneeded. One
+ * of a gang is, as the others are stopped once their worker has ended.
+ */
+export function onRunMoved(
+  update: Update,
+  {runId, from, to}: PayloadOf<typeof RUN_MOVED>,
+): void {
+  const active = findActiveTask(update, runId);
+  const task = active?.task;
+  const isCurrent =
+    task?.phase === 'placed' && task.run === runId.run && task.worker === from;
+  const isNeeded = isCurrent && active?.step.isGang === false;
+  emitRunFound(update, runId, to, isNeeded);
+  if (!isNeeded) {
+    stopUnneededRun(update, runId);
+    return;
+  }
+  const {row} = active;
+  const progress = updateTask(markStarted(row.progress), runId, before => ({
+    ...before,
+    worker: to,
+  }));
+  setProgress(update, row, progress);
+}
+
+function emitRunFound(
+  update: Update,
+  runId: RunId,
+  worker: string,
+  isNeeded: boolean,
+): void {
+  update.emit(DISPATCH_EVENT, {
+    event: 'run-found',
+    subject: taskKey(runId),
+    worker,
+    detail: isNeeded ? 'kept' : 'unneeded',
+  });
+}
+
 function stopUnneededRun(update: Update, runId: RunId): void {
   const run = update.read(RUNS).get(runKey(runId));
   if (run !== undefined) {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -162,6 +162,13 @@
   readonly run: ReportedRun;
 }>('run-found');
 
+/** The next life of a worker has a run that was meant for the one before. */
+export const RUN_MOVED = createCommand<{
+  readonly runId: RunId;
+  readonly from: string;
+  readonly to: string;
+}>('run-moved');
+
 /** Free resources or the set of workers changed. */
 export const RESOURCES_CHANGED = createCommand<void>('room-changed');
 
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -1,9 +1,16 @@
 import type {Update} from '@samphireramp/kernel';
 import {runKey} from '@samphireramp/jobs';
-import {RUNS, WORKERS, changeWorker, listOtherLives} from './FleetState';
+import {
+  RUNS,
+  WORKERS,
+  changeRun,
+  changeWorker,
+  listOtherLives,
+} from './FleetState';
 import {beginLife} from './fence';
 import {deleteLife} from './leaseGranting';
-import {FLEET_EVENT, type WorkerReport} from './messages';
+import {FLEET_EVENT, RUN_MOVED, type WorkerReport} from './messages';
+import type {Run} from './Run';
 import type {Worker, WorkerRecord} from './Worker';
 import {noteCrash, reportCrash} from './workerCrashes';
 import {discardRun, removeWorker} from './workerRemoval';
@@ -92,7 +99,7 @@
 /**
  * Ends the other lives of a worker at the first report of the present one. Their
  * runs that are not in the report can't start any more: the poll that it answers
- * has fenced the orders for them.
+ * has fenced the orders for them. Those that it reports are runs of this life.
  */
 export function endOtherLives(
   update: Update,
@@ -116,7 +123,9 @@
       present.incarnation,
     );
     for (const run of runs) {
-      if (!reportedKeys.has(runKey(run.runId))) {
+      if (reportedKeys.has(runKey(run.runId))) {
+        moveRun(update, run, present.incarnation);
+      } else {
         discardRun(update, run, 'worker-gone');
       }
     }
@@ -124,6 +133,16 @@
   }
 }
 
+/** Takes a run, also one that was to be stopped if it was there, for one of another life. */
+function moveRun(
+  update: Update,
+  {runId, incarnation: from}: Run,
+  to: string,
+): void {
+  changeRun(update, runKey(runId), {incarnation: to, phase: 'running'});
+  update.dispatch(RUN_MOVED, {runId, from, to});
+}
+
 /** Lists the keys of the runs that a life has, or had. */
 function listRunKeys({running, ended}: WorkerReport): Set<string> {
   return new Set([...running, ...ended].map(({runId}) => runKey(runId)));
