A late poll acknowledges no ends of the next life of a worker

Callers saw a task start again after it had ended: the next life of a worker carried out a late order, then a late poll that was meant for the earlier life and acknowledged up to an end of that life's numbering. The next life forgot its own end before anybody had read it.

A poll now acknowledges ends only while the newest report lists one of them. It acknowledges none while the next life may have a run because of an earlier order. A later order that the next life may take carries the number of a new life if an acknowledgement is on its way or was lost, so that a life that has taken the order refuses the acknowledgement. Orders with tickets that the next life rejects change none of this but the first rule. Since an order is settled by a reported end, too, a short run holds back no acknowledgement.

--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -25,11 +25,18 @@
   readonly receivedAt: number;
 }
 
+/**
+ * What became of the polls that acknowledged ends: `lost` if one of them failed, so
+ * that it may be carried out late, by this life or the next one.
+ */
+export type SentAcknowledgement = 'none' | 'open' | 'lost';
+
 /** A worker as the holder knows it. */
 export interface Worker extends WorkerRecord {
   /**
    * Number of this life among those of the worker in this holding, from 1. It goes
-   * up when the worker's leases have lapsed: what ran there has ended.
+   * up when the worker's leases have lapsed: what ran there has ended. It also goes up
+   * when a late poll must not acknowledge the end of a run that is ordered now.
    */
   readonly life: number;
   /** Whether it is in the worker registry. */
@@ -50,6 +57,10 @@
   readonly appliedEnd: number;
   /** Number of the newest reported end whose effects are durable. */
   readonly durableEnd: number;
+  /** Number of the oldest end in its newest report; undefined for none. */
+  readonly oldestListedEnd: number | undefined;
+  /** Whether calls that carry the number of this life may still acknowledge ends. */
+  readonly acknowledgement: SentAcknowledgement;
   /** Whether a poll of it is unanswered; while it is, no other poll is sent. */
   readonly isPollOpen: boolean;
   /** Earliest time of the next poll. */
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -10,6 +10,7 @@
   freeResources,
   isOverCapacity,
 } from './FleetState';
+import {fenceAcknowledgements} from './acknowledgements';
 import {fenceOf, isFencedByOwnCall} from './fence';
 import {isLeaseBounded} from './leaseBounds';
 import {grantLease, isGrantingLeases} from './leaseGranting';
@@ -30,6 +31,7 @@
   STOP_TIMEOUT_MILLIS,
 } from './stopTiming';
 import {
+  mayNextIncarnationStart,
   recordStartOrder,
   recordStartRefused,
   recordStartTaken,
@@ -81,13 +83,17 @@
     lastOrderAt: update.now,
     startOrders: run.startOrders + 1,
   });
-  recordStartOrder(update, order);
+  recordStartOrder(update, worker.id, order);
+  if (mayNextIncarnationStart(update, order.runId, update.now)) {
+    fenceAcknowledgements(update, worker);
+  }
+  const {life} = update.read(WORKERS).get(worker.incarnation) ?? worker;
   update.emit(ORDER_START, {
     order,
     id: worker.id,
     address: worker.address,
     term,
-    fence: fenceOf(term, worker.life),
+    fence: fenceOf(term, life),
     leaseUntil,
     timeoutMillis: START_TIMEOUT_MILLIS,
   });
--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -1,7 +1,7 @@
 import {
   type StateReader,
   type Update,
-  createTableSlice,
+  createIndexedTableSlice,
 } from '@samphireramp/kernel';
 import {type RunId, runKey} from '@samphireramp/jobs';
 import {
@@ -15,6 +15,8 @@
  * may carry out later: an answer does not say which life it came from.
  */
 interface UnsettledOrders {
+  /** Any life of this worker may carry them out. */
+  readonly workerId: string;
   /** Number of orders without an answer. */
   readonly unanswered: number;
   /** When the latest order was sent. */
@@ -28,18 +30,25 @@
   readonly hasTicket: boolean;
 }
 
-/** Unsettled start orders, by run key, in the order in which runs were first ordered. */
-export const UNSETTLED_ORDERS =
-  createTableSlice<UnsettledOrders>('unsettled-orders');
+/**
+ * Unsettled start orders, by run key, in the order in which runs were first ordered;
+ * indexed by worker id.
+ */
+export const UNSETTLED_ORDERS = createIndexedTableSlice<UnsettledOrders>(
+  'unsettled-orders',
+  ({workerId}) => workerId,
+);
 
 /** Records that a start order was sent and has no answer yet. */
 export function recordStartOrder(
   update: Update,
+  workerId: string,
   {runId, ticket}: StartOrder,
 ): void {
   const orders = update.write(UNSETTLED_ORDERS);
   const earlier = orders.get(runKey(runId));
   orders.set(runKey(runId), {
+    workerId,
     unanswered: 1 + (earlier?.unanswered ?? 0),
     sentAt: update.now,
     takenAt: earlier?.takenAt,
@@ -67,8 +76,8 @@
 }
 
 /**
- * Records that a life reported a run, in the answer to a poll sent at `polledAt`. If
- * one order only was sent, it was carried out by this life.
+ * Records that a life reported a run or its end, in the answer to a poll sent at
+ * `polledAt`. If one order only was sent, it was carried out by this life.
  */
 export function recordRunReported(
   update: Update,
@@ -109,7 +118,23 @@
   now: number,
 ): boolean {
   const orders = state.read(UNSETTLED_ORDERS).get(runKey(runId));
-  return orders?.hasTicket === false && now < runsEndAt(orders);
+  return orders !== undefined && mayNextLifeHaveRun(orders, now);
+}
+
+/** Whether any run may be on the next life of a worker because of such an order. */
+export function mayNextLifeHaveRuns(
+  state: StateReader,
+  workerId: string,
+  now: number,
+): boolean {
+  return state
+    .read(UNSETTLED_ORDERS)
+    .withKey(workerId)
+    .some(orders => mayNextLifeHaveRun(orders, now));
+}
+
+function mayNextLifeHaveRun(orders: UnsettledOrders, now: number): boolean {
+  return !orders.hasTicket && now < runsEndAt(orders);
 }
 
 /** Returns when a run must have ended that the next life began because of an order. */
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -31,6 +31,8 @@
     answeredAt: update.now,
     appliedEnd: 0,
     durableEnd: 0,
+    oldestListedEnd: undefined,
+    acknowledgement: 'none',
     isPollOpen: false,
     nextPollAt: 0,
     isSilent: false,
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -12,6 +12,13 @@
   changeRun,
   changeWorker,
 } from './FleetState';
+import {
+  acknowledgeableEnd,
+  acknowledgementAnswered,
+  acknowledgementFailed,
+  acknowledgementSent,
+  delayPollIfHeldBack,
+} from './acknowledgements';
 import {fenceOf, isFencedByOwnCall, latestLife} from './fence';
 import {isLeaseBounded, liftBound} from './leaseBounds';
 import {
@@ -74,7 +81,9 @@
   const mayGrant = isSure && !isBounded && isGrantingLeases(update, update.now);
   const leaseUntil =
     mayGrant && worker.clock ? leaseEnd(worker.clock, update.now) : undefined;
-  const acknowledgedEnd = isSure ? worker.durableEnd : 0;
+  const acknowledgedEnd = isSure
+    ? acknowledgeableEnd(update, worker, update.now)
+    : 0;
   const runs = update.read(RUNS).withKey(worker.incarnation);
   const mayLongPoll =
     worker.hasReported &&
@@ -87,6 +96,7 @@
   const waitMillis = mayLongPoll ? maxWaitMillis : 0;
   changeWorker(update, worker.incarnation, {
     isPollOpen: true,
+    ...(acknowledgedEnd > 0 && {acknowledgement: acknowledgementSent(worker)}),
     ...(leaseUntil && grantLease(worker, leaseUntil, update.now)),
   });
   update.emit(POLL_WORKER, {
@@ -137,7 +147,7 @@
       workerClock: report.clockMillis,
     });
   }
-  const appliedEnd = applyReportedEnds(update, worker, report);
+  const appliedEnd = applyReportedEnds(update, worker, report, sentAt);
   changeWorker(update, incarnation, {
     address,
     hasReported: true,
@@ -150,6 +160,8 @@
     leaseGrantedUntil,
     answeredAt: update.now,
     appliedEnd,
+    oldestListedEnd: report.ended.at(0)?.endNumber,
+    acknowledgement: acknowledgementAnswered(worker),
     nextPollAt:
       appliedEnd > worker.durableEnd || isLeaseBounded(update, incarnation)
         ? update.now + DURABILITY_POLL_DELAY_MILLIS
@@ -165,6 +177,7 @@
   if (!worker.hasReported || appliedEnd > worker.appliedEnd) {
     update.dispatchOnce(RESOURCES_CHANGED, '', undefined);
   }
+  delayPollIfHeldBack(update, incarnation);
   pollAgainIfDue(update, incarnation);
 }
 
@@ -172,15 +185,20 @@
   update: Update,
   worker: Worker,
   report: WorkerReport,
+  sentAt: number,
 ): number {
+  const {incarnation} = worker;
   let {appliedEnd} = worker;
   for (const {endNumber: number, runId, outcome, checkpoint} of report.ended) {
     if (number <= appliedEnd) {
       continue;
     }
     appliedEnd = number;
-    const {incarnation} = worker;
-    const startedAt = update.read(RUNS).get(runKey(runId))?.startedAt;
+    const run = update.read(RUNS).get(runKey(runId));
+    if (run?.incarnation === incarnation) {
+      recordRunReported(update, runKey(runId), sentAt, run.startOrders === 1);
+    }
+    const startedAt = run?.startedAt;
     // An end that is heard of after a silence says nothing about the run time.
     const ranMillis =
       startedAt === undefined || worker.isSilent
@@ -197,10 +215,7 @@
   }
   if (appliedEnd > worker.appliedEnd) {
     // The ends are acknowledged only once their effects are durable.
-    update.dispatch(ENDS_APPLIED, {
-      incarnation: worker.incarnation,
-      upTo: appliedEnd,
-    });
+    update.dispatch(ENDS_APPLIED, {incarnation, upTo: appliedEnd});
   }
   return appliedEnd;
 }
@@ -323,6 +338,7 @@
   }
   changeWorker(update, incarnation, {
     isPollOpen: false,
+    acknowledgement: acknowledgementFailed(worker),
     isSilent: true,
     refusesConnections: failure === 'closed',
     nextPollAt: update.now + pollRetryMillis(worker, hasRuns),
@@ -341,7 +357,9 @@
   }
   // If that is refused, too, there is a newer holder.
   const life = latestLife(update, id);
-  changeWorker(update, incarnation, {life, isPollOpen: false, nextPollAt: 0});
+  const acknowledgement = acknowledgementAnswered(worker);
+  const change = {life, acknowledgement, isPollOpen: false, nextPollAt: 0};
+  changeWorker(update, incarnation, change);
   pollAgainIfDue(update, incarnation);
 }
 
