--- a/packages/accounts/src/__tests__/unit/startQuota.test.ts
+++ b/packages/accounts/src/__tests__/unit/startQuota.test.ts
@@ -30,6 +30,7 @@
         incarnation: 'worker@1',
         account,
         reserved,
+        needsTicket: false,
         expectsProgress: true,
       }),
     ),
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -28,6 +28,7 @@
   type JobRow,
   listActiveJobs,
   expectsProgress,
+  needsTicket,
   newJobRow,
   setProgress,
 } from './DispatchState';
@@ -140,6 +141,7 @@
     const described = {
       account: job.account,
       reserved: reservedResources(definition),
+      needsTicket: needsTicket(update, job),
       expectsProgress: expectsProgress(definition),
     };
     const known = update.read(RUNS).get(key);
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -50,22 +50,21 @@
 /** A run that is added to those that the holder knows. */
 export type NewRun = Pick<
   Run,
-  'runId' | 'incarnation' | 'account' | 'reserved' | 'expectsProgress'
+  | 'runId'
+  | 'incarnation'
+  | 'account'
+  | 'reserved'
+  | 'needsTicket'
+  | 'expectsProgress'
 >;
 
 /**
  * Reserves resources for a run whose start is ordered once the journal has
  * recorded its placement.
  */
-export function reserveRun(
-  update: Update,
-  {runId, incarnation, account, reserved, expectsProgress}: NewRun,
-): void {
-  update.write(RUNS).set(runKey(runId), {
-    runId,
-    incarnation,
-    account,
-    reserved,
+export function reserveRun(update: Update, run: NewRun): void {
+  update.write(RUNS).set(runKey(run.runId), {
+    ...run,
     phase: 'reserved',
     lastOrderAt: update.now,
     startOrders: 0,
@@ -74,7 +73,6 @@
     isReported: false,
     percentDone: 0,
     progressedAt: update.now,
-    expectsProgress,
     checkpoint: '',
   });
 }
