A ticket protects an order only once its life is known to have been there

Callers saw two runs of one task at a time: a worker restarted just before the adviser issued a ticket, while the holder still counted on the earlier life. The ticket was the next life's, which carried out the order and was cut off before anyone heard it.

Cause: any ticket of an order counted as proof that the next life rejects it. A ticket binds to the life that is there when it is issued, which nobody names.

Now it counts once the life that the run was placed on has answered a poll sent after the ticket was received. Until then an order with a ticket counts like one without, but for its expiry, after which no life takes it. An answer to an order doesn't name the life either, but its clock bounds the leases of whichever life gave it: all lease ends sent to the life that the order was meant for are absolute. So a run whose order was answered waits for these, not for the 10 s to which a worker cuts a lease. A recorded bound of a lost worker's leases covers them.

The model's answers to orders have the worker's clock, as those of workers do.

--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -188,13 +188,17 @@
   }: Extract<PayloadOf<typeof ADVICE_RECEIVED>['advice'], {kind: 'answered'}>,
   now: number,
 ): StepAdvice {
-  const validUntil = now + validityMillis - TICKET_MARGIN_MILLIS;
+  const times = {
+    receivedAt: now,
+    validityMillis,
+    validUntil: now + validityMillis - TICKET_MARGIN_MILLIS,
+  };
   const permitById = new Map(previous.permits);
   for (const id of workerIds) {
     permitById.delete(id);
   }
   for (const {workerId, ticket} of permits) {
-    permitById.set(workerId, {ticket, validUntil});
+    permitById.set(workerId, {ticket, ...times});
   }
   const queriedWorkers = new Set([...previous.queriedWorkers, ...workerIds]);
   return {...previous, permits: permitById, queriedWorkers};
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -52,6 +52,14 @@
   readonly checkpoint: string;
   /** Proof of the adviser that the worker may run the step, if it needs one. */
   readonly ticket: string | undefined;
+  /** Undefined if it needs no ticket. */
+  readonly ticketTimes?: TicketTimes | undefined;
+}
+
+/** When a ticket was received, and for how long it is valid from its issue on. */
+export interface TicketTimes {
+  readonly receivedAt: number;
+  readonly validityMillis: number;
 }
 
 /** Why a worker did not start a run. */
--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -46,6 +46,8 @@
    * When it last answered a poll; before the first answer, when it was added.
    */
   readonly answeredAt: number;
+  /** When the newest poll was sent that it answered; -Infinity before that. */
+  readonly heardPollSentAt: number;
   /** Number of the newest reported end that was applied to the state. */
   readonly appliedEnd: number;
   /** Number of the newest reported end whose effects are durable. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -22,6 +22,7 @@
   StartAnswer,
   StartOrder,
   StartRefusal,
+  TicketTimes,
 } from './Run';
 export type {RunExpectation} from './stalledRuns';
 export {discardRun} from './workerRemoval';
--- a/packages/fleet/src/leaseBounds.ts
+++ b/packages/fleet/src/leaseBounds.ts
@@ -12,8 +12,10 @@
   recordLeaseBound,
   recordLiftedLeaseBound,
 } from '@samphireramp/holding';
+import {RUNS} from './FleetState';
 import {leasesExpiredAt} from './leaseTiming';
 import {FLEET_EVENT} from './messages';
+import {takenRunEndsAt} from './unsettledOrders';
 import type {Worker} from './Worker';
 
 /**
@@ -69,7 +71,12 @@
   incarnation: string,
   worker: Worker | undefined,
 ): void {
-  const endAt = leasesEndAt(update, incarnation, worker);
+  // Answered orders may have given the next life of the worker leases of its own.
+  const runs = update.read(RUNS).withKey(incarnation);
+  const endAt = Math.max(
+    leasesEndAt(update, incarnation, worker),
+    ...runs.map(({runId}) => takenRunEndsAt(update, runId)),
+  );
   update.emit(FLEET_EVENT, {
     event: 'leases-bounded',
     worker: incarnation,
--- a/packages/fleet/src/leaseGranting.ts
+++ b/packages/fleet/src/leaseGranting.ts
@@ -110,6 +110,25 @@
   });
 }
 
+/**
+ * Returns the latest end of the leases that the life may have which answered an order
+ * to `worker`, or a later life of it, but for those that were sent to `worker`; in
+ * milliseconds of the clock in the answer.
+ */
+export function leaseEndAtStart(
+  state: StateReader,
+  worker: Worker,
+  clockMillis: number,
+  orderedAt: number,
+): number {
+  const {predecessor} = state.read(HOLDING).get();
+  return latestUnknownLeaseEnd(clockMillis, orderedAt, {
+    earlierLivesUntil: earlierLivesLeaseEnd(state, worker, orderedAt),
+    predecessorHeardAt: predecessor.heardAt,
+    wasHeldBefore: false,
+  });
+}
+
 /** Returns the latest lease end that a life may have taken from calls to earlier ones. */
 function earlierLivesLeaseEnd(
   state: StateReader,
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -1,3 +1,4 @@
+import type {TicketTimes} from './Run';
 import type {ClockReading, Worker} from './Worker';
 
 /** Clocks of workers run slow by at most this fraction. */
@@ -8,8 +9,8 @@
 const MAX_LEASE_MILLIS = 10_000;
 /** How long after it was sent a worker may still carry out a call. */
 export const MAX_CALL_DELAY_MILLIS = 15_000;
-/** Added to each wait for a lease to expire, on top of the clock drift. */
-const LEASE_EXPIRY_MARGIN_MILLIS = 300;
+/** Added to each wait for a lease or a ticket to expire, on top of the clock drift. */
+const EXPIRY_MARGIN_MILLIS = 300;
 /**
  * How long a holder goes on granting leases after the newest append that proves
  * that it holds the site.
@@ -22,7 +23,7 @@
  * call, also one that was meant for an earlier life of it.
  */
 export const LONGEST_LEASE_EXPIRY_MILLIS =
-  MAX_LEASE_MILLIS / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MILLIS;
+  MAX_LEASE_MILLIS / MIN_CLOCK_RATE + EXPIRY_MARGIN_MILLIS;
 /**
  * After this time, a lease has expired that an earlier holder granted a life which it
  * had heard, or that this life took before that.
@@ -116,20 +117,39 @@
   const earlierLeasesExpiredAt =
     predecessorHeardAt +
     EARLIER_LEASES_MILLIS / MIN_CLOCK_RATE +
-    LEASE_EXPIRY_MARGIN_MILLIS;
+    EXPIRY_MARGIN_MILLIS;
   if (worker?.clock === undefined) {
     return earlierLeasesExpiredAt;
   }
-  const {clock, leaseGrantedUntil} = worker;
-  const remainingMillis = Math.max(0, leaseGrantedUntil - clock.clockMillis);
   return Math.max(
     worker.hasReported ? 0 : earlierLeasesExpiredAt,
-    clock.receivedAt +
-      remainingMillis / MIN_CLOCK_RATE +
-      LEASE_EXPIRY_MARGIN_MILLIS,
+    leaseExpiredAt(worker.clock, worker.leaseGrantedUntil),
   );
 }
 
+/**
+ * Returns when, on this host's clock, a lease is sure to have expired that ends at a
+ * time of the clock that was read.
+ */
+export function leaseExpiredAt(
+  {clockMillis, receivedAt}: ClockReading,
+  leaseUntil: number,
+): number {
+  const remainingMillis = Math.max(0, leaseUntil - clockMillis);
+  return receivedAt + remainingMillis / MIN_CLOCK_RATE + EXPIRY_MARGIN_MILLIS;
+}
+
+/**
+ * Returns when, on this host's clock, a ticket has expired that was issued before
+ * `receivedAt`.
+ */
+export function ticketExpiredAt({
+  receivedAt,
+  validityMillis,
+}: TicketTimes): number {
+  return receivedAt + validityMillis / MIN_CLOCK_RATE + EXPIRY_MARGIN_MILLIS;
+}
+
 /**
  * Returns when, on this host's clock, all leases are sure to have expired that the
  * next life of a worker got with an order that was answered, meant for the one whose
@@ -137,7 +157,5 @@
  */
 export function nextLifeLeasesExpiredAt(leasesEndAt: number): number {
   const longerMillis = MAX_LEASE_MILLIS - LEASE_MILLIS;
-  return (
-    leasesEndAt + longerMillis / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MILLIS
-  );
+  return leasesEndAt + longerMillis / MIN_CLOCK_RATE + EXPIRY_MARGIN_MILLIS;
 }
--- a/packages/fleet/src/lostWorkers.ts
+++ b/packages/fleet/src/lostWorkers.ts
@@ -13,7 +13,7 @@
   leasesEndAt,
   liftBound,
 } from './leaseBounds';
-import {mayNextIncarnationStart} from './unsettledOrders';
+import {mayOrderArriveLate} from './unsettledOrders';
 import type {Worker} from './Worker';
 import {pollAgainIfDue} from './workerPolling';
 import {discardRun} from './workerRemoval';
@@ -88,7 +88,7 @@
   const runs = update.read(RUNS).withKey(incarnation);
   return (
     runs.length > 0 &&
-    !runs.some(({runId}) => mayNextIncarnationStart(update, runId, update.now))
+    !runs.some(({runId}) => mayOrderArriveLate(update, runId, update.now))
   );
 }
 
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -106,7 +106,7 @@
   }
   const outcome = reinterpretFenced(update, answer);
   if (outcome === 'started') {
-    recordStartTaken(update, order.runId);
+    recordStartTaken(update, order.runId, answer.clockMillis);
   } else if (answer.outcome !== 'silent') {
     recordStartRefused(update, order.runId);
   }
--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -4,28 +4,46 @@
   createTableSlice,
 } from '@samphireramp/kernel';
 import {type RunId, runKey} from '@samphireramp/jobs';
+import {WORKERS} from './FleetState';
+import {leaseEndAtStart} from './leaseGranting';
 import {
   LONGEST_LEASE_EXPIRY_MILLIS,
   MAX_CALL_DELAY_MILLIS,
+  leaseExpiredAt,
+  ticketExpiredAt,
 } from './leaseTiming';
-import type {StartOrder} from './Run';
+import type {StartOrder, TicketTimes} from './Run';
+import type {ClockReading} from './Worker';
 
 /**
  * The start orders of a run that the next life of its worker may have carried out, or
  * may carry out later: an answer does not say which life it came from.
  */
 interface UnsettledOrders {
+  /** The life that they were meant for. */
+  readonly incarnation: string;
   /** Number of orders without an answer. */
   readonly unanswered: number;
   /** When the latest order was sent. */
   readonly sentAt: number;
   /**
-   * When an order was answered as carried out, and no answer to a later poll shows that
+   * The answer that an order was carried out, if no answer to a later poll shows that
    * the life it was meant for was there; undefined for none.
    */
-  readonly takenAt: number | undefined;
-  /** Whether their ticket is valid only for the incarnation it was issued for. */
-  readonly hasTicket: boolean;
+  readonly taken: TakenOrder | undefined;
+  readonly ticketTimes: TicketTimes | undefined;
+}
+
+/** What an answer tells of the life that carried out a start order. */
+interface TakenOrder {
+  readonly answeredAt: number;
+  /** Undefined if the answer had no reading of its clock. */
+  readonly clock: ClockReading | undefined;
+  /**
+   * Latest end of the leases that it may have by this clock, but for those that were
+   * sent to the life that the order was meant for.
+   */
+  readonly leaseUntil: number;
 }
 
 /** Unsettled start orders, by run key, in the order in which runs were first ordered. */
@@ -35,15 +53,16 @@
 /** Records that a start order was sent and has no answer yet. */
 export function recordStartOrder(
   update: Update,
-  {runId, ticket}: StartOrder,
+  {runId, incarnation, ticketTimes}: StartOrder,
 ): void {
   const orders = update.write(UNSETTLED_ORDERS);
   const earlier = orders.get(runKey(runId));
   orders.set(runKey(runId), {
+    incarnation,
     unanswered: 1 + (earlier?.unanswered ?? 0),
     sentAt: update.now,
-    takenAt: earlier?.takenAt,
-    hasTicket: ticket !== undefined,
+    taken: earlier?.taken,
+    ticketTimes,
   });
 }
 
@@ -56,16 +75,40 @@
   }
 }
 
-/** Records that one of the start orders of a run was carried out by some life. */
-export function recordStartTaken(update: Update, runId: RunId): void {
+/**
+ * Records that one of the start orders of a run was carried out by some life, whose
+ * clock showed `clockMillis` then.
+ */
+export function recordStartTaken(
+  update: Update,
+  runId: RunId,
+  clockMillis: number | undefined,
+): void {
   const orders = update.read(UNSETTLED_ORDERS).get(runKey(runId));
   if (orders !== undefined) {
     const unanswered = Math.max(0, orders.unanswered - 1);
-    const takenAt = update.now;
-    settle(update, runKey(runId), {...orders, unanswered, takenAt});
+    const taken = describeTaken(update, orders, clockMillis);
+    settle(update, runKey(runId), {...orders, unanswered, taken});
   }
 }
 
+function describeTaken(
+  update: Update,
+  {incarnation, sentAt}: UnsettledOrders,
+  clockMillis: number | undefined,
+): TakenOrder {
+  const answeredAt = update.now;
+  const worker = update.read(WORKERS).get(incarnation);
+  if (worker === undefined || clockMillis === undefined) {
+    return {answeredAt, clock: undefined, leaseUntil: Infinity};
+  }
+  return {
+    answeredAt,
+    clock: {clockMillis, receivedAt: answeredAt},
+    leaseUntil: leaseEndAtStart(update, worker, clockMillis, sentAt),
+  };
+}
+
 /**
  * Records that a life reported a run, in the answer to a poll sent at `polledAt`. If
  * one order only was sent, it was carried out by this life.
@@ -80,19 +123,19 @@
   if (orders === undefined) {
     return;
   }
-  const isTakenHere = polledAt >= (orders.takenAt ?? 0);
+  const isTakenHere = polledAt >= (orders.taken?.answeredAt ?? 0);
   settle(update, key, {
     ...orders,
     unanswered: isOnlyOrder ? 0 : orders.unanswered,
-    takenAt: isOnlyOrder || isTakenHere ? undefined : orders.takenAt,
+    taken: isOnlyOrder || isTakenHere ? undefined : orders.taken,
   });
 }
 
 function settle(update: Update, key: string, orders: UnsettledOrders): void {
   const table = update.write(UNSETTLED_ORDERS);
-  const {unanswered, takenAt, hasTicket} = orders;
-  // The next life rejects the ticket, so that it takes no order that was answered.
-  if (unanswered === 0 && (takenAt === undefined || hasTicket)) {
+  const {unanswered, taken} = orders;
+  const isTakenHere = taken === undefined || excludesNextLife(update, orders);
+  if (unanswered === 0 && isTakenHere) {
     table.delete(key);
   } else {
     table.set(key, orders);
@@ -101,7 +144,7 @@
 
 /**
  * Whether the next life of a worker may have a run because of an order that was meant
- * for this one. It would reject a ticket of the earlier life.
+ * for this one.
  */
 export function mayNextIncarnationStart(
   state: StateReader,
@@ -109,20 +152,100 @@
   now: number,
 ): boolean {
   const orders = state.read(UNSETTLED_ORDERS).get(runKey(runId));
-  return orders?.hasTicket === false && now < runsEndAt(orders);
+  return (
+    orders !== undefined &&
+    !excludesNextLife(state, orders) &&
+    now < runsEndAt(state, orders)
+  );
+}
+
+/**
+ * Whether the next life of a worker may yet carry out an order for a run that was meant
+ * for this one.
+ */
+export function mayOrderArriveLate(
+  state: StateReader,
+  runId: RunId,
+  now: number,
+): boolean {
+  const orders = state.read(UNSETTLED_ORDERS).get(runKey(runId));
+  return (
+    orders !== undefined &&
+    !excludesNextLife(state, orders) &&
+    now < unansweredRunsEndAt(orders)
+  );
+}
+
+/**
+ * Returns when a run must have ended that the next life of a worker began because of an
+ * order that was answered; -Infinity for none.
+ */
+export function takenRunEndsAt(state: StateReader, runId: RunId): number {
+  const orders = state.read(UNSETTLED_ORDERS).get(runKey(runId));
+  return orders === undefined || excludesNextLife(state, orders)
+    ? -Infinity
+    : takenOrderEndsAt(state, orders);
+}
+
+/**
+ * Whether the next life rejects the ticket of orders. The adviser issues it for the life
+ * that is there: this one, or an earlier one, if this one answered a poll that was sent
+ * after the ticket was received.
+ */
+function excludesNextLife(
+  state: StateReader,
+  {incarnation, ticketTimes}: UnsettledOrders,
+): boolean {
+  const worker = state.read(WORKERS).get(incarnation);
+  return (
+    worker !== undefined &&
+    ticketTimes !== undefined &&
+    worker.heardPollSentAt >= ticketTimes.receivedAt
+  );
 }
 
 /** Returns when a run must have ended that the next life began because of an order. */
-function runsEndAt({unanswered, sentAt, takenAt}: UnsettledOrders): number {
-  const lastTakenAt = unanswered > 0 ? sentAt + MAX_CALL_DELAY_MILLIS : takenAt;
-  return (lastTakenAt ?? -Infinity) + LONGEST_LEASE_EXPIRY_MILLIS;
+function runsEndAt(state: StateReader, orders: UnsettledOrders): number {
+  return Math.max(unansweredRunsEndAt(orders), takenOrderEndsAt(state, orders));
+}
+
+function unansweredRunsEndAt({
+  unanswered,
+  sentAt,
+  ticketTimes,
+}: UnsettledOrders): number {
+  if (unanswered === 0) {
+    return -Infinity;
+  }
+  const lastStartAt = Math.min(
+    sentAt + MAX_CALL_DELAY_MILLIS,
+    ticketTimes === undefined ? Infinity : ticketExpiredAt(ticketTimes),
+  );
+  return lastStartAt + LONGEST_LEASE_EXPIRY_MILLIS;
+}
+
+function takenOrderEndsAt(
+  state: StateReader,
+  {incarnation, taken}: UnsettledOrders,
+): number {
+  if (taken === undefined) {
+    return -Infinity;
+  }
+  const latestEnd = taken.answeredAt + LONGEST_LEASE_EXPIRY_MILLIS;
+  const worker = state.read(WORKERS).get(incarnation);
+  if (worker === undefined || taken.clock === undefined) {
+    return latestEnd;
+  }
+  // Whichever life it is, its clock rules out a lease that lasts longer.
+  const leaseUntil = Math.max(taken.leaseUntil, worker.leaseGrantedUntil);
+  return Math.min(latestEnd, leaseExpiredAt(taken.clock, leaseUntil));
 }
 
 /** Deletes orders because of which no worker can have a run any more, the oldest first. */
 export function forgetSettledOrders(update: Update): void {
   const table = update.write(UNSETTLED_ORDERS);
   for (const [key, orders] of table.entries()) {
-    if (update.now < runsEndAt(orders)) {
+    if (update.now < runsEndAt(update, orders)) {
       return;
     }
     table.delete(key);
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -29,6 +29,7 @@
     leaseGrantedUntil: 0,
     leaseSentAt: -Infinity,
     answeredAt: update.now,
+    heardPollSentAt: -Infinity,
     appliedEnd: 0,
     durableEnd: 0,
     isPollOpen: false,
--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -149,6 +149,7 @@
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
     leaseGrantedUntil,
     answeredAt: update.now,
+    heardPollSentAt: Math.max(worker.heardPollSentAt, sentAt),
     appliedEnd,
     nextPollAt:
       appliedEnd > worker.durableEnd || isLeaseBounded(update, incarnation)
--- a/testing/src/__tests__/unit/nextLifeFixture.ts
+++ b/testing/src/__tests__/unit/nextLifeFixture.ts
@@ -1,5 +1,6 @@
 /** Sites on which a worker restarts, and its next life gets calls to the earlier one. */
-import {RUNS} from '@samphireramp/fleet';
+import {RUNS, WORKERS} from '@samphireramp/fleet';
+import type {QueuePolicy} from '@samphireramp/jobs';
 import {
   type ModelSite,
   type ModelWorker,
@@ -17,12 +18,14 @@
 const EARLIER_LIFE_MILLIS = 30_000;
 /** By when a task is ordered. */
 const MAX_WAIT_MILLIS = 5000;
+/** By when an idle worker has answered its open poll; the next one times out later. */
+const IDLE_POLL_MILLIS = 2100;
 
 /** Builds a site whose workers have long been up. Returns it with its first worker. */
-export async function buildSiteOfOldWorkers(): Promise<
-  [ModelSite, ModelWorker]
-> {
-  const site = buildModelSite({workers: 2, policies: [POLICY]});
+export async function buildSiteOfOldWorkers(
+  policy: QueuePolicy = POLICY,
+): Promise<[ModelSite, ModelWorker]> {
+  const site = buildModelSite({workers: 2, policies: [policy]});
   await site.run(EARLIER_LIFE_MILLIS);
   return [site, site.workers[0]];
 }
@@ -32,10 +35,11 @@
   site: ModelSite,
   jobId: string,
   estimateMillis: number,
+  policy: QueuePolicy = POLICY,
 ): void {
   const step = buildStep({estimateMillis, dataRack: site.workers[0].rack});
   const receivedAt = site.clock.now;
-  const job = buildJob(jobId, [step], {policy: POLICY, receivedAt});
+  const job = buildJob(jobId, [step], {policy, receivedAt});
   void site.submit(site.hosts[0], job);
 }
 
@@ -43,12 +47,12 @@
 export async function awaitOrder(site: ModelSite, run: number) {
   for (let millis = 0; millis < MAX_WAIT_MILLIS; millis++) {
     await site.run(1);
-    const ordered = [...(site.holder()?.kernel.read(RUNS).values() ?? [])].find(
+    const kernel = site.holder()?.kernel;
+    const ordered = [...(kernel?.read(RUNS).values() ?? [])].find(
       ({runId, startOrders}) => runId.run === run && startOrders > 0,
     );
-    const worker = site.workers.find(
-      ({incarnation}) => incarnation === ordered?.incarnation,
-    );
+    const {id} = kernel?.read(WORKERS).get(ordered?.incarnation ?? '') ?? {};
+    const worker = site.workers.find(each => each.id === id);
     if (worker !== undefined) {
       return worker;
     }
@@ -78,3 +82,13 @@
     orderDelayMillis: () => delayMillis,
   };
 }
+
+/** Leaves the open poll of the first worker, and all later ones, without an answer. */
+export async function loseOpenPoll(site: ModelSite): Promise<void> {
+  const {id} = site.workers[0];
+  site.faultState = {
+    ...site.faultState,
+    losesPollAnswer: worker => worker === id,
+  };
+  await site.run(IDLE_POLL_MILLIS);
+}
--- a/testing/src/site/ModelNetwork.ts
+++ b/testing/src/site/ModelNetwork.ts
@@ -1,5 +1,5 @@
 import type {Advice} from '@samphireramp/dispatch';
-import type {StartOrder} from '@samphireramp/fleet';
+import type {StartAnswer, StartOrder} from '@samphireramp/fleet';
 import type {AdviseRequest} from '@samphireramp/host-links';
 import type {RunId} from '@samphireramp/jobs';
 import type {Timeline} from '../EventQueue';
@@ -140,15 +140,17 @@
     host: string,
     call: AddressedCall & {fence: number; leaseUntil: number},
     order: StartOrder,
-  ) {
+  ): Promise<StartAnswer> {
     const {fence, leaseUntil} = call;
     const sentAt = this.timeline.now;
     // An order is addressed to a worker id, so that a later incarnation of the
     // worker can receive it too.
     const failures = {refused: 'unhealthy', closed: 'unhealthy'} as const;
-    return this.sendOrder(host, call, failures, worker =>
-      worker.start(order, fence, leaseUntil, sentAt),
-    );
+    const answer = await this.sendOrder(host, call, failures, worker => ({
+      outcome: worker.start(order, fence, leaseUntil, sentAt),
+      clockMillis: Math.floor(worker.clock()),
+    }));
+    return typeof answer === 'string' ? {outcome: answer} : answer;
   }
 
   /** Delivers an order to stop a run. */
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -327,9 +327,7 @@
       createWorkersPlugin(
         {
           poll: call => this.network.pollWorker(name, call),
-          start: async (call, order) => ({
-            outcome: await this.network.startRun(name, call, order),
-          }),
+          start: (call, order) => this.network.startRun(name, call, order),
           stop: (call, runId) => this.network.stopRun(name, call, runId),
         },
         () => this.clock.now,
