--- a/packages/fleet/src/workerPolling.ts
+++ b/packages/fleet/src/workerPolling.ts
@@ -160,6 +160,7 @@
     clock: {clockMillis: report.clockMillis, receivedAt: update.now},
     leaseGrantedUntil,
     answeredAt: update.now,
+    heardPollSentAt: Math.max(worker.heardPollSentAt, sentAt),
     appliedEnd,
     oldestListedEnd: report.ended.at(0)?.endNumber,
     acknowledgement: acknowledgementAnswered(worker),
