Runs that are being stopped count against the most tasks of a step on a worker

Callers saw more tasks of a step on a worker than its anti_affinity allows.

Cause: the limit counted the tasks that are placed on the worker. A run that is being stopped there counted as nothing once its task was done, open again or placed elsewhere, though it works on until its end is reported. Such a run is one whose task has ended in another run, or that a worker reports and nobody needs, as a next life does that has carried out a late order.

Now the limit also counts the runs that are being stopped on the worker, unless they are those of tasks that are placed there. They are listed in the loop that sums up what the runs of a worker reserve, so that a pass scans nothing more. LIMIT is not concerned: what is free counts runs in all phases.

--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -2,13 +2,14 @@
   type Worker,
   WORKERS,
   countStartableRuns,
-  freeResources,
   isOverCapacity,
+  workerLoad,
 } from '@samphireramp/fleet';
 import {
   type Resources,
   type Occurrence,
   type QueuePolicy,
+  type RunId,
   type Step,
   type Task,
   reservedResources,
@@ -32,6 +33,8 @@
   isClosed: boolean;
   /** Number of tasks that may be placed on it: few on a worker on probation. */
   startableRuns: number;
+  /** Runs that it may still have, whose tasks may be placed elsewhere or be done. */
+  readonly stoppingRuns: readonly RunId[];
   /** 1 for a normal worker, 2 for one on which runs take half as long. */
   readonly speed: number;
 }
@@ -60,11 +63,13 @@
   const candidates: Candidate[] = [];
   for (const worker of state.read(WORKERS).values()) {
     if (acceptsRuns(worker, now)) {
+      const {free, stoppingRuns} = workerLoad(state, worker);
       candidates.push({
         worker,
-        ...freeResources(state, worker),
+        ...free,
         isClosed: false,
         startableRuns: countStartableRuns(state, worker, now),
+        stoppingRuns,
         speed: speedOf(worker.incarnation),
       });
     }
@@ -127,8 +132,7 @@
   const byLimit =
     step.mostOnOneWorker === 0
       ? Infinity
-      : step.mostOnOneWorker -
-        (readyStep.placedByWorker.get(candidate.worker.incarnation) ?? 0);
+      : step.mostOnOneWorker - countTasksOn(candidate, readyStep);
   return Math.max(
     0,
     Math.min(
@@ -140,6 +144,35 @@
   );
 }
 
+/**
+ * Counts the tasks of a step that a worker may have: those that are placed on it, and
+ * those of other runs that are being stopped there.
+ */
+function countTasksOn(
+  {worker: {incarnation}, stoppingRuns}: Candidate,
+  {row, occurrence, stepNumber, placedByWorker}: ReadyStep,
+): number {
+  const tasks = occurrence.steps[stepNumber];
+  const unplacedRuns = stoppingRuns.filter(
+    ({jobId, occurrence: number, step, index, run}) =>
+      jobId === row.job.id &&
+      number === occurrence.number &&
+      step === stepNumber &&
+      !isPlacedAs(tasks.at(index), run, incarnation),
+  );
+  return (placedByWorker.get(incarnation) ?? 0) + unplacedRuns.length;
+}
+
+function isPlacedAs(
+  task: Task | undefined,
+  run: number,
+  incarnation: string,
+): boolean {
+  return (
+    task?.phase === 'placed' && task.run === run && task.worker === incarnation
+  );
+}
+
 /**
  * Amount of a resource that is reserved for urgent steps: none if a task would
  * otherwise not fit even on an empty worker.
@@ -159,6 +192,7 @@
     ...worker.capacity,
     isClosed: false,
     startableRuns: Infinity,
+    stoppingRuns: [],
     speed: 1,
   };
   return countFittingTasks(candidate, readyStep);
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -4,7 +4,12 @@
   createIndexedTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
-import {type Resources, NO_RESOURCES, runKey} from '@samphireramp/jobs';
+import {
+  type Resources,
+  type RunId,
+  NO_RESOURCES,
+  runKey,
+} from '@samphireramp/jobs';
 import type {Run} from './Run';
 import type {Worker, WorkerRecord} from './Worker';
 
@@ -26,16 +31,32 @@
   run => run.incarnation,
 );
 
-/** Returns the resources of a worker that no run reserves. */
-export function freeResources(state: StateReader, worker: Worker): Resources {
+/** What the runs on a worker leave free, and those of them that are being stopped. */
+export interface WorkerLoad {
+  readonly free: Resources;
+  readonly stoppingRuns: readonly RunId[];
+}
+
+/** Returns the load of a worker by all runs that it may have. */
+export function workerLoad(state: StateReader, worker: Worker): WorkerLoad {
   const {capacity, incarnation} = worker;
   let {cpuMillis, memoryMegabytes, accelerators} = capacity;
-  for (const {reserved} of state.read(RUNS).withKey(incarnation)) {
+  const stoppingRuns: RunId[] = [];
+  for (const run of state.read(RUNS).withKey(incarnation)) {
+    const {reserved, phase, runId} = run;
     cpuMillis -= reserved.cpuMillis;
     memoryMegabytes -= reserved.memoryMegabytes;
     accelerators -= reserved.accelerators;
+    if (phase === 'stopping') {
+      stoppingRuns.push(runId);
+    }
   }
-  return {cpuMillis, memoryMegabytes, accelerators};
+  return {free: {cpuMillis, memoryMegabytes, accelerators}, stoppingRuns};
+}
+
+/** Returns the resources of a worker that no run reserves. */
+export function freeResources(state: StateReader, worker: Worker): Resources {
+  return workerLoad(state, worker).free;
 }
 
 /** Whether free resources are negative: runs reserve more than there is. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -7,9 +7,9 @@
   adoptRun,
   changeRun,
   reserveRun,
-  freeResources,
   isOverCapacity,
   totalResources,
+  workerLoad,
 } from './FleetState';
 export {type FleetOptions, createFleetPlugin} from './fleetPlugin';
 export {holdBackEnds, releaseEnds} from './heldBackEnds';
