A lost worker's service doesn't wait for leases of a life that nobody heard

Cause: since a ticket counts as one of this life only once the life has answered a poll sent after the ticket arrived, an order with a younger ticket waited for the longest lease that an unheard next life may have. Tasks that last must run again within 9 s of their loss.

That life's own lease goes on being waited for. What stays open, for services alone: a ticket that was issued for the next life before anybody heard it.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -196,6 +196,7 @@
     checkpoint: task.checkpoint,
     ticket: permit?.ticket,
     ticketTimes: permit,
+    isService: readyStep.step.isService,
   };
   dispatchWhenDurable(update, START_RESERVED_RUN, order);
 }
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -56,6 +56,8 @@
   readonly ticket: string | undefined;
   /** Undefined if it needs no ticket. */
   readonly ticketTimes?: TicketTimes | undefined;
+  /** Whether the task lasts, so that it must run again soon after a loss. */
+  readonly isService?: boolean;
 }
 
 /** When a ticket was received, and for how long it is valid from its issue on. */
--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -34,6 +34,7 @@
    */
   readonly taken: TakenOrder | undefined;
   readonly ticketTimes: TicketTimes | undefined;
+  readonly isService: boolean;
 }
 
 /** What an answer tells of the life that carried out a start order. */
@@ -61,7 +62,7 @@
 export function recordStartOrder(
   update: Update,
   workerId: string,
-  {runId, incarnation, ticketTimes}: StartOrder,
+  {runId, incarnation, ticketTimes, isService = false}: StartOrder,
 ): void {
   const orders = update.write(UNSETTLED_ORDERS);
   const earlier = orders.get(runKey(runId));
@@ -72,6 +73,7 @@
     sentAt: update.now,
     taken: earlier?.taken,
     ticketTimes,
+    isService,
   });
 }
 
@@ -217,18 +219,20 @@
 /**
  * Whether the next life rejects the ticket of orders. The adviser issues it for the life
  * that is there: this one, or an earlier one, if this one answered a poll that was sent
- * after the ticket was received.
+ * after the ticket was received. The task of a service must run again before a lease of
+ * the next life would have ended, so that its ticket is always taken for one of this life.
  */
 function excludesNextLife(
   state: StateReader,
-  {incarnation, ticketTimes}: UnsettledOrders,
+  {incarnation, ticketTimes, isService}: UnsettledOrders,
 ): boolean {
+  if (ticketTimes === undefined) {
+    return false;
+  }
   const worker = state.read(WORKERS).get(incarnation);
-  return (
-    worker !== undefined &&
-    ticketTimes !== undefined &&
-    worker.heardPollSentAt >= ticketTimes.receivedAt
-  );
+  const isHeardSince =
+    worker !== undefined && worker.heardPollSentAt >= ticketTimes.receivedAt;
+  return isService || isHeardSince;
 }
 
 /** Returns when a run must have ended that the next life began because of an order. */
