A late poll acknowledges no end of a run whose ticket was issued for the next life

Cause: acknowledgements were held back, and fenced, only beside orders without a ticket. A ticket may have been issued for the next life, which then takes the order meant for the earlier one; a late poll of that one acknowledged the end of its run unread.

Evidence: ticketAcknowledgements.test.ts on the model. Before: TWICE, the task started again after its acknowledged completion. After: it runs once.

Why it works: both places ask whether the ticket rules the next life out, as waits for leases do. An order with a ticket that this life has not outlived yet counts like one without, until this life answers a poll sent after the ticket arrived.

--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -31,6 +31,7 @@
   STOP_TIMEOUT_MILLIS,
 } from './stopTiming';
 import {
+  mayNextIncarnationStart,
   recordStartOrder,
   recordStartRefused,
   recordStartTaken,
@@ -83,7 +84,7 @@
     startOrders: run.startOrders + 1,
   });
   recordStartOrder(update, worker.id, order);
-  if (order.ticket === undefined) {
+  if (mayNextIncarnationStart(update, order.runId, update.now)) {
     fenceAcknowledgements(update, worker);
   }
   const {life} = update.read(WORKERS).get(worker.incarnation) ?? worker;
