--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -31,7 +31,6 @@
   STOP_TIMEOUT_MILLIS,
 } from './stopTiming';
 import {
-  mayNextIncarnationStart,
   recordStartOrder,
   recordStartRefused,
   recordStartTaken,
@@ -84,7 +83,7 @@
     startOrders: run.startOrders + 1,
   });
   recordStartOrder(update, worker.id, order);
-  if (mayNextIncarnationStart(update, order.runId, update.now)) {
+  if (order.ticket === undefined) {
     fenceAcknowledgements(update, worker);
   }
   const {life} = update.read(WORKERS).get(worker.incarnation) ?? worker;
--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -171,8 +171,8 @@
 }
 
 /**
- * Whether any run may be on the next life of a worker because of an order that was
- * meant for this one.
+ * Whether any run may be on the next life of a worker because of an order that needed
+ * no ticket.
  */
 export function mayNextLifeHaveRuns(
   state: StateReader,
@@ -184,7 +184,7 @@
     .withKey(workerId)
     .some(
       orders =>
-        !excludesNextLife(state, orders) && now < runsEndAt(state, orders),
+        orders.ticketTimes === undefined && now < runsEndAt(state, orders),
     );
 }
 
