A ticket is taken for the next life's once the clock in the answer shows another life

An answer whose clock can't be that of the life which was called proves another life; then its run is waited for like one without a ticket. Open: an order without an answer (lateOrderWithTicket.test.ts), and a clock that happens to fit.

--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -188,17 +188,13 @@
   }: Extract<PayloadOf<typeof ADVICE_RECEIVED>['advice'], {kind: 'answered'}>,
   now: number,
 ): StepAdvice {
-  const times = {
-    receivedAt: now,
-    validityMillis,
-    validUntil: now + validityMillis - TICKET_MARGIN_MILLIS,
-  };
+  const validUntil = now + validityMillis - TICKET_MARGIN_MILLIS;
   const permitById = new Map(previous.permits);
   for (const id of workerIds) {
     permitById.delete(id);
   }
   for (const {workerId, ticket} of permits) {
-    permitById.set(workerId, {ticket, ...times});
+    permitById.set(workerId, {ticket, validUntil});
   }
   const queriedWorkers = new Set([...previous.queriedWorkers, ...workerIds]);
   return {...previous, permits: permitById, queriedWorkers};
--- a/packages/dispatch/src/adviceState.ts
+++ b/packages/dispatch/src/adviceState.ts
@@ -5,9 +5,6 @@
 /** A permit that the adviser gave for one worker to run a step. */
 export interface CachedPermit {
   readonly ticket: string;
-  /** When it was received, and for how long it is valid from its issue on. */
-  readonly receivedAt: number;
-  readonly validityMillis: number;
   /** When the ticket expires; 0 once a worker has refused it. */
   readonly validUntil: number;
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -188,15 +188,12 @@
     beginTrial(update, runId);
   }
   const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
-  const permit = advice.permits.get(worker.id);
   const order: StartOrder = {
     runId,
     incarnation: worker.incarnation,
     input: job.input,
     checkpoint: task.checkpoint,
-    ticket: permit?.ticket,
-    ticketTimes: permit,
-    isService: readyStep.step.isService,
+    ticket: advice.permits.get(worker.id)?.ticket,
   };
   dispatchWhenDurable(update, START_RESERVED_RUN, order);
 }
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -54,16 +54,6 @@
   readonly checkpoint: string;
   /** Proof of the adviser that the worker may run the step, if it needs one. */
   readonly ticket: string | undefined;
-  /** Undefined if it needs no ticket. */
-  readonly ticketTimes?: TicketTimes | undefined;
-  /** Whether the task lasts, so that it must run again soon after a loss. */
-  readonly isService?: boolean;
-}
-
-/** When a ticket was received, and for how long it is valid from its issue on. */
-export interface TicketTimes {
-  readonly receivedAt: number;
-  readonly validityMillis: number;
 }
 
 /** Why a worker did not start a run. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -22,7 +22,6 @@
   StartAnswer,
   StartOrder,
   StartRefusal,
-  TicketTimes,
 } from './Run';
 export type {RunExpectation} from './stalledRuns';
 export {discardRun} from './workerRemoval';
--- a/packages/fleet/src/leaseTiming.ts
+++ b/packages/fleet/src/leaseTiming.ts
@@ -1,4 +1,3 @@
-import type {TicketTimes} from './Run';
 import type {ClockReading, Worker} from './Worker';
 
 /** Clocks of workers run slow by at most this fraction. */
@@ -9,7 +8,7 @@
 const MAX_LEASE_MILLIS = 10_000;
 /** How long after it was sent a worker may still carry out a call. */
 export const MAX_CALL_DELAY_MILLIS = 15_000;
-/** Added to each wait for a lease or a ticket to expire, on top of the clock drift. */
+/** Added to each wait for a lease to expire, on top of the clock drift. */
 const EXPIRY_MARGIN_MILLIS = 300;
 /**
  * How long a holder goes on granting leases after the newest append that proves
@@ -156,14 +155,18 @@
 }
 
 /**
- * Returns when, on this host's clock, a ticket has expired that was issued before
- * `receivedAt`.
+ * Whether the clock that showed `before` in the answer to a poll sent at `polledAt` may
+ * show `clockMillis` later, in an answer that came at `answeredAt`.
  */
-export function ticketExpiredAt({
-  receivedAt,
-  validityMillis,
-}: TicketTimes): number {
-  return receivedAt + validityMillis / MIN_CLOCK_RATE + EXPIRY_MARGIN_MILLIS;
+export function isSameClock(
+  before: ClockReading,
+  polledAt: number,
+  clockMillis: number,
+  answeredAt: number,
+): boolean {
+  const latestMillis =
+    before.clockMillis + (answeredAt - polledAt) + EXPIRY_MARGIN_MILLIS;
+  return clockMillis >= before.clockMillis && clockMillis <= latestMillis;
 }
 
 /**
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -82,7 +82,7 @@
     lastOrderAt: update.now,
     startOrders: run.startOrders + 1,
   });
-  recordStartOrder(update, worker.id, order);
+  recordStartOrder(update, worker, order);
   if (order.ticket === undefined) {
     fenceAcknowledgements(update, worker);
   }
--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -9,11 +9,11 @@
 import {
   LONGEST_LEASE_EXPIRY_MILLIS,
   MAX_CALL_DELAY_MILLIS,
+  isSameClock,
   leaseExpiredAt,
-  ticketExpiredAt,
 } from './leaseTiming';
-import type {StartOrder, TicketTimes} from './Run';
-import type {ClockReading} from './Worker';
+import type {StartOrder} from './Run';
+import type {ClockReading, Worker} from './Worker';
 
 /**
  * The start orders of a run that the next life of its worker may have carried out, or
@@ -33,8 +33,9 @@
    * the life it was meant for was there; undefined for none.
    */
   readonly taken: TakenOrder | undefined;
-  readonly ticketTimes: TicketTimes | undefined;
-  readonly isService: boolean;
+  readonly hasTicket: boolean;
+  /** What this life had last answered when the first order was sent. */
+  readonly heardBefore: Pick<Worker, 'clock' | 'heardPollSentAt'>;
 }
 
 /** What an answer tells of the life that carried out a start order. */
@@ -47,6 +48,8 @@
    * sent to the life that the order was meant for.
    */
   readonly leaseUntil: number;
+  /** Whether its clock shows that it is not the life that the order was meant for. */
+  readonly isByOtherLife: boolean;
 }
 
 /**
@@ -61,19 +64,19 @@
 /** Records that a start order was sent and has no answer yet. */
 export function recordStartOrder(
   update: Update,
-  workerId: string,
-  {runId, incarnation, ticketTimes, isService = false}: StartOrder,
+  {id, clock, heardPollSentAt}: Worker,
+  {runId, incarnation, ticket}: StartOrder,
 ): void {
   const orders = update.write(UNSETTLED_ORDERS);
   const earlier = orders.get(runKey(runId));
   orders.set(runKey(runId), {
-    workerId,
+    workerId: id,
     incarnation,
     unanswered: 1 + (earlier?.unanswered ?? 0),
     sentAt: update.now,
     taken: earlier?.taken,
-    ticketTimes,
-    isService,
+    hasTicket: ticket !== undefined,
+    heardBefore: earlier?.heardBefore ?? {clock, heardPollSentAt},
   });
 }
 
@@ -105,18 +108,23 @@
 
 function describeTaken(
   update: Update,
-  {incarnation, sentAt}: UnsettledOrders,
+  {incarnation, sentAt, heardBefore}: UnsettledOrders,
   clockMillis: number | undefined,
 ): TakenOrder {
   const answeredAt = update.now;
   const worker = update.read(WORKERS).get(incarnation);
   if (worker === undefined || clockMillis === undefined) {
-    return {answeredAt, clock: undefined, leaseUntil: Infinity};
+    const leaseUntil = Infinity;
+    return {answeredAt, clock: undefined, leaseUntil, isByOtherLife: false};
   }
+  const {clock: before, heardPollSentAt} = heardBefore;
   return {
     answeredAt,
     clock: {clockMillis, receivedAt: answeredAt},
     leaseUntil: leaseEndAtStart(update, worker, clockMillis, sentAt),
+    isByOtherLife:
+      before !== undefined &&
+      !isSameClock(before, heardPollSentAt, clockMillis, answeredAt),
   };
 }
 
@@ -145,7 +153,7 @@
 function settle(update: Update, key: string, orders: UnsettledOrders): void {
   const table = update.write(UNSETTLED_ORDERS);
   const {unanswered, taken} = orders;
-  const isTakenHere = taken === undefined || excludesNextLife(update, orders);
+  const isTakenHere = taken === undefined || excludesNextLife(orders);
   if (unanswered === 0 && isTakenHere) {
     table.delete(key);
   } else {
@@ -165,15 +173,12 @@
   const orders = state.read(UNSETTLED_ORDERS).get(runKey(runId));
   return (
     orders !== undefined &&
-    !excludesNextLife(state, orders) &&
+    !excludesNextLife(orders) &&
     now < runsEndAt(state, orders)
   );
 }
 
-/**
- * Whether any run may be on the next life of a worker because of an order that needed
- * no ticket.
- */
+/** Whether any run may be on the next life of a worker because of such an order. */
 export function mayNextLifeHaveRuns(
   state: StateReader,
   workerId: string,
@@ -183,8 +188,7 @@
     .read(UNSETTLED_ORDERS)
     .withKey(workerId)
     .some(
-      orders =>
-        orders.ticketTimes === undefined && now < runsEndAt(state, orders),
+      orders => !excludesNextLife(orders) && now < runsEndAt(state, orders),
     );
 }
 
@@ -200,7 +204,7 @@
   const orders = state.read(UNSETTLED_ORDERS).get(runKey(runId));
   return (
     orders !== undefined &&
-    !excludesNextLife(state, orders) &&
+    !excludesNextLife(orders) &&
     now < unansweredRunsEndAt(orders)
   );
 }
@@ -211,28 +215,17 @@
  */
 export function takenRunEndsAt(state: StateReader, runId: RunId): number {
   const orders = state.read(UNSETTLED_ORDERS).get(runKey(runId));
-  return orders === undefined || excludesNextLife(state, orders)
+  return orders === undefined || excludesNextLife(orders)
     ? -Infinity
     : takenOrderEndsAt(state, orders);
 }
 
 /**
- * Whether the next life rejects the ticket of orders. The adviser issues it for the life
- * that is there: this one, or an earlier one, if this one answered a poll that was sent
- * after the ticket was received. The task of a service must run again before a lease of
- * the next life would have ended, so that its ticket is always taken for one of this life.
+ * Whether orders are taken for ones that the next life has rejected, or will reject, for
+ * their ticket. A ticket that was issued for the next life shows once that answers.
  */
-function excludesNextLife(
-  state: StateReader,
-  {incarnation, ticketTimes, isService}: UnsettledOrders,
-): boolean {
-  if (ticketTimes === undefined) {
-    return false;
-  }
-  const worker = state.read(WORKERS).get(incarnation);
-  const isHeardSince =
-    worker !== undefined && worker.heardPollSentAt >= ticketTimes.receivedAt;
-  return isService || isHeardSince;
+function excludesNextLife({hasTicket, taken}: UnsettledOrders): boolean {
+  return hasTicket && taken?.isByOtherLife !== true;
 }
 
 /** Returns when a run must have ended that the next life began because of an order. */
@@ -243,16 +236,11 @@
 function unansweredRunsEndAt({
   unanswered,
   sentAt,
-  ticketTimes,
+  hasTicket,
 }: UnsettledOrders): number {
-  if (unanswered === 0) {
-    return -Infinity;
-  }
-  const lastStartAt = Math.min(
-    sentAt + MAX_CALL_DELAY_MILLIS,
-    ticketTimes === undefined ? Infinity : ticketExpiredAt(ticketTimes),
-  );
-  return lastStartAt + LONGEST_LEASE_EXPIRY_MILLIS;
+  return unanswered === 0 || hasTicket
+    ? -Infinity
+    : sentAt + MAX_CALL_DELAY_MILLIS + LONGEST_LEASE_EXPIRY_MILLIS;
 }
 
 function takenOrderEndsAt(
