--- a/packages/fleet/src/Worker.ts
+++ b/packages/fleet/src/Worker.ts
@@ -1,4 +1,5 @@
 import type {Resources} from '@samphireramp/jobs';
+import type {Run} from './Run';
 
 /** A worker as it is described in the worker registry. */
 export interface WorkerRecord {
@@ -25,11 +26,27 @@
   readonly receivedAt: number;
 }
 
+/** The crash of the process of a worker. */
+export interface WorkerCrash {
+  /** By what it was noticed, and when. */
+  readonly reason: string;
+  readonly noticedAt: number;
+  /** The runs that the worker may have had, as they were known then. */
+  readonly runs: readonly Run[];
+}
+
+/**
+ * What became of the polls that acknowledged ends: `lost` if one of them failed, so
+ * that it may be carried out late, by this life or the next one.
+ */
+export type SentAcknowledgement = 'none' | 'open' | 'lost';
+
 /** A worker as the holder knows it. */
 export interface Worker extends WorkerRecord {
   /**
    * Number of this life among those of the worker in this holding, from 1. It goes
-   * up when the worker's leases have lapsed: what ran there has ended.
+   * up when the worker's leases have lapsed: what ran there has ended. It also goes up
+   * when a late poll must not acknowledge the end of a run that is ordered now.
    */
   readonly life: number;
   /** Whether it is in the worker registry. */
@@ -46,10 +63,16 @@
    * When it last answered a poll; before the first answer, when it was added.
    */
   readonly answeredAt: number;
+  /** When the newest poll was sent that it answered; -Infinity before that. */
+  readonly heardPollSentAt: number;
   /** Number of the newest reported end that was applied to the state. */
   readonly appliedEnd: number;
   /** Number of the newest reported end whose effects are durable. */
   readonly durableEnd: number;
+  /** Number of the oldest end in its newest report; undefined for none. */
+  readonly oldestListedEnd: number | undefined;
+  /** Whether calls that carry the number of this life may still acknowledge ends. */
+  readonly acknowledgement: SentAcknowledgement;
   /** Whether a poll of it is unanswered; while it is, no other poll is sent. */
   readonly isPollOpen: boolean;
   /** Earliest time of the next poll. */
@@ -77,6 +100,8 @@
   readonly doubtedAt: number | undefined;
   /** The life that answered in its place, which shows that it has ended. */
   readonly endedBy: string | undefined;
+  /** Its crash, from when it is noticed until it is reported. */
+  readonly crash: WorkerCrash | undefined;
   /** Whether its crash has been reported. */
   readonly isCrashReported: boolean;
   /** No new run is placed on it before this time. */
--- a/packages/fleet/src/runOrders.ts
+++ b/packages/fleet/src/runOrders.ts
@@ -10,6 +10,7 @@
   freeResources,
   isOverCapacity,
 } from './FleetState';
+import {fenceAcknowledgements} from './acknowledgements';
 import {fenceOf, isFencedByOwnCall} from './fence';
 import {isLeaseBounded} from './leaseBounds';
 import {grantLease, isGrantingLeases} from './leaseGranting';
@@ -81,13 +82,17 @@
     lastOrderAt: update.now,
     startOrders: run.startOrders + 1,
   });
-  recordStartOrder(update, order);
+  recordStartOrder(update, worker, order);
+  if (order.ticket === undefined) {
+    fenceAcknowledgements(update, worker);
+  }
+  const {life} = update.read(WORKERS).get(worker.incarnation) ?? worker;
   update.emit(ORDER_START, {
     order,
     id: worker.id,
     address: worker.address,
     term,
-    fence: fenceOf(term, worker.life),
+    fence: fenceOf(term, life),
     leaseUntil,
     timeoutMillis: START_TIMEOUT_MILLIS,
   });
@@ -106,7 +111,7 @@
   }
   const outcome = reinterpretFenced(update, answer);
   if (outcome === 'started') {
-    recordStartTaken(update, order.runId);
+    recordStartTaken(update, order.runId, answer.clockMillis);
   } else if (answer.outcome !== 'silent') {
     recordStartRefused(update, order.runId);
   }
--- a/packages/fleet/src/workerLives.ts
+++ b/packages/fleet/src/workerLives.ts
@@ -1,11 +1,18 @@
 import type {Update} from '@samphireramp/kernel';
-import {type RunId, runKey} from '@samphireramp/jobs';
-import {RUNS, WORKERS, changeWorker, listOtherLives} from './FleetState';
+import {runKey} from '@samphireramp/jobs';
+import {
+  RUNS,
+  WORKERS,
+  changeRun,
+  changeWorker,
+  listOtherLives,
+} from './FleetState';
 import {beginLife} from './fence';
 import {deleteLife} from './leaseGranting';
-import {FLEET_EVENT} from './messages';
+import {FLEET_EVENT, RUN_MOVED, type WorkerReport} from './messages';
+import type {Run} from './Run';
 import type {Worker, WorkerRecord} from './Worker';
-import {reportCrash} from './workerCrashes';
+import {noteCrash, reportCrash} from './workerCrashes';
 import {discardRun, removeWorker} from './workerRemoval';
 
 /**
@@ -29,8 +36,11 @@
     leaseGrantedUntil: 0,
     leaseSentAt: -Infinity,
     answeredAt: update.now,
+    heardPollSentAt: -Infinity,
     appliedEnd: 0,
     durableEnd: 0,
+    oldestListedEnd: undefined,
+    acknowledgement: 'none',
     isPollOpen: false,
     nextPollAt: 0,
     isSilent: false,
@@ -43,6 +53,7 @@
     isGone: false,
     doubtedAt: undefined,
     endedBy: undefined,
+    crash: undefined,
     isCrashReported: false,
     avoidedUntil: 0,
     probationUntil: 0,
@@ -57,8 +68,9 @@
 export function onOtherLifeAnswered(
   update: Update,
   worker: Worker,
-  present: string,
+  report: WorkerReport,
 ): void {
+  const present = report.incarnation;
   const known = update.read(WORKERS).get(present);
   if (known === undefined) {
     const {id, address, zone, rack, labels, pool, capacity} = worker;
@@ -81,6 +93,7 @@
       known.life > worker.life ? known.life : beginLife(update, known.id);
     changeWorker(update, present, {life, doubtedAt: undefined});
   }
+  noteCrash(update, worker.incarnation, 'reborn', listRunKeys(report));
   const hasRuns = update.read(RUNS).withKey(worker.incarnation).length > 0;
   const detail = worker.hasReported || hasRuns ? 'reborn' : 'refuted';
   removeWorker(update, worker, detail, present);
@@ -89,21 +102,22 @@
 /**
  * Ends the other lives of a worker at the first report of the present one. Their
  * runs that are not in the report can't start any more: the poll that it answers
- * has fenced the orders for them.
+ * has fenced the orders for them. Those that it reports are runs of this life.
  */
 export function endOtherLives(
   update: Update,
   present: Worker,
-  reportedRuns: readonly RunId[],
+  report: WorkerReport,
 ): void {
-  const reportedKeys = new Set(reportedRuns.map(runKey));
+  const reportedKeys = listRunKeys(report);
   for (const worker of listOtherLives(update, present)) {
     const runs = update.read(RUNS).withKey(worker.incarnation);
     // A life that neither answered nor has runs may be the next one.
     if (!worker.hasReported && runs.length === 0) {
       continue;
     }
-    reportCrash(update, worker.incarnation, 'reborn');
+    noteCrash(update, worker.incarnation, 'reborn');
+    reportCrash(update, worker.incarnation, reportedKeys);
     emitWorkerEvent(
       update,
       worker.incarnation,
@@ -112,7 +126,9 @@
       present.incarnation,
     );
     for (const run of runs) {
-      if (!reportedKeys.has(runKey(run.runId))) {
+      if (reportedKeys.has(runKey(run.runId))) {
+        moveRun(update, run, present.incarnation);
+      } else {
         discardRun(update, run, 'worker-gone');
       }
     }
@@ -120,6 +136,21 @@
   }
 }
 
+/** Takes a run, also one that was to be stopped if it was there, for one of another life. */
+function moveRun(
+  update: Update,
+  {runId, incarnation: from}: Run,
+  to: string,
+): void {
+  changeRun(update, runKey(runId), {incarnation: to, phase: 'running'});
+  update.dispatch(RUN_MOVED, {runId, from, to});
+}
+
+/** Lists the keys of the runs that a life has, or had. */
+function listRunKeys({running, ended}: WorkerReport): Set<string> {
+  return new Set([...running, ...ended].map(({runId}) => runKey(runId)));
+}
+
 /**
  * Has the other lives of a worker prove that they have not ended, once an entry
  * names a new one: until they answer, polls of them grant and acknowledge nothing.
