An unanswered order with a ticket is kept in mind until its answer can come

It was forgotten at the next tick, so that the clock in an answer that came later was not compared. By reading; ticketOfNextLife.test.ts and lostServiceTickets.test.ts pass.

--- a/packages/fleet/src/unsettledOrders.ts
+++ b/packages/fleet/src/unsettledOrders.ts
@@ -233,12 +233,8 @@
   return Math.max(unansweredRunsEndAt(orders), takenOrderEndsAt(state, orders));
 }
 
-function unansweredRunsEndAt({
-  unanswered,
-  sentAt,
-  hasTicket,
-}: UnsettledOrders): number {
-  return unanswered === 0 || hasTicket
+function unansweredRunsEndAt({unanswered, sentAt}: UnsettledOrders): number {
+  return unanswered === 0
     ? -Infinity
     : sentAt + MAX_CALL_DELAY_MILLIS + LONGEST_LEASE_EXPIRY_MILLIS;
 }
