--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -35,6 +35,7 @@
 import {createRunTimeGauges} from './runTimeGauges';
 import {createPlacementPlugins} from './placementPlugins';
 import {createStreamLogPlugin} from './streamLogPlugin';
+import {createLoopUsePlugin} from './loopUsePlugin';
 import {createObserverPlugin} from './observerPlugin';
 import {createRejectedCallReporter} from './rejectedCallReporter';
 import {createTimersPlugin} from './timersPlugin';
@@ -104,6 +105,7 @@
   const now = () => performance.now();
   const wallClock = () => Date.now();
   let isStopping = false;
+  let passMillis = 0;
 
   const httpClient = createHttpClient(CONNECTIONS_PER_ADDRESS);
   const storeLog = createStoreLog({
@@ -153,6 +155,14 @@
       followDelayMillis: () => followDelayMillis,
     }),
     createIntakePlugin({partitions}),
+    createLoopUsePlugin({
+      readTimes: () => ({
+        ...performance.eventLoopUtilization(),
+        passes: passMillis,
+      }),
+      metrics,
+      log,
+    }),
     createObserverPlugin({
       metrics,
       log,
@@ -247,9 +257,10 @@
     }),
   );
   const unregisterTimers = kernel.register(
-    createTimersPlugin(now, (scope, millis) =>
-      metrics.time('placement_pass', millis, {scope}),
-    ),
+    createTimersPlugin(now, (scope, millis) => {
+      passMillis += millis;
+      metrics.time('placement_pass', millis, {scope});
+    }),
   );
   const stopAnnouncing = announce(storeLog, settings, log);
   log('started', {host: self, zone, region, incarnation});
