A pass totals only the runs of workers that changed

Cause: each of some 100 passes a second went over the runs of all workers twice, and made rows, maps and lists of all workers and hosts anew; nearly half of the holder's busy time was the collector. What is placed stays the same.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -1,17 +1,16 @@
 import type {Update} from '@samphireramp/kernel';
 import {type AdviceTerms, stepKey} from '@samphireramp/jobs';
-import {chooseHost} from './adviserCalls';
+import {chooseAmongHosts, hostsNearestFirst} from './adviserCalls';
 import type {StepAdvice} from './adviceState';
 import {
   type Candidate,
   type ReadyStep,
   countFittingTasks,
   deductTasks,
-  listCandidates,
   meetsRequirements,
 } from './candidates';
 import {countFreeTrials, workersOnTrial} from './crashTrials';
-import type {PlacementFunctions, StartQuota} from './placementFunctions';
+import type {StartQuota} from './placementFunctions';
 import {stepIdOf} from './readySteps';
 import type {Reservation} from './reservations';
 import {TaskAllowance} from './TaskAllowance';
@@ -27,7 +26,6 @@
 /** The workers that meet some requirements, and the demand for them. */
 interface SuitableWorkers {
   readonly candidates: readonly Candidate[];
-  readonly byWorkerId: ReadonlyMap<string, Candidate>;
   /** CPU that is free on them when the pass begins. */
   readonly freeCpuMillis: number;
   /** CPU that steps ahead await advice for. */
@@ -39,36 +37,33 @@
   readonly reservations: Reservation[] = [];
   readonly allowance: TaskAllowance;
   private readonly candidates: readonly Candidate[];
+  /** Computed by the first step with permits. */
+  private byWorkerId: ReadonlyMap<string, Candidate> | undefined;
   private readonly suitableByRequirement = new Map<string, SuitableWorkers>();
-  private readonly cpuMillisAtStart: ReadonlyMap<Candidate, number>;
   private readonly totalCpuMillis: number;
   /** Number of workers on which suspected tasks may still be placed. */
   private trialsLeft: number;
   private gatheredCpuMillis = 0;
   /** Tasks that fit on no worker: the pass only takes from what is free. */
   private readonly unfitting = new Set<string>();
+  /** Computed by the first step that needs advice. */
+  private knownHosts: readonly string[] | undefined;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
 
   constructor(
     readonly update: Update,
     /** The name of this host. */
-    readonly self: string,
+    private readonly self: string,
     private readonly quota: StartQuota,
-    speedOf: PlacementFunctions['speedOf'],
+    candidates: readonly Candidate[],
   ) {
     this.allowance = new TaskAllowance(update);
-    const candidates = listCandidates(update, update.now, incarnation =>
-      speedOf(update, incarnation),
-    );
     const onTrial = workersOnTrial(update, update.now);
     this.trialsLeft = countFreeTrials(update);
     this.candidates = candidates.filter(
       ({worker}) => !onTrial.has(worker.incarnation),
     );
-    this.cpuMillisAtStart = new Map(
-      this.candidates.map(candidate => [candidate, candidate.cpuMillis]),
-    );
     this.totalCpuMillis = this.candidates.reduce(
       (total, {worker}) => total + worker.capacity.cpuMillis,
       0,
@@ -148,20 +143,26 @@
     readyStep: ReadyStep,
     {permits}: StepAdvice,
   ): readonly Candidate[] {
-    const {candidates, byWorkerId} = this.suitableWorkersOf(readyStep);
     if (readyStep.policy.advice === undefined) {
-      return candidates;
+      return this.suitableFor(readyStep);
     }
     const permitted: Candidate[] = [];
     for (const workerId of permits.keys()) {
-      const candidate = byWorkerId.get(workerId);
-      if (candidate !== undefined) {
+      const candidate = this.candidateOn(workerId);
+      if (candidate && meetsRequirements(candidate.worker, readyStep)) {
         permitted.push(candidate);
       }
     }
     return permitted;
   }
 
+  private candidateOn(workerId: string): Candidate | undefined {
+    this.byWorkerId ??= new Map(
+      this.candidates.map(candidate => [candidate.worker.id, candidate]),
+    );
+    return this.byWorkerId.get(workerId);
+  }
+
   /** Lists the workers that meet the requirements of a step. */
   suitableFor(readyStep: ReadyStep): readonly Candidate[] {
     return this.suitableWorkersOf(readyStep).candidates;
@@ -169,7 +170,7 @@
 
   private suitableWorkersOf(readyStep: ReadyStep): SuitableWorkers {
     const {policy, step} = readyStep;
-    const key = JSON.stringify([policy.pool, step.requiredLabel]);
+    const key = `${policy.pool.length} ${policy.pool} ${step.requiredLabel}`;
     const known = this.suitableByRequirement.get(key);
     if (known !== undefined) {
       return known;
@@ -179,15 +180,10 @@
     );
     // A worker that is over its capacity takes nothing from the others.
     const freeCpuMillis = candidates.reduce(
-      (total, each) =>
-        total + Math.max(0, this.cpuMillisAtStart.get(each) ?? 0),
+      (total, {cpuMillisAtStart}) => total + Math.max(0, cpuMillisAtStart),
       0,
     );
-    const byWorkerId = new Map(
-      candidates.map(candidate => [candidate.worker.id, candidate]),
-    );
-    const awaitedCpuMillis = 0;
-    const suitable = {candidates, byWorkerId, freeCpuMillis, awaitedCpuMillis};
+    const suitable = {candidates, freeCpuMillis, awaitedCpuMillis: 0};
     this.suitableByRequirement.set(key, suitable);
     return suitable;
   }
@@ -200,20 +196,36 @@
     readyStep: ReadyStep,
     {decisionMillis}: AdviceTerms,
   ): boolean {
-    const {update, self} = this;
+    const {update} = this;
     const {freeCpuMillis, awaitedCpuMillis} = this.suitableWorkersOf(readyStep);
     const isAllAwaited =
       awaitedCpuMillis > freeCpuMillis * AWAITED_PER_FREE_CPU;
     if (isAllAwaited || decisionMillis >= this.refusedDecisionMillis) {
       return false;
     }
-    if (chooseHost(update, self, decisionMillis, update.now) === undefined) {
+    const host = chooseAmongHosts(
+      update,
+      this.nearestHosts(),
+      decisionMillis,
+      update.now,
+    );
+    if (host === undefined) {
       this.refusedDecisionMillis = decisionMillis;
       return false;
     }
     return true;
   }
 
+  /** This host, then the others through which advice may be requested, nearest first. */
+  nearestHosts(): readonly string[] {
+    this.knownHosts ??= hostsNearestFirst(
+      this.update,
+      this.self,
+      this.update.now,
+    );
+    return this.knownHosts;
+  }
+
   /** Counts tasks of a step that has requested advice and waits for it. */
   addAwaited(readyStep: ReadyStep, tasks: number): void {
     const suitable = this.suitableWorkersOf(readyStep);
--- a/packages/dispatch/src/TaskAllowance.ts
+++ b/packages/dispatch/src/TaskAllowance.ts
@@ -1,4 +1,4 @@
-import {RUNS, type Run} from '@samphireramp/fleet';
+import {RUNS} from '@samphireramp/fleet';
 import {
   type StateReader,
   type Update,
@@ -87,14 +87,9 @@
 export function countStartsUnderWay(state: StateReader): StartsUnderWay {
   let all = 0;
   let unrecorded = 0;
-  for (const run of state.read(RUNS).values()) {
-    all += isStartUnderWay(run) ? 1 : 0;
-    unrecorded += run.phase === 'reserved' ? 1 : 0;
+  for (const totals of state.read(RUNS).summaries()) {
+    all += totals.startsUnderWay;
+    unrecorded += totals.unrecordedStarts;
   }
   return {all, unrecorded};
 }
-
-/** A repeated order shows that the worker is slow to answer, not this host. */
-function isStartUnderWay({phase, startOrders}: Run): boolean {
-  return phase === 'reserved' || (phase === 'ordered' && startOrders === 1);
-}
--- a/packages/dispatch/src/__tests__/unit/speedPreference.test.ts
+++ b/packages/dispatch/src/__tests__/unit/speedPreference.test.ts
@@ -10,8 +10,16 @@
 function buildCandidate(id: string, speed: number, freeCores = 8): Candidate {
   const free = {cpuMillis: freeCores * 1000, memoryMegabytes: freeCores * 1000};
   const worker = {id, incarnation: id, capacity: CAPACITY, rack: ''} as Worker;
+  const cpuMillisAtStart = free.cpuMillis;
   const limits = {isClosed: false, startableRuns: Infinity, stoppingRuns: []};
-  return {worker, ...free, accelerators: 0, ...limits, speed};
+  return {
+    worker,
+    cpuMillisAtStart,
+    ...free,
+    accelerators: 0,
+    ...limits,
+    speed,
+  };
 }
 
 function choose(...candidates: Candidate[]): string | undefined {
--- a/packages/dispatch/src/__tests__/unit/tasksOnOneWorker.test.ts
+++ b/packages/dispatch/src/__tests__/unit/tasksOnOneWorker.test.ts
@@ -30,6 +30,7 @@
   return {
     worker: worker as unknown as Worker,
     ...CAPACITY,
+    cpuMillisAtStart: CAPACITY.cpuMillis,
     isClosed: false,
     startableRuns: Infinity,
     stoppingRuns,
--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -7,7 +7,7 @@
 } from '@samphireramp/kernel';
 import {type AdviceTerms, type StepId, stepKey} from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE, type StepAdvice} from './adviceState';
-import {addCall, chooseHost, removeCall} from './adviserCalls';
+import {addCall, chooseAmongHosts, removeCall} from './adviserCalls';
 import {
   ADVICE_RECEIVED,
   DISPATCH_EVENT,
@@ -93,11 +93,12 @@
 
 /**
  * Requests advice on workers for a step, unless a request for it is open or no
- * host can take the call now. Returns whether it was sent.
+ * host can take the call now. `hosts` are this one, then the others, the nearest first.
+ * Returns whether it was sent.
  */
 export function requestAdvice(
   update: Update,
-  self: string,
+  hosts: readonly string[],
   step: StepId,
   queue: string,
   terms: AdviceTerms,
@@ -111,7 +112,7 @@
   const includedIds = workerIds.slice(0, MAX_WORKERS_PER_REQUEST);
   const expectedMillis =
     terms.decisionMillis + terms.perWorkerMillis * includedIds.length;
-  const host = chooseHost(update, self, expectedMillis, update.now);
+  const host = chooseAmongHosts(update, hosts, expectedMillis, update.now);
   if (host === undefined) {
     return false;
   }
--- a/packages/dispatch/src/adviceNeeds.ts
+++ b/packages/dispatch/src/adviceNeeds.ts
@@ -55,7 +55,7 @@
     ids.length > 0 &&
     requestAdvice(
       pass.update,
-      pass.self,
+      pass.nearestHosts(),
       stepIdOf(readyStep),
       policy.name,
       policy.advice,
--- a/packages/dispatch/src/adviserCalls.ts
+++ b/packages/dispatch/src/adviserCalls.ts
@@ -54,6 +54,17 @@
   now: number,
 ): string | undefined {
   const hosts = hostsNearestFirst(state, self, now);
+  return chooseAmongHosts(state, hosts, expectedMillis, now);
+}
+
+/** Does what `chooseHost` does with the result of `hostsNearestFirst`. */
+export function chooseAmongHosts(
+  state: StateReader,
+  hosts: readonly string[],
+  expectedMillis: number,
+  now: number,
+): string | undefined {
+  const [self] = hosts;
   const callsByHost = state.read(CALLS_BY_HOST);
   const firstIndex = Math.min(
     hosts.length - 1,
@@ -61,7 +72,8 @@
   );
   let bestHost: string | undefined;
   let bestStart = now + MAX_WAIT_MILLIS;
-  for (const host of hosts.slice(firstIndex)) {
+  for (let index = firstIndex; index < hosts.length; index++) {
+    const host = hosts[index];
     const calls = callsByHost.get(host) ?? NO_CALLS;
     const isFull = calls.openCalls >= MAX_OPEN_CALLS;
     // This host isn't skipped after a failed or refused call.
@@ -97,11 +109,11 @@
  * Lists this host, then the hosts of its region, then the others. As long calls
  * skip the first ones, short calls stay in the region.
  */
-function hostsNearestFirst(
+export function hostsNearestFirst(
   state: StateReader,
   self: string,
   now: number,
-): string[] {
+): readonly string[] {
   const hosts = liveHosts(state, now);
   const region = hosts.find(({name}) => name === self)?.region;
   const distance = (host: {name: string; region: string}) =>
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -1,10 +1,4 @@
-import {
-  type Worker,
-  WORKERS,
-  countStartableRuns,
-  isOverCapacity,
-  workerLoad,
-} from '@samphireramp/fleet';
+import {type Worker, isOverCapacity} from '@samphireramp/fleet';
 import {
   type Resources,
   type Occurrence,
@@ -14,7 +8,6 @@
   type Task,
   reservedResources,
 } from '@samphireramp/jobs';
-import type {StateReader} from '@samphireramp/kernel';
 import type {JobRow} from './DispatchState';
 import type {StepAdvice} from './adviceState';
 
@@ -25,7 +18,9 @@
 
 /** A worker that accepts runs, with the resources still free in the pass. */
 export interface Candidate {
-  readonly worker: Worker;
+  worker: Worker;
+  /** Free CPU when the pass begins. */
+  cpuMillisAtStart: number;
   cpuMillis: number;
   memoryMegabytes: number;
   accelerators: number;
@@ -34,9 +29,9 @@
   /** Number of tasks that may be placed on it: few on a worker on probation. */
   startableRuns: number;
   /** Runs that it may still have, whose tasks may be placed elsewhere or be done. */
-  readonly stoppingRuns: readonly RunId[];
+  stoppingRuns: readonly RunId[];
   /** 1 for a normal worker, 2 for one on which runs take half as long. */
-  readonly speed: number;
+  speed: number;
 }
 
 /** A step with tasks that can be placed now. */
@@ -54,40 +49,6 @@
   readonly taskResources: Resources;
 }
 
-/** Lists the workers that accept new runs, with their free resources. */
-export function listCandidates(
-  state: StateReader,
-  now: number,
-  speedOf: (incarnation: string) => number = () => 1,
-): Candidate[] {
-  const candidates: Candidate[] = [];
-  for (const worker of state.read(WORKERS).values()) {
-    if (acceptsRuns(worker, now)) {
-      const {free, stoppingRuns} = workerLoad(state, worker);
-      candidates.push({
-        worker,
-        ...free,
-        isClosed: false,
-        startableRuns: countStartableRuns(state, worker, now),
-        stoppingRuns,
-        speed: speedOf(worker.incarnation),
-      });
-    }
-  }
-  return candidates;
-}
-
-function acceptsRuns(worker: Worker, now: number): boolean {
-  return (
-    worker.isRegistered &&
-    worker.hasReported &&
-    !worker.isDraining &&
-    !worker.isSilent &&
-    worker.doubtedAt === undefined &&
-    now >= worker.avoidedUntil
-  );
-}
-
 /** Whether a worker has the pool and label that a step requires. */
 export function meetsRequirements(
   worker: Worker,
@@ -113,22 +74,7 @@
   if (candidate.isClosed || isOverCapacity(candidate)) {
     return 0;
   }
-  const {taskResources, step, policy} = readyStep;
-  const {capacity} = candidate.worker;
-  let cpu = candidate.cpuMillis;
-  let memory = candidate.memoryMegabytes;
-  if (policy.priority !== URGENT_PRIORITY) {
-    cpu -= urgentReserve(capacity.cpuMillis, taskResources.cpuMillis);
-    memory -= urgentReserve(
-      capacity.memoryMegabytes,
-      taskResources.memoryMegabytes,
-    );
-  }
-  const byResources = Math.min(
-    countFits(cpu, taskResources.cpuMillis),
-    countFits(memory, taskResources.memoryMegabytes),
-    countFits(candidate.accelerators, taskResources.accelerators),
-  );
+  const {step, openTasks} = readyStep;
   const byLimit =
     step.mostOnOneWorker === 0
       ? Infinity
@@ -136,14 +82,36 @@
   return Math.max(
     0,
     Math.min(
-      byResources,
+      countTasksWithin(candidate, candidate.worker, readyStep),
       byLimit,
       candidate.startableRuns,
-      readyStep.openTasks.length,
+      openTasks.length,
     ),
   );
 }
 
+/** Counts the tasks of a step that fit within free resources of a worker. */
+function countTasksWithin(
+  free: Resources,
+  {capacity}: Worker,
+  {taskResources, policy}: ReadyStep,
+): number {
+  let cpu = free.cpuMillis;
+  let memory = free.memoryMegabytes;
+  if (policy.priority !== URGENT_PRIORITY) {
+    cpu -= urgentReserve(capacity.cpuMillis, taskResources.cpuMillis);
+    memory -= urgentReserve(
+      capacity.memoryMegabytes,
+      taskResources.memoryMegabytes,
+    );
+  }
+  return Math.min(
+    countFits(cpu, taskResources.cpuMillis),
+    countFits(memory, taskResources.memoryMegabytes),
+    countFits(free.accelerators, taskResources.accelerators),
+  );
+}
+
 /**
  * Counts the tasks of a step that a worker may have: those that are placed on it, and
  * those of other runs that are being stopped there.
@@ -187,15 +155,13 @@
   worker: Worker,
   readyStep: ReadyStep,
 ): number {
-  const candidate = {
-    worker,
-    ...worker.capacity,
-    isClosed: false,
-    startableRuns: Infinity,
-    stoppingRuns: [],
-    speed: 1,
-  };
-  return countFittingTasks(candidate, readyStep);
+  const {step, openTasks, placedByWorker} = readyStep;
+  const byLimit =
+    step.mostOnOneWorker === 0
+      ? Infinity
+      : step.mostOnOneWorker - (placedByWorker.get(worker.incarnation) ?? 0);
+  const byResources = countTasksWithin(worker.capacity, worker, readyStep);
+  return Math.max(0, Math.min(byResources, byLimit, openTasks.length));
 }
 
 /** Counts how often a required amount fits into the available one. */
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -42,6 +42,7 @@
   JOBS,
   PARTITIONS_READ,
 } from './DispatchState';
+import {CandidateList} from './candidateList';
 import {onWorkerCrashed} from './crashFlow';
 import {
   REQUEST_PARTITIONS,
@@ -132,6 +133,7 @@
 export function createDispatchPlugin(options: DispatchOptions): Plugin {
   const {self, wallClock, partitions, keepEndedMillis} = options;
   const functions = {...DEFAULT_PLACEMENT_FUNCTIONS, ...options.functions};
+  const candidateList = new CandidateList();
 
   function onRequestsRead(
     update: Update,
@@ -240,7 +242,7 @@
         beginPass(update, scope),
       ),
       kernel.registerCommand(PLACE_TASKS, (update, {scope}) =>
-        placeTasks(update, self, scope, wallClock(), functions),
+        placeTasks(update, self, scope, wallClock(), candidateList, functions),
       ),
       kernel.registerCommand(DISPATCH_TICK, onTick),
     );
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -13,7 +13,8 @@
   updateStepTasks,
 } from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE} from './adviceState';
-import {type Candidate, type Placement, type ReadyStep} from './candidates';
+import type {CandidateList} from './candidateList';
+import type {Candidate, Placement, ReadyStep} from './candidates';
 import {beginTrial} from './crashTrials';
 import {JOBS, expectsProgress, setProgress} from './DispatchState';
 import {chooseGangPlacements} from './gangPlacement';
@@ -40,6 +41,7 @@
   self: string,
   scope: PlacementScope,
   wallNow: number,
+  candidateList: CandidateList,
   {createStartQuota, expectedMillis, speedOf}: PlacementFunctions,
 ): void {
   if (
@@ -50,7 +52,10 @@
   }
   reserveForUnreadJobs(update);
   const quota = createStartQuota(update);
-  const pass = new PlacementPass(update, self, quota, speedOf);
+  const candidates = candidateList.fill(update, update.now, incarnation =>
+    speedOf(update, incarnation),
+  );
+  const pass = new PlacementPass(update, self, quota, candidates);
   let placedSteps = 0;
   const cutSteps: ReadyStep[] = [];
   for (const readyStep of orderReadySteps(
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -6,13 +6,13 @@
 import {stepKey} from '@samphireramp/jobs';
 import {AccountWaits, describeLimits, forgetLimitsExcept} from './accountWaits';
 import {ADVICE, NO_ADVICE} from './adviceState';
+import {listCandidates} from './candidateList';
 import {
   type Candidate,
   type ReadyStep,
   countFittingTasks,
   hasRequiredTicket,
   isPermitted,
-  listCandidates,
   meetsRequirements,
 } from './candidates';
 import {DISPATCH_EVENT} from './messages';
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -2,15 +2,12 @@
   type StateReader,
   type Update,
   createIndexedTableSlice,
+  createSummarizedTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
-import {
-  type Resources,
-  type RunId,
-  NO_RESOURCES,
-  runKey,
-} from '@samphireramp/jobs';
+import {type Resources, NO_RESOURCES, runKey} from '@samphireramp/jobs';
 import type {Run} from './Run';
+import {totalRuns} from './runTotals';
 import type {Worker, WorkerRecord} from './Worker';
 
 /**
@@ -25,38 +22,24 @@
   worker => worker.id,
 );
 
-/** Runs by run key, indexed by the incarnation of their worker. */
-export const RUNS = createIndexedTableSlice<Run>(
+/** Runs by run key, indexed and totalled by the incarnation of their worker. */
+export const RUNS = createSummarizedTableSlice(
   'runs',
-  run => run.incarnation,
+  (run: Run) => run.incarnation,
+  totalRuns,
 );
 
-/** What the runs on a worker leave free, and those of them that are being stopped. */
-export interface WorkerLoad {
-  readonly free: Resources;
-  readonly stoppingRuns: readonly RunId[];
-}
-
-/** Returns the load of a worker by all runs that it may have. */
-export function workerLoad(state: StateReader, worker: Worker): WorkerLoad {
-  const {capacity, incarnation} = worker;
-  let {cpuMillis, memoryMegabytes, accelerators} = capacity;
-  const stoppingRuns: RunId[] = [];
-  for (const run of state.read(RUNS).withKey(incarnation)) {
-    const {reserved, phase, runId} = run;
-    cpuMillis -= reserved.cpuMillis;
-    memoryMegabytes -= reserved.memoryMegabytes;
-    accelerators -= reserved.accelerators;
-    if (phase === 'stopping') {
-      stoppingRuns.push(runId);
-    }
-  }
-  return {free: {cpuMillis, memoryMegabytes, accelerators}, stoppingRuns};
-}
-
 /** Returns the resources of a worker that no run reserves. */
-export function freeResources(state: StateReader, worker: Worker): Resources {
-  return workerLoad(state, worker).free;
+export function freeResources(
+  state: StateReader,
+  {capacity, incarnation}: Worker,
+): Resources {
+  const {reserved} = state.read(RUNS).summaryOf(incarnation);
+  return {
+    cpuMillis: capacity.cpuMillis - reserved.cpuMillis,
+    memoryMegabytes: capacity.memoryMegabytes - reserved.memoryMegabytes,
+    accelerators: capacity.accelerators - reserved.accelerators,
+  };
 }
 
 /** Whether free resources are negative: runs reserve more than there is. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,8 +9,8 @@
   reserveRun,
   isOverCapacity,
   totalResources,
-  workerLoad,
 } from './FleetState';
+export type {RunTotals} from './runTotals';
 export {type FleetOptions, createFleetPlugin} from './fleetPlugin';
 export {holdBackEnds, releaseEnds} from './heldBackEnds';
 export {CLOCK_DRIFT_BOUND, LEASE_MILLIS, leasesExpiredAt} from './leaseTiming';
--- a/packages/kernel/src/Table.ts
+++ b/packages/kernel/src/Table.ts
@@ -29,17 +29,41 @@
 export interface IndexedTable<Row>
   extends ReadonlyIndexedTable<Row>, Table<Row> {}
 
+/** An indexed table that keeps a summary of the rows of each key. */
+export interface ReadonlySummarizedTable<
+  Row,
+  Summary,
+> extends ReadonlyIndexedTable<Row> {
+  /** Summary of the rows with a key: computed once for as long as they stay the same. */
+  summaryOf(key: string): Summary;
+  /** Summaries of all keys that have rows. */
+  summaries(): IterableIterator<Summary>;
+}
+
+/** A summarized table that can be changed inside an update. */
+export interface SummarizedTable<Row, Summary>
+  extends ReadonlySummarizedTable<Row, Summary>, IndexedTable<Row> {}
+
 /** Derives the index key of a row; undefined leaves the row out of the index. */
 export type RowKey<Row> = (row: Row) => string | undefined;
 
-class UndoableTable<Row> implements IndexedTable<Row> {
+/** Summarizes the rows with a key, which may be none. */
+export type Summarize<Row, Summary> = (rows: readonly Row[]) => Summary;
+
+class UndoableTable<Row, Summary> implements SummarizedTable<Row, Summary> {
   private readonly rows = new Map<string, Row>();
   private readonly idsByKey = new Map<string, Set<string>>();
+  /** Summaries of keys whose rows have not changed since. */
+  private readonly summaryByKey = new Map<string, Summary>();
+  private readonly emptySummary: Summary;
 
   constructor(
     private readonly recorder: ChangeRecorder,
     private readonly keyOf: RowKey<Row>,
-  ) {}
+    private readonly summarize: Summarize<Row, Summary>,
+  ) {
+    this.emptySummary = summarize([]);
+  }
 
   get size(): number {
     return this.rows.size;
@@ -76,6 +100,25 @@
     return rows;
   }
 
+  summaryOf(key: string): Summary {
+    if (!this.idsByKey.has(key)) {
+      return this.emptySummary;
+    }
+    const known = this.summaryByKey.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const summary = this.summarize(this.withKey(key));
+    this.summaryByKey.set(key, summary);
+    return summary;
+  }
+
+  *summaries(): IterableIterator<Summary> {
+    for (const key of this.idsByKey.keys()) {
+      yield this.summaryOf(key);
+    }
+  }
+
   set(id: string, row: Row): void {
     const before = this.rows.get(id);
     this.recorder.recordFirst(id, () => this.put(id, before));
@@ -113,6 +156,8 @@
   ): void {
     const oldKey = before && this.keyOf(before);
     const newKey = after && this.keyOf(after);
+    this.forgetSummary(oldKey);
+    this.forgetSummary(newKey);
     if (oldKey === newKey) {
       return;
     }
@@ -125,6 +170,12 @@
     }
   }
 
+  private forgetSummary(key: string | undefined): void {
+    if (key !== undefined) {
+      this.summaryByKey.delete(key);
+    }
+  }
+
   private removeFromIndex(key: string, id: string): void {
     const ids = this.idsByKey.get(key);
     ids?.delete(id);
@@ -134,12 +185,15 @@
   }
 }
 
+function summarizeNothing(): undefined {
+  return undefined;
+}
+
 /** Defines a slice that consists of one table. */
 export function createTableSlice<Row>(
   name: string,
 ): SliceDefinition<ReadonlyTable<Row>, Table<Row>> {
-  const keyOf = () => undefined;
-  return {name, create: recorder => new UndoableTable<Row>(recorder, keyOf)};
+  return createIndexedTableSlice(name, () => undefined);
 }
 
 /** Defines a slice that consists of one table with an index. */
@@ -147,5 +201,23 @@
   name: string,
   keyOf: RowKey<Row>,
 ): SliceDefinition<ReadonlyIndexedTable<Row>, IndexedTable<Row>> {
-  return {name, create: recorder => new UndoableTable<Row>(recorder, keyOf)};
+  return createSummarizedTableSlice(name, keyOf, summarizeNothing);
+}
+
+/**
+ * Defines a slice that consists of one table with an index and a summary of the rows of
+ * each key. A summary must depend on these rows only.
+ */
+export function createSummarizedTableSlice<Row, Summary>(
+  name: string,
+  keyOf: RowKey<Row>,
+  summarize: Summarize<Row, Summary>,
+): SliceDefinition<
+  ReadonlySummarizedTable<Row, Summary>,
+  SummarizedTable<Row, Summary>
+> {
+  return {
+    name,
+    create: recorder => new UndoableTable(recorder, keyOf, summarize),
+  };
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -25,11 +25,15 @@
 export {mergeUnregister} from './mergeUnregister';
 export {
   createIndexedTableSlice,
+  createSummarizedTableSlice,
   createTableSlice,
   type IndexedTable,
   type ReadonlyIndexedTable,
+  type ReadonlySummarizedTable,
   type ReadonlyTable,
   type RowKey,
+  type Summarize,
+  type SummarizedTable,
   type Table,
 } from './Table';
 export {type ChangeRecorder, type SliceDefinition} from './Slice';
