--- a/packages/run-times/src/learnRunTime.ts
+++ b/packages/run-times/src/learnRunTime.ts
@@ -5,6 +5,7 @@
   INITIAL_MODEL_VARIANCE,
   INITIAL_STEP_VARIANCE,
   type Prediction,
+  middleOf,
   predict,
 } from './predictRunTime';
 import {RATIO_UNIT, createModel, updateModel} from './RunTimeModel';
@@ -101,7 +102,8 @@
     const key = stepOfJobKey(job, stepNumber);
     const known = steps.get(key)?.logMillis ?? [];
     const newest = [...known, logMillis].slice(-STEP_SAMPLES);
-    replaceRow(steps, key, {logMillis: newest}, MAX_STEPS);
+    const row = {logMillis: newest, middle: middleOf(newest)};
+    replaceRow(steps, key, row, MAX_STEPS);
   }
 }
 
--- a/packages/run-times/src/predictRunTime.ts
+++ b/packages/run-times/src/predictRunTime.ts
@@ -104,13 +104,13 @@
   const modelLogMillis = refine(byQueue, shape, estimateMillis);
   const siblings = state
     .read(STEP_RUN_TIMES)
-    .get(stepOfJobKey(job, stepNumber))?.logMillis;
+    .get(stepOfJobKey(job, stepNumber));
   if (siblings === undefined) {
     const stepLogMillis = undefined;
     return {modelLogMillis, stepLogMillis, logMillis: modelLogMillis};
   }
-  const stepLogMillis = middleOf(siblings);
-  const weight = stepWeight(queueRow, siblings.length);
+  const stepLogMillis = siblings.middle;
+  const weight = stepWeight(queueRow, siblings.logMillis.length);
   const logMillis = modelLogMillis + weight * (stepLogMillis - modelLogMillis);
   return {modelLogMillis, stepLogMillis, logMillis};
 }
--- a/packages/run-times/src/runTimeState.ts
+++ b/packages/run-times/src/runTimeState.ts
@@ -29,6 +29,8 @@
 /** What is known of a step of a job: the newest logarithms of durations. */
 export interface StepRow {
   readonly logMillis: readonly number[];
+  /** Their median. */
+  readonly middle: number;
 }
 
 /** What is known of the speed of a worker. */
@@ -38,6 +40,8 @@
   readonly samples: number;
   /** The newest logarithms of actual by expected duration. */
   readonly newest: readonly number[];
+  /** Their median. */
+  readonly newestMiddle: number;
   readonly learntAt: number;
 }
 
--- a/packages/run-times/src/workerSpeed.ts
+++ b/packages/run-times/src/workerSpeed.ts
@@ -66,8 +66,9 @@
   ) {
     return mean;
   }
-  const newest = middleOf(row.newest);
-  return Math.abs(newest - mean) > Math.log(CHANGE_FACTOR) ? newest : mean;
+  const {newestMiddle} = row;
+  const hasChanged = Math.abs(newestMiddle - mean) > Math.log(CHANGE_FACTOR);
+  return hasChanged ? newestMiddle : mean;
 }
 
 function decayOf(millis: number): number {
@@ -97,13 +98,17 @@
   const before = row?.logSlowness ?? 0;
   const relative = logRatio - middleOf(newest);
   const weight = Math.max(1 / samples, WORKER_WEIGHT);
+  const newestOfWorker = [...(row?.newest ?? []), relative].slice(
+    -NEWEST_SAMPLES,
+  );
   replaceRow(
     update.write(WORKER_SPEEDS),
     incarnation,
     {
       logSlowness: before + clampStep(relative - before) * weight,
       samples,
-      newest: [...(row?.newest ?? []), relative].slice(-NEWEST_SAMPLES),
+      newest: newestOfWorker,
+      newestMiddle: middleOf(newestOfWorker),
       learntAt: update.now,
     },
     MAX_WORKERS,
