Workers are ranked for a gang only if all of it fits

Each pass ranked and sorted all workers up to four times for each gang that waits for room, the more the longer the backlog. A gang whose tasks don't fit all together fits in no order. waitingGang.test.ts failed before (the racks of 30 workers read, none now).

--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -91,11 +91,14 @@
  * if the tasks don't all fit. A gang runs as long as on its slowest worker, so the
  * slowest are used only if it doesn't fit on the others.
  */
-function packGang(
+export function packGang(
   candidates: readonly Candidate[],
   readyStep: ReadyStep,
   preferredIds: ReadonlySet<string> = new Set(),
 ): Placement[] | undefined {
+  if (!isRoomForAll(candidates, readyStep)) {
+    return undefined;
+  }
   const ranked = rankForGang(candidates, readyStep, preferredIds);
   if (readyStep.step.prefersOneRack) {
     const onOneRack = packOnOneRack(ranked, readyStep);
@@ -119,6 +122,21 @@
   return undefined;
 }
 
+/** Whether the open tasks of a step fit, on whichever workers. */
+function isRoomForAll(
+  candidates: readonly Candidate[],
+  readyStep: ReadyStep,
+): boolean {
+  let tasksLeft = readyStep.openTasks.length;
+  for (const candidate of candidates) {
+    tasksLeft -= countFittingTasks(candidate, readyStep);
+    if (tasksLeft <= 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 function packOnOneRack(
   ranked: readonly Candidate[],
   readyStep: ReadyStep,
