--- a/packages/fleet/src/workerHealth.ts
+++ b/packages/fleet/src/workerHealth.ts
@@ -126,7 +126,8 @@
   const isSlow =
     slowdownSamples >= minSamples &&
     logSlowdown - normal > Math.log2(SLOW_FACTOR);
-  if (!isSlow && logRatio - normal <= Math.log2(SOUND_FACTOR)) {
+  const isSound = !isSlow && logRatio - normal <= Math.log2(SOUND_FACTOR);
+  if (isSound && worker.probationUntil > 0) {
     changeWorker(update, incarnation, {probationUntil: 0});
   }
   if (isSlow) {
--- a/packages/holding/src/applyEntries.ts
+++ b/packages/holding/src/applyEntries.ts
@@ -1,5 +1,4 @@
 import type {Update} from '@samphireramp/kernel';
-import {match} from 'ts-pattern';
 import type {HolderRecord} from './HolderRecord';
 import {HOLDING, type HoldingState, DURABLE_PROGRESS} from './HoldingState';
 import {DURABLE_LEASE_BOUNDS, deleteAbsentLeaseBounds} from './leaseBounds';
@@ -8,20 +7,26 @@
 
 /** Applies a durable entry to the copy of the journal. */
 export function applyEntry(update: Update, entry: JournalEntry): void {
-  const durableProgress = update.write(DURABLE_PROGRESS);
-  match(entry)
-    .with({kind: 'progress'}, ({progress}) =>
-      durableProgress.set(progress.jobId, progress),
-    )
-    .with({kind: 'forgotten'}, ({jobId}) => durableProgress.delete(jobId))
-    .with({kind: 'lease-bound'}, ({bound}) =>
-      update.write(DURABLE_LEASE_BOUNDS).set(bound.incarnation, bound),
-    )
-    .with({kind: 'lease-bound-lifted'}, ({incarnation}) =>
-      update.write(DURABLE_LEASE_BOUNDS).delete(incarnation),
-    )
-    .with({kind: 'holder'}, () => undefined)
-    .exhaustive();
+  switch (entry.kind) {
+    case 'progress':
+      update.write(DURABLE_PROGRESS).set(entry.progress.jobId, entry.progress);
+      return;
+    case 'forgotten':
+      update.write(DURABLE_PROGRESS).delete(entry.jobId);
+      return;
+    case 'lease-bound':
+      update
+        .write(DURABLE_LEASE_BOUNDS)
+        .set(entry.bound.incarnation, entry.bound);
+      return;
+    case 'lease-bound-lifted':
+      update.write(DURABLE_LEASE_BOUNDS).delete(entry.incarnation);
+      return;
+    case 'holder':
+      return;
+    default:
+      entry satisfies never;
+  }
 }
 
 /**
--- a/packages/job-states/src/applyStates.ts
+++ b/packages/job-states/src/applyStates.ts
@@ -4,21 +4,28 @@
   advanceCopy,
   isOutdatedSnapshot,
 } from '@samphireramp/holding';
-import {match} from 'ts-pattern';
 import {JOB_STATES, STANDBYS, STATES_COPY} from './JobStates';
 import type {StateEntry, StatesRead, StoredStateEntry} from './messages';
 
 /** Applies an entry of the stream to the states that callers are shown. */
 export function applyStateEntry(update: Update, entry: StateEntry): void {
-  const states = update.write(JOB_STATES);
-  match(entry)
-    .with({kind: 'state'}, ({jobId, queue, account, state}) =>
-      states.set(jobId, {queue, account, state}),
-    )
-    .with({kind: 'forgotten'}, ({jobId}) => states.delete(jobId))
-    .with({kind: 'standbys'}, ({hosts}) => update.write(STANDBYS).set(hosts))
-    .with({kind: 'holder'}, () => undefined)
-    .exhaustive();
+  switch (entry.kind) {
+    case 'state': {
+      const {jobId, queue, account, state} = entry;
+      update.write(JOB_STATES).set(jobId, {queue, account, state});
+      return;
+    }
+    case 'forgotten':
+      update.write(JOB_STATES).delete(entry.jobId);
+      return;
+    case 'standbys':
+      update.write(STANDBYS).set(entry.hosts);
+      return;
+    case 'holder':
+      return;
+    default:
+      entry satisfies never;
+  }
 }
 
 /**
--- a/packages/record-codec/src/journalCodec.ts
+++ b/packages/record-codec/src/journalCodec.ts
@@ -6,7 +6,6 @@
   holderRecordSchema,
 } from '@samphireramp/holding';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
-import {match} from 'ts-pattern';
 import * as z from 'zod/mini';
 import {type OnMalformed, decodeEntries} from './decodeEntries';
 import {type OnInvalid, decodeJson} from './decodeJson';
@@ -26,28 +25,25 @@
 
 /** Encodes an entry of the journal as a record. */
 export function encodeJournalEntry(entry: JournalEntry): LogRecord {
-  return match(entry)
-    .with({kind: 'holder'}, ({record}) => ({
-      key: HOLDER_KEY,
-      value: Buffer.from(JSON.stringify(record)),
-    }))
-    .with({kind: 'progress'}, ({progress}) => ({
-      key: JOB_PREFIX + progress.jobId,
-      value: encodeProgress(progress),
-    }))
-    .with({kind: 'forgotten'}, ({jobId}) => ({
-      key: JOB_PREFIX + jobId,
-      value: TOMBSTONE,
-    }))
-    .with({kind: 'lease-bound'}, ({bound}) => ({
-      key: LEASE_BOUND_PREFIX + bound.incarnation,
-      value: encodeLeaseBound(bound),
-    }))
-    .with({kind: 'lease-bound-lifted'}, ({incarnation}) => ({
-      key: LEASE_BOUND_PREFIX + incarnation,
-      value: TOMBSTONE,
-    }))
-    .exhaustive();
+  switch (entry.kind) {
+    case 'holder': {
+      const value = Buffer.from(JSON.stringify(entry.record));
+      return {key: HOLDER_KEY, value};
+    }
+    case 'progress': {
+      const {progress} = entry;
+      const key = JOB_PREFIX + progress.jobId;
+      return {key, value: encodeProgress(progress)};
+    }
+    case 'forgotten':
+      return {key: JOB_PREFIX + entry.jobId, value: TOMBSTONE};
+    case 'lease-bound': {
+      const key = LEASE_BOUND_PREFIX + entry.bound.incarnation;
+      return {key, value: encodeLeaseBound(entry.bound)};
+    }
+    case 'lease-bound-lifted':
+      return {key: LEASE_BOUND_PREFIX + entry.incarnation, value: TOMBSTONE};
+  }
 }
 
 /**
--- a/packages/record-codec/src/stateCodec.ts
+++ b/packages/record-codec/src/stateCodec.ts
@@ -2,7 +2,6 @@
 import type {StateEntry, StoredStateEntry} from '@samphireramp/job-states';
 import {type JobState, NO_ACCOUNT} from '@samphireramp/jobs';
 import type {LogRecord, StoredRecord} from '@samphireramp/stream-log';
-import {match} from 'ts-pattern';
 import * as z from 'zod/mini';
 import {type OnMalformed, decodeEntries} from './decodeEntries';
 import {type OnInvalid, decodeJson} from './decodeJson';
@@ -47,24 +46,20 @@
 
 /** Encodes an entry of the stream of job states as a record. */
 export function encodeStateEntry(entry: StateEntry): LogRecord {
-  return match(entry)
-    .with({kind: 'holder'}, ({record}) => ({
-      key: HOLDER_KEY,
-      value: encodeShortHolderRecord(record),
-    }))
-    .with({kind: 'standbys'}, ({hosts}) => ({
-      key: STANDBYS_KEY,
-      value: Buffer.from(JSON.stringify(hosts)),
-    }))
-    .with({kind: 'state'}, entry => ({
-      key: JOB_PREFIX + entry.jobId,
-      value: Buffer.from(encodeState(entry)),
-    }))
-    .with({kind: 'forgotten'}, ({jobId}) => ({
-      key: JOB_PREFIX + jobId,
-      value: TOMBSTONE,
-    }))
-    .exhaustive();
+  switch (entry.kind) {
+    case 'holder':
+      return {key: HOLDER_KEY, value: encodeShortHolderRecord(entry.record)};
+    case 'standbys': {
+      const value = Buffer.from(JSON.stringify(entry.hosts));
+      return {key: STANDBYS_KEY, value};
+    }
+    case 'state': {
+      const value = Buffer.from(encodeState(entry));
+      return {key: JOB_PREFIX + entry.jobId, value};
+    }
+    case 'forgotten':
+      return {key: JOB_PREFIX + entry.jobId, value: TOMBSTONE};
+  }
 }
 
 /**
