A pass goes over the workers only for steps that one of them has room for

Cause: for each waiting step a pass listed its permitted workers, and ranked all workers to ask advice about, also when none had room or all had been asked about.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -7,6 +7,7 @@
   type ReadyStep,
   countFittingTasks,
   deductTasks,
+  hasRoomFor,
   meetsRequirements,
 } from './candidates';
 import {countFreeTrials, workersOnTrial} from './crashTrials';
@@ -40,6 +41,8 @@
   /** Computed by the first step with permits. */
   private byWorkerId: ReadonlyMap<string, Candidate> | undefined;
   private readonly suitableByRequirement = new Map<string, SuitableWorkers>();
+  /** Workers that had room when a step of the same need was last placed, by `fitKey`. */
+  private readonly roomyByNeed = new Map<string, readonly Candidate[]>();
   private readonly totalCpuMillis: number;
   /** Number of workers on which suspected tasks may still be placed. */
   private trialsLeft: number;
@@ -110,7 +113,7 @@
   recordUnfitting(readyStep: ReadyStep): void {
     // A limit on one worker may be what the step lacks.
     if (readyStep.step.mostOnOneWorker === 0) {
-      this.unfitting.add(fitKeyOf(readyStep));
+      this.unfitting.add(readyStep.fitKey);
     }
   }
 
@@ -119,7 +122,7 @@
     return (
       this.unfitting.size > 0 &&
       readyStep.policy.advice === undefined &&
-      this.unfitting.has(fitKeyOf(readyStep))
+      this.unfitting.has(readyStep.fitKey)
     );
   }
 
@@ -168,6 +171,16 @@
     return this.suitableWorkersOf(readyStep).candidates;
   }
 
+  /** Lists the suitable workers that have room for a task of a step now. */
+  withRoomFor(readyStep: ReadyStep): readonly Candidate[] {
+    const {fitKey} = readyStep;
+    const known = this.roomyByNeed.get(fitKey) ?? this.suitableFor(readyStep);
+    // In a pass resources are only taken, so that none of the others has room again.
+    const roomy = known.filter(candidate => hasRoomFor(candidate, readyStep));
+    this.roomyByNeed.set(fitKey, roomy);
+    return roomy;
+  }
+
   private suitableWorkersOf(readyStep: ReadyStep): SuitableWorkers {
     const {policy, step} = readyStep;
     const key = `${policy.pool.length} ${policy.pool} ${step.requiredLabel}`;
@@ -261,10 +274,3 @@
     }
   }
 }
-
-/** What decides whether a task of a step fits on a worker without a limit on it. */
-function fitKeyOf({policy, step, taskResources}: ReadyStep): string {
-  const {cpuMillis, memoryMegabytes, accelerators} = taskResources;
-  const need = `${cpuMillis},${memoryMegabytes},${accelerators}`;
-  return `${need},${policy.priority},${step.requiredLabel},${policy.pool}`;
-}
--- a/packages/dispatch/src/adviceNeeds.ts
+++ b/packages/dispatch/src/adviceNeeds.ts
@@ -47,7 +47,7 @@
         readyStep,
         advice,
         policy.advice,
-        rankWorkers(),
+        rankWorkers,
         tasks,
       )
     : [];
@@ -71,10 +71,14 @@
   readyStep: ReadyStep,
   advice: StepAdvice,
   terms: AdviceTerms,
-  ranked: readonly Candidate[],
+  rankWorkers: () => readonly Candidate[],
   tasks: number,
 ): string[] {
   const {update} = pass;
+  const isFirst = advice.queriedWorkers.size === 0;
+  if (!isFirst && !isAnyNameable(pass, readyStep, advice)) {
+    return [];
+  }
   const permitShare = permitShareOf(update, readyStep.policy.name);
   const cheapCount = countCheapWorkers(terms);
   const answerAt =
@@ -82,7 +86,7 @@
   const named: string[] = [];
   const spares: string[] = [];
   let expectedTasks = 0;
-  for (const candidate of ranked) {
+  for (const candidate of rankWorkers()) {
     const {id} = candidate.worker;
     const isKnown = isPermitted(candidate.worker, readyStep, advice);
     if (!isKnown && advice.queriedWorkers.has(id)) {
@@ -100,7 +104,6 @@
       spares.push(id);
     }
   }
-  const isFirst = advice.queriedWorkers.size === 0;
   if (named.length === 0 && !isFirst) {
     return [];
   }
@@ -108,6 +111,21 @@
   return [...named, ...spares.slice(0, spareCount)];
 }
 
+/** Whether a worker with room was not asked about, or has a permit. */
+function isAnyNameable(
+  pass: PlacementPass,
+  readyStep: ReadyStep,
+  advice: StepAdvice,
+): boolean {
+  return pass
+    .withRoomFor(readyStep)
+    .some(
+      ({worker}) =>
+        !advice.queriedWorkers.has(worker.id) ||
+        isPermitted(worker, readyStep, advice),
+    );
+}
+
 /** Number of workers that lengthen a request by little. */
 function countCheapWorkers(terms: AdviceTerms): number {
   return Math.ceil(
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -47,6 +47,8 @@
   readonly placedByWorker: ReadonlyMap<string, number>;
   /** Resources to reserve for each task. */
   readonly taskResources: Resources;
+  /** Equal for steps whose tasks fit on the same workers, limits on one worker apart. */
+  readonly fitKey: string;
 }
 
 /** Whether a worker has the pool and label that a step requires. */
@@ -90,6 +92,19 @@
   );
 }
 
+/** Whether a worker has room for a task of a step, the limit on one worker apart. */
+export function hasRoomFor(
+  candidate: Candidate,
+  readyStep: ReadyStep,
+): boolean {
+  return (
+    !candidate.isClosed &&
+    !isOverCapacity(candidate) &&
+    candidate.startableRuns > 0 &&
+    countTasksWithin(candidate, candidate.worker, readyStep) > 0
+  );
+}
+
 /** Counts the tasks of a step that fit within free resources of a worker. */
 function countTasksWithin(
   free: Resources,
@@ -256,9 +271,19 @@
     placedByWorker:
       step.mostOnOneWorker > 0 ? countPlacedTasks(tasks) : new Map(),
     taskResources,
+    fitKey: fitKeyOf(policy, step, taskResources),
   };
 }
 
+function fitKeyOf(
+  {pool, priority}: QueuePolicy,
+  {requiredLabel}: Step,
+  {cpuMillis, memoryMegabytes, accelerators}: Resources,
+): string {
+  const need = `${cpuMillis},${memoryMegabytes},${accelerators}`;
+  return `${need},${priority},${requiredLabel},${pool}`;
+}
+
 /** Whether a worker is on the rack of the data, or the step has no such rack. */
 export function isNearData({worker}: Candidate, {step}: ReadyStep): boolean {
   return step.dataRack === '' || worker.rack === step.dataRack;
--- a/packages/dispatch/src/taskPlacement.ts
+++ b/packages/dispatch/src/taskPlacement.ts
@@ -21,11 +21,7 @@
   readyStep: ReadyStep,
   advice: StepAdvice,
 ): Placement[] {
-  const startable = pass
-    .permittedFor(readyStep, advice)
-    .filter(({worker}) =>
-      hasRequiredTicket(worker, readyStep, advice, pass.update.now),
-    );
+  const startable = listStartable(pass, readyStep, advice);
   const placements = chooseTrialPlacements(pass, readyStep, startable);
   const placedOn = new Map<Candidate, number>();
   const suspected = new Set(
@@ -63,6 +59,19 @@
   return placements;
 }
 
+/** Lists the workers on which a step may start now; none if none of them has room. */
+function listStartable(
+  pass: PlacementPass,
+  readyStep: ReadyStep,
+  advice: StepAdvice,
+): readonly Candidate[] {
+  const mayStartOn = ({worker}: Candidate) =>
+    hasRequiredTicket(worker, readyStep, advice, pass.update.now);
+  return pass.withRoomFor(readyStep).some(mayStartOn)
+    ? pass.permittedFor(readyStep, advice).filter(mayStartOn)
+    : [];
+}
+
 /**
  * Chooses a worker near the data if one fits, then the least free one. For an urgent
  * step the fastest comes first; for others a faster one counts as less free, or as more
