--- a/packages/site-daemon/src/__tests__/unit/placementTimer.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/placementTimer.test.ts
@@ -74,3 +74,22 @@
   }
   t.same(passes, ['all at 2', 'urgent at 47', 'urgent at 97', 'urgent at 147']);
 });
+
+// Guards against passes that always take a fifth of the loop, however short each one is.
+void t.test('short passes leave more of the loop than long ones', async t => {
+  const {clock, passes, runUntil, scheduleBoth} = buildTimer({
+    all: 1,
+    urgent: 0.5,
+  });
+  let millis = 0;
+  scheduleBoth();
+  for (let time = 1; time <= 1000; time++) {
+    runUntil(time);
+    scheduleBoth();
+  }
+  for (const pass of passes) {
+    millis += pass.startsWith('all') ? 1 : 0.5;
+  }
+  t.ok(clock.now >= 1000);
+  t.ok(millis < 100, `${passes.length} passes took ${millis} ms`);
+});
--- a/packages/site-daemon/src/placementTimer.ts
+++ b/packages/site-daemon/src/placementTimer.ts
@@ -7,6 +7,11 @@
  * the first; bounds the share of the loop's time that placement takes.
  */
 const REST_FACTOR = 4;
+/**
+ * Minimum pause after a pass that took less: short against the time in which urgent jobs
+ * are due, and long enough for one pass to handle what many answers have changed.
+ */
+const MIN_REST_MILLIS = 15;
 
 /** Options of `createPlacementTimer`. */
 export interface PlacementTimerOptions {
@@ -38,7 +43,8 @@
     dueAt[scope] = Infinity;
     runPass(scope);
     const endedAt = now();
-    restUntil[scope] = endedAt + (endedAt - startedAt) * REST_FACTOR;
+    const restMillis = (endedAt - startedAt) * REST_FACTOR;
+    restUntil[scope] = endedAt + Math.max(MIN_REST_MILLIS, restMillis);
   }
 
   return scope => {
