--- a/benchmarks/slopes.ts
+++ b/benchmarks/slopes.ts
@@ -4,8 +4,8 @@
 
 /**
  * Measures how cost grows with workers and jobs, without I/O: time for each
- * start, heap for each waiting job, journal bytes for each job. Run with
- * `npm run bench:slopes`.
+ * start, heap for each waiting job, journal bytes for each job, time of a pass on
+ * a full site. Run with `npm run bench:slopes`.
  */
 
 const WORKER_COUNTS = [30, 60, 246, 1000];
@@ -14,6 +14,16 @@
 /** Number of jobs that are submitted at once. */
 const BURST_SIZE = 40;
 const WAITING_JOB_COUNTS = [1000, 5000, 20_000];
+/** Workers and waiting jobs of a site on which nothing more fits. */
+const FULL_SITES = [
+  [60, 100],
+  [246, 100],
+  [1000, 100],
+  [246, 400],
+  [246, 1600],
+] as const;
+/** Number of passes that are timed. */
+const PASS_COUNT = 200;
 const NEED = {cpuMillis: 1000, memoryMegabytes: 1000, accelerators: 0};
 
 let createdJobCount = 0;
@@ -77,5 +87,32 @@
   });
 }
 
+/** Times passes on a site that is full, with jobs that wait for room. */
+function measureFullSite(workers: number, waitingJobs: number): void {
+  const site = createBenchSite(workers);
+  const needAll = {cpuMillis: 30_000, memoryMegabytes: 60_000, accelerators: 0};
+  const jobs = Array.from({length: workers + waitingJobs}, () =>
+    buildJob(
+      (createdJobCount++).toString(16).padStart(16, '0'),
+      [buildStep({need: needAll})],
+      {policy: BENCH_POLICY},
+    ),
+  );
+  for (let first = 0; first < jobs.length; first += BURST_SIZE) {
+    site.submitJobs(jobs.slice(first, first + BURST_SIZE));
+    site.placeTasks();
+  }
+  const times = Array.from({length: PASS_COUNT}, () => site.timePass());
+  times.sort((a, b) => a - b);
+  printFields({
+    measure: 'full_site',
+    workers,
+    waiting_jobs: waitingJobs,
+    started: site.countStarts(),
+    pass_millis: times[PASS_COUNT / 2].toFixed(2),
+  });
+}
+
 WORKER_COUNTS.forEach(measureStarts);
 WAITING_JOB_COUNTS.forEach(measureWaiting);
+FULL_SITES.forEach(([workers, jobs]) => measureFullSite(workers, jobs));
