--- a/packages/dispatch/src/__tests__/unit/fullSite.test.ts
+++ b/packages/dispatch/src/__tests__/unit/fullSite.test.ts
@@ -1,12 +1,13 @@
-import type {Worker} from '@samphireramp/fleet';
 import {buildJob, buildPolicy, buildStep} from '@samphireramp/testing';
 import t from 'tap';
 import {requestMoreAdvice} from '../../adviceNeeds';
 import {ADVICE, NO_ADVICE} from '../../adviceState';
 import type {Candidate, ReadyStep} from '../../candidates';
 import type {PlacementPass} from '../../PlacementPass';
+import {buildCandidate} from './candidateFixture';
 
 const TERMS = {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 2500};
+const CAPACITY = {cpuMillis: 4000, memoryMegabytes: 4000, accelerators: 0};
 const NEED = {cpuMillis: 1000, memoryMegabytes: 1000, accelerators: 0};
 
 /** A pass in which no host takes a call, so that a request is only prepared. */
@@ -23,20 +24,9 @@
   } as unknown as PlacementPass;
 }
 
-function buildCandidate(id: string, freeMillis: number): Candidate {
-  const capacity = {cpuMillis: 4000, memoryMegabytes: 4000, accelerators: 0};
-  const worker = {id, incarnation: id, capacity, rack: ''} as Worker;
-  return {
-    worker,
-    cpuMillisAtStart: freeMillis,
-    cpuMillis: freeMillis,
-    memoryMegabytes: freeMillis,
-    accelerators: 0,
-    isClosed: false,
-    startableRuns: Infinity,
-    stoppingRuns: [],
-    speed: 1,
-  };
+function buildWorker(id: string, millis: number): Candidate {
+  const free = {cpuMillis: millis, memoryMegabytes: millis, accelerators: 0};
+  return buildCandidate({id, capacity: CAPACITY}, free);
 }
 
 function buildWaitingStep(): ReadyStep {
@@ -73,16 +63,16 @@
 void t.test(
   'no workers are ranked for a step if none that it may ask about has room',
   async t => {
-    const full = [buildCandidate('a', 0), buildCandidate('b', 0)];
+    const full = [buildWorker('a', 0), buildWorker('b', 0)];
     t.equal(countRankings(full, ['a']), 0);
-    const withRoom = [buildCandidate('a', 1000), buildCandidate('b', 0)];
+    const withRoom = [buildWorker('a', 1000), buildWorker('b', 0)];
     t.equal(countRankings(withRoom, ['a']), 0, 'it has been asked about');
   },
 );
 
 void t.test('workers are ranked if one of them can help', async t => {
-  const withRoom = [buildCandidate('a', 0), buildCandidate('b', 1000)];
+  const withRoom = [buildWorker('a', 0), buildWorker('b', 1000)];
   t.equal(countRankings(withRoom, ['a']), 1);
-  const full = [buildCandidate('a', 0), buildCandidate('b', 0)];
+  const full = [buildWorker('a', 0), buildWorker('b', 0)];
   t.equal(countRankings(full, []), 1, 'the first request names any');
 });
--- a/packages/dispatch/src/__tests__/unit/tasksOnOneWorker.test.ts
+++ b/packages/dispatch/src/__tests__/unit/tasksOnOneWorker.test.ts
@@ -1,4 +1,3 @@
-import type {Worker} from '@samphireramp/fleet';
 import {NEW_TASK, type RunId, type Task} from '@samphireramp/jobs';
 import {buildJob, buildPolicy, buildStep} from '@samphireramp/testing';
 import t from 'tap';
@@ -8,6 +7,7 @@
   countFittingTasks,
   makeReadyStep,
 } from '../../candidates';
+import {buildCandidate} from './candidateFixture';
 
 const CAPACITY = {cpuMillis: 9000, memoryMegabytes: 9000, accelerators: 0};
 const JOB_ID = 'job';
@@ -20,22 +20,9 @@
 };
 
 /** Builds a worker on which runs are being stopped. */
-function buildCandidate(...stoppingRuns: RunId[]): Candidate {
-  const worker = {
-    id: 'here',
-    incarnation: 'here',
-    capacity: CAPACITY,
-    rack: '',
-  };
-  return {
-    worker: worker as unknown as Worker,
-    ...CAPACITY,
-    cpuMillisAtStart: CAPACITY.cpuMillis,
-    isClosed: false,
-    startableRuns: Infinity,
-    stoppingRuns,
-    speed: 1,
-  };
+function buildWorker(...stoppingRuns: RunId[]): Candidate {
+  const worker = {id: 'here', capacity: CAPACITY};
+  return buildCandidate(worker, CAPACITY, {stoppingRuns});
 }
 
 /** Builds a step of which two tasks may be on a worker; `first` is its first task. */
@@ -54,7 +41,7 @@
 void t.test(
   'runs that are being stopped leave room for fewer tasks',
   async t => {
-    const stopping = buildCandidate(RUN_ID);
+    const stopping = buildWorker(RUN_ID);
     for (const first of [
       {phase: 'done', run: 1},
       {phase: 'open', run: 1},
@@ -77,11 +64,11 @@
 
 void t.test('a task that is placed as such a run counts once', async t => {
   const placed = buildReadyStep({phase: 'placed', run: 1, worker: 'here'});
-  t.equal(countFittingTasks(buildCandidate(RUN_ID), placed), 1);
+  t.equal(countFittingTasks(buildWorker(RUN_ID), placed), 1);
 });
 
 void t.test('runs of other steps leave the limit as it is', async t => {
-  const candidate = buildCandidate(
+  const candidate = buildWorker(
     {...RUN_ID, jobId: 'other'},
     {...RUN_ID, occurrence: 1},
     {...RUN_ID, step: 1},
--- a/packages/dispatch/src/__tests__/unit/waitingGang.test.ts
+++ b/packages/dispatch/src/__tests__/unit/waitingGang.test.ts
@@ -1,8 +1,8 @@
-import type {Worker} from '@samphireramp/fleet';
 import {buildJob, buildPolicy, buildStep} from '@samphireramp/testing';
 import t from 'tap';
-import type {Candidate, ReadyStep} from '../../candidates';
+import type {ReadyStep} from '../../candidates';
 import {packGang} from '../../gangPlacement';
+import {buildCandidate} from './candidateFixture';
 
 const CAPACITY = {cpuMillis: 4000, memoryMegabytes: 4000, accelerators: 0};
 const WORKER_COUNT = 30;
@@ -10,28 +10,17 @@
 /** Workers with room for one task each, and a count of the looks at their racks. */
 function buildWorkers() {
   const looks = {count: 0};
+  const room = {cpuMillis: 1000, memoryMegabytes: 1000, accelerators: 0};
   const candidates = Array.from({length: WORKER_COUNT}, (_, index) => {
-    const id = `worker-${index}`;
     const worker = {
-      id,
-      incarnation: id,
+      id: `worker-${index}`,
       capacity: CAPACITY,
       get rack() {
         looks.count++;
         return 'rack';
       },
     };
-    return {
-      worker: worker as unknown as Worker,
-      cpuMillisAtStart: 1000,
-      cpuMillis: 1000,
-      memoryMegabytes: 1000,
-      accelerators: 0,
-      isClosed: false,
-      startableRuns: Infinity,
-      stoppingRuns: [],
-      speed: 1,
-    } satisfies Candidate;
+    return buildCandidate(worker, room);
   });
   return {candidates, looks};
 }
