--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -1,6 +1,6 @@
 import type {Update} from '@samphireramp/kernel';
 import {type AdviceTerms, stepKey} from '@samphireramp/jobs';
-import {chooseAmongHosts, hostsNearestFirst} from './adviserCalls';
+import {chooseHost, hostsNearestFirst} from './adviserCalls';
 import type {StepAdvice} from './adviceState';
 import {
   type Candidate,
@@ -216,7 +216,7 @@
     if (isAllAwaited || decisionMillis >= this.refusedDecisionMillis) {
       return false;
     }
-    const host = chooseAmongHosts(
+    const host = chooseHost(
       update,
       this.nearestHosts(),
       decisionMillis,
--- a/packages/dispatch/src/__tests__/unit/adviserCalls.test.ts
+++ b/packages/dispatch/src/__tests__/unit/adviserCalls.test.ts
@@ -5,6 +5,7 @@
   CALLS_BY_HOST,
   addCall,
   chooseHost,
+  hostsNearestFirst,
   removeCall,
 } from '../../adviserCalls';
 
@@ -37,7 +38,10 @@
     kernel.registerCommand(command, code);
     kernel.dispatch(command, undefined);
   };
-  const choose = (millis: number) => chooseHost(kernel, 'host-0', millis, 1000);
+  const choose = (millis: number) => {
+    const hosts = hostsNearestFirst(kernel, 'host-0', 1000);
+    return chooseHost(kernel, hosts, millis, 1000);
+  };
   return {run, choose};
 }
 
--- a/packages/dispatch/src/adviceFlow.ts
+++ b/packages/dispatch/src/adviceFlow.ts
@@ -7,7 +7,7 @@
 } from '@samphireramp/kernel';
 import {type AdviceTerms, type StepId, stepKey} from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE, type StepAdvice} from './adviceState';
-import {addCall, chooseAmongHosts, removeCall} from './adviserCalls';
+import {addCall, chooseHost, removeCall} from './adviserCalls';
 import {
   ADVICE_RECEIVED,
   DISPATCH_EVENT,
@@ -112,7 +112,7 @@
   const includedIds = workerIds.slice(0, MAX_WORKERS_PER_REQUEST);
   const expectedMillis =
     terms.decisionMillis + terms.perWorkerMillis * includedIds.length;
-  const host = chooseAmongHosts(update, hosts, expectedMillis, update.now);
+  const host = chooseHost(update, hosts, expectedMillis, update.now);
   if (host === undefined) {
     return false;
   }
--- a/packages/dispatch/src/adviserCalls.ts
+++ b/packages/dispatch/src/adviserCalls.ts
@@ -44,21 +44,10 @@
 
 /**
  * Chooses the host through which a call is expected to start first; undefined
- * if none can take it now. The nearest hosts take no medium or long calls, so
- * that short calls don't wait behind them.
+ * if none can take it now. `hosts` are those of `hostsNearestFirst`. The nearest
+ * ones take no medium or long calls, so that short calls don't wait behind them.
  */
 export function chooseHost(
-  state: StateReader,
-  self: string,
-  expectedMillis: number,
-  now: number,
-): string | undefined {
-  const hosts = hostsNearestFirst(state, self, now);
-  return chooseAmongHosts(state, hosts, expectedMillis, now);
-}
-
-/** Does what `chooseHost` does with the result of `hostsNearestFirst`. */
-export function chooseAmongHosts(
   state: StateReader,
   hosts: readonly string[],
   expectedMillis: number,
