--- a/benchmarks/startBenchProcesses.ts
+++ b/benchmarks/startBenchProcesses.ts
@@ -4,6 +4,7 @@
   type SiteProcesses,
   DEFAULT_POLICY,
   encodeConfiguration,
+  readDeployedFlags,
   readReadiness,
   startPlatform,
   startSiteProcesses,
@@ -34,7 +35,13 @@
     },
     ...overrides,
   });
-  const site = await startSiteProcesses(platform, HOST_COUNT, PROGRAM);
+  const site = await startSiteProcesses(
+    platform,
+    HOST_COUNT,
+    PROGRAM,
+    undefined,
+    {nodeFlags: readDeployedFlags()},
+  );
   for (const host of site.hosts) {
     await waitFor(
       async () => (await readReadiness(host)) === 200,
--- a/benchmarks/wideJobs.ts
+++ b/benchmarks/wideJobs.ts
@@ -33,8 +33,6 @@
 /** Unit of the times in `/proc/PID/stat`. */
 const MILLIS_PER_CLOCK_TICK = 10;
 const POLICY = buildPolicy({priority: 1});
-/** Node.js options of the hosts: the limits that the deploy file sets. */
-const HOST_OPTIONS = '--max-semi-space-size=8 --max-old-space-size=120';
 const PROBE = new URL('loopProbe.mjs', import.meta.url).pathname;
 
 /** What the process of a host has used so far. */
@@ -157,7 +155,7 @@
 
 const probeFolder = mkdtempSync(join(tmpdir(), 'samphireramp-probe-'));
 process.env.LOOP_PROBE_FOLDER = probeFolder;
-process.env.NODE_OPTIONS = `${HOST_OPTIONS} --import=${PROBE}`;
+process.env.NODE_OPTIONS = `--import=${PROBE}`;
 const loads = process.argv.slice(2);
 for (const load of loads.length > 0 ? loads : LOADS) {
   await measure(load, probeFolder);
--- a/testing/src/__tests__/crowd/crowdFixture.ts
+++ b/testing/src/__tests__/crowd/crowdFixture.ts
@@ -1,4 +1,3 @@
-import {readFileSync} from 'node:fs';
 import type {Test} from 'tap';
 import {
   type CrowdScript,
@@ -17,6 +16,7 @@
   readReadiness,
   repeat,
   startCrowd,
+  readDeployedFlags,
   startPlatform,
   startSiteProcesses,
   submitAt,
@@ -26,7 +26,6 @@
 } from '../../index';
 
 const PROGRAM = 'dist/samphireramp-site.mjs';
-const DEPLOY_FILE = 'deploy/system.toml';
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 16_000, accelerators: 0};
 const TASK_MILLIS = 200;
 /** Limit of a body in the platform's configuration. */
@@ -193,14 +192,6 @@
 function processIdOf({process: {pid}}: SiteProcessHost): number {
   return pid ?? 0;
 }
-
-/** Flags that the deploy file gives to Node.js. */
-function readDeployedFlags(): string[] {
-  const text = readFileSync(DEPLOY_FILE, 'utf8');
-  const command = /^run = "node (.*)"$/m.exec(text)?.[1] ?? '';
-  return command.split(' ').filter(word => word.startsWith('--'));
-}
-
 /** Returns the path of a job of a crowd's client. */
 export function pathOfClient(client: number): string {
   const jobId = (0xc000 + client).toString(16).padStart(16, '0');
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -73,6 +73,7 @@
   type PlatformFaultState,
   NO_PLATFORM_FAULTS,
 } from './platformFaults';
+export {readDeployedFlags} from './readDeployedFlags';
 export {
   type Platform,
   type PlatformOptions,
