--- a/packages/site-daemon/src/__tests__/unit/loopUsePlugin.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/loopUsePlugin.test.ts
@@ -1,29 +1,14 @@
-import {HOLDING_TICK, createHoldingPlugin} from '@samphireramp/holding';
-import {createKernel} from '@samphireramp/kernel';
 import {createMetrics} from '@samphireramp/telemetry';
 import t from 'tap';
 import {createLoopUsePlugin} from '../../loopUsePlugin';
+import {buildFollower} from './followerFixture';
 
 /** A kernel whose loop has the times that `times` says, and what it logs. */
 function buildMeasuredKernel() {
-  const clock = {now: 0};
   const times = {active: 0, idle: 0, passes: 0};
   const lines: unknown[] = [];
   const metrics = createMetrics('site');
-  const kernel = createKernel({
-    now: () => clock.now,
-    onError: error => {
-      throw error;
-    },
-  });
-  kernel.register(
-    createHoldingPlugin({
-      self: 'host-a',
-      incarnation: 'incarnation-1',
-      roundTripMillis: () => 1,
-      claimDelayMillis: () => Infinity,
-    }),
-  );
+  const {clock, kernel, tickAt} = buildFollower();
   kernel.register(
     createLoopUsePlugin({
       readTimes: () => ({...times}),
@@ -33,11 +18,10 @@
   );
   /** Lets time pass, of which the loop uses a part, and some of it for passes. */
   const pass = (millis: number, active: number, passes: number) => {
-    clock.now += millis;
     times.active += active;
     times.idle += millis - active;
     times.passes += passes;
-    kernel.dispatch(HOLDING_TICK, undefined);
+    tickAt(clock.now + millis);
   };
   return {pass, lines, metrics};
 }
--- a/packages/site-daemon/src/__tests__/unit/observerPlugin.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/observerPlugin.test.ts
@@ -1,28 +1,13 @@
-import {HOLDING_TICK, createHoldingPlugin} from '@samphireramp/holding';
-import {createKernel} from '@samphireramp/kernel';
 import {createMetrics} from '@samphireramp/telemetry';
 import t from 'tap';
 import {createObserverPlugin} from '../../observerPlugin';
+import {buildFollower} from './followerFixture';
 
 /** A kernel with an observer, and what it logs and measures. */
 function buildObservedKernel() {
-  const clock = {now: 0};
   const lines: unknown[] = [];
   const durations: unknown[] = [];
-  const kernel = createKernel({
-    now: () => clock.now,
-    onError: error => {
-      throw error;
-    },
-  });
-  kernel.register(
-    createHoldingPlugin({
-      self: 'host-a',
-      incarnation: 'incarnation-1',
-      roundTripMillis: () => 1,
-      claimDelayMillis: () => Infinity,
-    }),
-  );
+  const {kernel, tickAt} = buildFollower();
   kernel.register(
     createObserverPlugin({
       metrics: {
@@ -32,10 +17,6 @@
       log: (event, fields) => lines.push({event, ...fields}),
     }),
   );
-  const tickAt = (now: number) => {
-    clock.now = now;
-    kernel.dispatch(HOLDING_TICK, undefined);
-  };
   return {tickAt, lines, durations};
 }
 
