The configuration has a package of its own, and each call's line names its revision

No log told which revision decided a call, a 404 or an accepted call had no line, and the value, its age, the route and the key were decided in five places.

SITE_CONFIGURATION, its age and the decision on a call are in packages/configuration; call-admitted and call-rejected name revision, age and how long ago the host heard from the store; gauges of revision and age, times of reads, counts of failed reads. The configuration's stream has a file of its own.

Both decisions on a job, at its headers and after its body, take route and key from one configuration each. Before, the route was that of the headers: a job whose route was dropped while its body came ran (callerServer.test.ts, 'a route dropped while a body arrives runs nothing': 200 before, 404 now).

--- a/benchmarks/createBenchSite.ts
+++ b/benchmarks/createBenchSite.ts
@@ -1,7 +1,7 @@
+import {CONFIGURATION_IN_FORCE} from '@samphireramp/configuration';
 import {
   REQUEST_ADVICE,
   ADVICE_RECEIVED,
-  CONFIGURATION_IN_FORCE,
   DISPATCH_TICK,
   BEGIN_PASS,
   PLACE_TASKS,
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -13,6 +13,7 @@
   'dispatch',
   'hosts',
   'accounts',
+  'configuration',
   'run-times',
 ];
 
--- a/packages/accounts/src/accountsPlugin.ts
+++ b/packages/accounts/src/accountsPlugin.ts
@@ -1,16 +1,11 @@
 import {HOLDING_BEGAN, HOLDING_ENDED} from '@samphireramp/holding';
 import {type Plugin, type Update, mergeUnregister} from '@samphireramp/kernel';
-import {CONFIGURATION_READ, CONFIGURATION_READ_AT} from './configurationAge';
 import {USED_SPANS} from './virtualArrivals';
 
 /** Creates the plug-in that keeps the state of client accounts. */
 export function createAccountsPlugin(): Plugin {
   return kernel =>
     mergeUnregister(
-      kernel.registerSlice(CONFIGURATION_READ_AT),
-      kernel.registerCommand(CONFIGURATION_READ, (update, {sentAt}) =>
-        update.write(CONFIGURATION_READ_AT).set(sentAt),
-      ),
       kernel.registerSlice(USED_SPANS),
       kernel.registerCommand(HOLDING_BEGAN, clearUsedSpans),
       kernel.registerCommand(HOLDING_ENDED, clearUsedSpans),
--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -13,10 +13,5 @@
   decideCall,
   isConfigurationOutdated,
 } from './authorization';
-export {
-  CONFIGURATION_READ,
-  CONFIGURATION_READ_AT,
-  configurationAgeMillis,
-} from './configurationAge';
 export type {ClientAccountsOf} from './accountsByName';
 export type {AccountQuota} from './startQuota';
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,17 @@
+/** The configuration in force on a host, its age, and which calls it admits. */
+export {
+  type Admission,
+  type AdmissionBasis,
+  type ConfigurationKnowledge,
+  type IncomingCall,
+  admitCall,
+} from './admission';
+export {createConfigurationPlugin} from './configurationPlugin';
+export {
+  CONFIGURATION_IN_FORCE,
+  CONFIGURATION_READ,
+  CONFIGURATION_READ_AT,
+  SITE_CONFIGURATION,
+  clientAccountsOf,
+  configurationAgeMillis,
+} from './configurationState';
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -3,15 +3,13 @@
   type Update,
   createIndexedTableSlice,
   createTableSlice,
-  createValueSlice,
 } from '@samphireramp/kernel';
+import {SITE_CONFIGURATION} from '@samphireramp/configuration';
 import {recordProgress} from '@samphireramp/holding';
 import {
-  type ClientAccount,
   type Job,
   type Progress,
   type QueuePolicy,
-  type SiteConfiguration,
   type Step,
   isFinalState,
   criticalPathMillis,
@@ -44,18 +42,6 @@
 /** When this holder first saw that a job is over, by job id; monotonic clock. */
 export const END_SEEN_AT = createTableSlice<number>('end-seen-at');
 
-/** The current configuration of the site; undefined until one is received. */
-export const SITE_CONFIGURATION = createValueSlice<
-  SiteConfiguration | undefined
->('site-configuration', undefined);
-
-/** Returns the client accounts of the current configuration, if there is one. */
-export function clientAccountsOf(
-  state: StateReader,
-): readonly ClientAccount[] | undefined {
-  return state.read(SITE_CONFIGURATION).get()?.clientAccounts;
-}
-
 /**
  * For each partition that this holder has read to its end: the time, on the
  * runtime's monotonic clock, until which it knows all requests in it.
--- a/packages/dispatch/src/__tests__/unit/readySteps.test.ts
+++ b/packages/dispatch/src/__tests__/unit/readySteps.test.ts
@@ -1,8 +1,9 @@
 import {newOccurrence, newProgress, type Step} from '@samphireramp/jobs';
 import {type Update, createCommand, createKernel} from '@samphireramp/kernel';
 import {buildJob, buildStep} from '@samphireramp/testing';
+import {SITE_CONFIGURATION} from '@samphireramp/configuration';
 import t from 'tap';
-import {JOBS, SITE_CONFIGURATION, newJobRow} from '../../DispatchState';
+import {JOBS, newJobRow} from '../../DispatchState';
 import {DEFAULT_PLACEMENT_FUNCTIONS} from '../../placementFunctions';
 import {orderReadySteps} from '../../readySteps';
 
--- a/packages/dispatch/src/__tests__/unit/waitingSteps.test.ts
+++ b/packages/dispatch/src/__tests__/unit/waitingSteps.test.ts
@@ -7,10 +7,11 @@
 } from '@samphireramp/kernel';
 import {type Resources, newOccurrence, newProgress} from '@samphireramp/jobs';
 import {buildJob, buildStep} from '@samphireramp/testing';
+import {SITE_CONFIGURATION} from '@samphireramp/configuration';
 import t from 'tap';
 import {LIMITED_SINCE} from '../../accountWaits';
 import {ADVICE} from '../../adviceState';
-import {JOBS, SITE_CONFIGURATION, newJobRow} from '../../DispatchState';
+import {JOBS, newJobRow} from '../../DispatchState';
 import {DISPATCH_EVENT} from '../../messages';
 import {
   DEFAULT_PLACEMENT_FUNCTIONS,
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -26,7 +26,6 @@
   leasesExpiredAt,
   discardRun,
 } from '@samphireramp/fleet';
-import type {SiteConfiguration} from '@samphireramp/jobs';
 import {
   ADVICE_REQUEST_COUNT,
   OPEN_ADVICE_REQUESTS,
@@ -38,7 +37,6 @@
 import {
   CANCELLED_JOBS,
   END_SEEN_AT,
-  SITE_CONFIGURATION,
   JOBS,
   PARTITIONS_READ,
 } from './DispatchState';
@@ -61,7 +59,6 @@
 import {
   ADVICE_RECEIVED,
   BEGIN_PASS,
-  CONFIGURATION_IN_FORCE,
   DISPATCH_TICK,
   FOLLOW_HOLDER_STREAMS,
   PLACE_TASKS,
@@ -186,7 +183,6 @@
       kernel.registerSlice(CANCELLED_JOBS),
       kernel.registerSlice(END_SEEN_AT),
       kernel.registerSlice(REQUEST_PARTITIONS),
-      kernel.registerSlice(SITE_CONFIGURATION),
       kernel.registerSlice(PARTITIONS_READ),
       kernel.registerSlice(REFUSED_SINCE),
       kernel.registerSlice(ARE_REQUESTS_INCOMPLETE),
@@ -205,7 +201,6 @@
       kernel.registerSlice(WAITS_CHECKED_AT),
       kernel.registerSlice(WAITING_SINCE),
       kernel.registerSlice(LIMITED_SINCE),
-      kernel.registerCommand(CONFIGURATION_IN_FORCE, onConfiguration),
       kernel.registerCommand(HOLDING_BEGAN, update => {
         clearHoldingState(update);
         update.emit(FOLLOW_HOLDER_STREAMS, undefined);
@@ -248,17 +243,6 @@
     );
 }
 
-/** Replaces the configuration, unless the received one is older. */
-function onConfiguration(
-  update: Update,
-  {configuration}: {readonly configuration: SiteConfiguration},
-): void {
-  const inForce = update.write(SITE_CONFIGURATION);
-  if (configuration.revision >= (inForce.get()?.revision ?? 0)) {
-    inForce.set(configuration);
-  }
-}
-
 /** Discards the runs on unknown workers once earlier leases have expired. */
 function discardRunsOnUnknownWorkers(update: Update): void {
   const {predecessor} = update.read(HOLDING).get();
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,11 +1,5 @@
 /** Places tasks on workers, requests advice, and follows runs and jobs. */
-export {
-  SITE_CONFIGURATION,
-  JOBS,
-  clientAccountsOf,
-  type JobRow,
-  listActiveJobs,
-} from './DispatchState';
+export {JOBS, type JobRow, listActiveJobs} from './DispatchState';
 export {type DispatchOptions, createDispatchPlugin} from './dispatchPlugin';
 export type {
   FinishedRun,
@@ -17,7 +11,6 @@
   REQUEST_ADVICE,
   ADVICE_RECEIVED,
   type Advice,
-  CONFIGURATION_IN_FORCE,
   DISPATCH_EVENT,
   DISPATCH_TICK,
   FOLLOW_HOLDER_STREAMS,
--- a/packages/dispatch/src/messages.ts
+++ b/packages/dispatch/src/messages.ts
@@ -1,6 +1,6 @@
 import {createCommand, createEffect} from '@samphireramp/kernel';
 import type {Request} from '@samphireramp/intake';
-import type {SiteConfiguration, StepId} from '@samphireramp/jobs';
+import type {StepId} from '@samphireramp/jobs';
 
 /** A worker that may run a step, and the ticket that proves it. */
 export interface Permit {
@@ -19,11 +19,6 @@
   | {readonly kind: 'busy'}
   | {readonly kind: 'failed'; readonly detail: string};
 
-/** A new configuration of the site takes effect. */
-export const CONFIGURATION_IN_FORCE = createCommand<{
-  readonly configuration: SiteConfiguration;
-}>('configuration-in-force');
-
 /** Requests of callers were read from one partition of their stream. */
 export const REQUESTS_READ = createCommand<{
   readonly requests: readonly Request[];
--- a/packages/site-daemon/src/__tests__/unit/accountGauges.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/accountGauges.test.ts
@@ -1,4 +1,5 @@
-import {JOBS, SITE_CONFIGURATION} from '@samphireramp/dispatch';
+import {SITE_CONFIGURATION} from '@samphireramp/configuration';
+import {JOBS} from '@samphireramp/dispatch';
 import {RUNS} from '@samphireramp/fleet';
 import {HOLDING} from '@samphireramp/holding';
 import {type Update, createCommand, createKernel} from '@samphireramp/kernel';
--- a/packages/site-daemon/src/__tests__/unit/revocation.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/revocation.test.ts
@@ -1,4 +1,5 @@
 import {createAccountsPlugin, digestApiKey} from '@samphireramp/accounts';
+import {createConfigurationPlugin} from '@samphireramp/configuration';
 import {createDispatchPlugin} from '@samphireramp/dispatch';
 import {createFleetPlugin} from '@samphireramp/fleet';
 import {createHoldingPlugin} from '@samphireramp/holding';
@@ -15,10 +16,10 @@
 import {createCommand, createKernel} from '@samphireramp/kernel';
 import {decodeConfiguration} from '@samphireramp/platform';
 import type {FollowOptions, StreamListener} from '@samphireramp/stream-log';
-import {type LogFields, createMetrics} from '@samphireramp/telemetry';
+import {type Log, type LogFields, createMetrics} from '@samphireramp/telemetry';
 import t from 'tap';
+import {createAdmissionReporter} from '../../admissionReporter';
 import {createCallerService} from '../../callerService';
-import {createRejectedCallReporter} from '../../rejectedCallReporter';
 import {createStreamLogPlugin} from '../../streamLogPlugin';
 
 const REVOKE_MILLIS = 2000;
@@ -31,6 +32,12 @@
   const lines: Array<LogFields & {event: string}> = [];
   const log = (event: string, fields: LogFields = {}) =>
     void lines.push({event, ...fields});
+  /** Leaves out the calls that are admitted. */
+  const logRejections: Log = (event, fields) => {
+    if (event !== 'call-admitted') {
+      log(event, fields);
+    }
+  };
   const appended: string[] = [];
   const metrics = createMetrics('test');
   let options: FollowOptions | undefined;
@@ -46,6 +53,7 @@
     createHoldingPlugin({...identity, claimDelayMillis: () => 0}),
     createJobStatesPlugin({...identity, followDelayMillis: () => 0}),
     createIntakePlugin({partitions: 1}),
+    createConfigurationPlugin(),
     createAccountsPlugin(),
     createFleetPlugin(),
     createDispatchPlugin({
@@ -89,7 +97,7 @@
     maxRecordBytes: () => 100_000,
     visibleMillis: () => 3000,
     revocation: () => ({failsClosed, revokeMillis: REVOKE_MILLIS}),
-    onRejected: createRejectedCallReporter({log, metrics, now}),
+    ...createAdmissionReporter(kernel, {log: logRejections, metrics, now}),
     onStatus: () => undefined,
     onPending: () => undefined,
   });
@@ -118,9 +126,14 @@
       isSnapshot: false,
     });
   const decide = (key: string) => {
-    const route = service.configuration()?.routes[0];
-    const decision = route && service.authorize(route, [Buffer.from(key)]);
-    return decision?.kind === 'rejected' ? decision.reason : decision?.account;
+    const call = {
+      method: 'GET',
+      hostName: 'h',
+      path: '/',
+      keys: [Buffer.from(key)],
+    };
+    const admission = service.admit(call);
+    return admission.kind === 'rejected' ? admission.reason : admission.account;
   };
   kernel.registerEffect(SCHEDULE_FLUSH, () => {
     kernel.dispatch(FLUSH_REQUESTS, undefined);
--- a/packages/site-daemon/src/accountGauges.ts
+++ b/packages/site-daemon/src/accountGauges.ts
@@ -1,4 +1,5 @@
-import {SITE_CONFIGURATION, listActiveJobs} from '@samphireramp/dispatch';
+import {SITE_CONFIGURATION} from '@samphireramp/configuration';
+import {listActiveJobs} from '@samphireramp/dispatch';
 import {RUNS} from '@samphireramp/fleet';
 import {heldTerm} from '@samphireramp/holding';
 import type {StateReader} from '@samphireramp/kernel';
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -1,10 +1,11 @@
+import type {RevocationTerms} from '@samphireramp/accounts';
 import {
-  type RevocationTerms,
+  type Admission,
+  type IncomingCall,
+  SITE_CONFIGURATION,
+  admitCall,
   configurationAgeMillis,
-  decideCall,
-  isConfigurationOutdated,
-} from '@samphireramp/accounts';
-import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
+} from '@samphireramp/configuration';
 import {
   ANSWER_CALL,
   type JobStatus,
@@ -22,7 +23,6 @@
 import {greatestProgressBytes} from '@samphireramp/record-codec';
 import type {CallerService} from '@samphireramp/platform';
 import {match} from 'ts-pattern';
-import type {RejectedCall} from './rejectedCallReporter';
 
 /** How long a cancel waits until this host knows all jobs accepted before it. */
 const MAX_KNOWLEDGE_WAIT_MILLIS = 2500;
@@ -44,8 +44,14 @@
   readonly visibleMillis: () => number;
   /** How long keys are accepted while the configuration can't be read. */
   readonly revocation: () => RevocationTerms;
-  /** Called with each call that is rejected. */
-  readonly onRejected: (call: RejectedCall) => void;
+  /** Called with each decision on a call. */
+  readonly onAdmission: (call: IncomingCall, admission: Admission) => void;
+  /** Called with each call for a job of another account. */
+  readonly onOtherAccount: (
+    jobId: string,
+    account: string | undefined,
+    ageMillis: number,
+  ) => void;
   /** Called with each answer that this host gives from its copy of the journal. */
   readonly onStatus: (jobId: string, status: JobStatus) => void;
   readonly onPending: (queue: string, count: PendingCount) => void;
@@ -109,29 +115,18 @@
   function reportIfOfOther(jobId: string, account: string | undefined): void {
     if (isOfOtherAccount(kernel, jobId, account)) {
       const ageMillis = configurationAgeMillis(kernel, now());
-      const reason = 'other-account';
-      options.onRejected({reason, account, job: jobId, ageMillis});
+      options.onOtherAccount(jobId, account, ageMillis);
     }
   }
 
   return {
-    configuration: () => kernel.read(SITE_CONFIGURATION).get(),
-    authorize: (route, keys) => {
-      const accounts =
-        kernel.read(SITE_CONFIGURATION).get()?.clientAccounts ?? [];
+    admit: call => {
+      const configuration = kernel.read(SITE_CONFIGURATION).get();
       const ageMillis = configurationAgeMillis(kernel, now());
-      const decision = decideCall({
-        accounts,
-        isPublic: route.isPublic,
-        keys,
-        isOutdated: isConfigurationOutdated(options.revocation(), ageMillis),
-      });
-      if (decision.kind === 'rejected') {
-        const {reason, account} = decision;
-        const queue = route.policy.name;
-        options.onRejected({reason, account, queue, ageMillis});
-      }
-      return decision;
+      const knowledge = {configuration, ageMillis};
+      const admission = admitCall(knowledge, call, options.revocation());
+      options.onAdmission(call, admission);
+      return admission;
     },
     progressExcess: job => {
       const bytes = greatestProgressBytes(job);
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -4,7 +4,7 @@
   limitsOfHost,
   startHttpServer,
 } from '@samphireramp/connections';
-import {SITE_CONFIGURATION} from '@samphireramp/dispatch';
+import {SITE_CONFIGURATION} from '@samphireramp/configuration';
 import {createHostLinks, startHostServer} from '@samphireramp/host-links';
 import {ANNOUNCE_INTERVAL_MILLIS, createHostsPlugin} from '@samphireramp/hosts';
 import {RESIGN, createHoldingPlugin, heldTerm} from '@samphireramp/holding';
@@ -29,6 +29,8 @@
 import {Hono} from 'hono';
 import {randomUUID} from 'node:crypto';
 import {createAccountGauges} from './accountGauges';
+import {createAdmissionReporter} from './admissionReporter';
+import {createConfigurationObserver} from './configurationObserver';
 import {createAdvicePlugin} from './advicePlugin';
 import {createAnswerReporter} from './answerReporter';
 import {createCallerService} from './callerService';
@@ -37,7 +39,6 @@
 import {createStreamLogPlugin} from './streamLogPlugin';
 import {createLoopUsePlugin} from './loopUsePlugin';
 import {createObserverPlugin} from './observerPlugin';
-import {createRejectedCallReporter} from './rejectedCallReporter';
 import {createTimersPlugin} from './timersPlugin';
 import {createWorkersPlugin} from './workersPlugin';
 
@@ -138,9 +139,8 @@
   const incarnation = randomUUID();
   const keepEndedMillis = settings().keepEndedMillis + KEEP_MARGIN_MILLIS;
 
-  // The observer is registered before the dispatch plug-in: it compares a new
-  // configuration with the previous one, which that plug-in then replaces.
   for (const plugin of [
+    createConfigurationObserver({metrics, log, now}),
     createHostsPlugin(),
     createHoldingPlugin({
       self,
@@ -194,7 +194,7 @@
       failsClosed: settings().revokeFailsClosed,
       revokeMillis: settings().revokeMillis,
     }),
-    onRejected: createRejectedCallReporter({log, metrics, now}),
+    ...createAdmissionReporter(kernel, {log, metrics, now}),
     ...createAnswerReporter(kernel, {log, metrics, now}),
   });
   const isReady = () =>
@@ -254,6 +254,8 @@
         : undefined,
       log,
       countMalformed: stream => metrics.count('malformed_records', {stream}),
+      countFailedRead: (stream, kind) =>
+        metrics.count('failed_reads', {stream, kind}),
     }),
   );
   const unregisterTimers = kernel.register(
--- a/packages/site-daemon/src/observerPlugin.ts
+++ b/packages/site-daemon/src/observerPlugin.ts
@@ -1,10 +1,4 @@
-import {
-  SITE_CONFIGURATION,
-  CONFIGURATION_IN_FORCE,
-  DISPATCH_EVENT,
-  JOBS,
-  listActiveJobs,
-} from '@samphireramp/dispatch';
+import {DISPATCH_EVENT, JOBS, listActiveJobs} from '@samphireramp/dispatch';
 import {FLEET_EVENT, RUNS, WORKERS} from '@samphireramp/fleet';
 import {
   HOLDING,
@@ -133,18 +127,6 @@
           journalEnd: kernel.read(HOLDING).get().endOffset,
         });
       }),
-      kernel.registerCommand(
-        CONFIGURATION_IN_FORCE,
-        (update, {configuration}) => {
-          // The dispatch plug-in, registered later, replaces this value.
-          const previous = update.read(SITE_CONFIGURATION).get();
-          log('configuration-in-force', {
-            revision: configuration.revision,
-            routes: configuration.routes.length,
-            before: previous?.revision,
-          });
-        },
-      ),
     );
   };
 }
--- a/packages/site-daemon/src/placementPlugins.ts
+++ b/packages/site-daemon/src/placementPlugins.ts
@@ -3,8 +3,11 @@
   createAccountsPlugin,
 } from '@samphireramp/accounts';
 import {
-  type DispatchOptions,
   clientAccountsOf,
+  createConfigurationPlugin,
+} from '@samphireramp/configuration';
+import {
+  type DispatchOptions,
   createDispatchPlugin,
 } from '@samphireramp/dispatch';
 import {createFleetPlugin} from '@samphireramp/fleet';
@@ -23,13 +26,17 @@
   readonly learnRunTimes: boolean;
 }
 
-/** Creates the plug-ins of accounts, workers, run times and dispatch, which asks the others. */
+/**
+ * Creates the plug-ins of the configuration, accounts, workers, run times and dispatch,
+ * which asks the others.
+ */
 export function createPlacementPlugins({
   learnRunTimes,
   ...options
 }: PlacementPluginOptions): Plugin[] {
   const runTimes = createRunTimeFunctions(learnRunTimes);
   return [
+    createConfigurationPlugin(),
     createAccountsPlugin(),
     createFleetPlugin(runTimes),
     createRunTimesPlugin(),
--- a/packages/site-daemon/src/routineEvents.ts
+++ b/packages/site-daemon/src/routineEvents.ts
@@ -4,6 +4,7 @@
  * a line of its own while the rate of lines allows it.
  */
 const ROUTINE_EVENTS: ReadonlySet<string> = new Set([
+  'call-admitted',
   'submit-accepted',
   'cancel-accepted',
   'job-taken',
--- a/packages/site-daemon/src/streamListener.ts
+++ b/packages/site-daemon/src/streamListener.ts
@@ -8,12 +8,14 @@
 /**
  * Creates a function that turns a record handler into a listener. The listener
  * logs when reads of the partition start to fail and when they succeed again, and
- * calls `onFailed` for each one that fails.
+ * counts each one that fails and calls `onFailed` for it.
  */
 export function createListenerFactory(
   stream: StreamName,
   partition: number,
   log: Log,
+  countFailedRead: (stream: StreamName, kind: ReadFailure) => void = () =>
+    undefined,
 ) {
   let isLost = false;
   return (
@@ -33,6 +35,7 @@
       onRead(read);
     },
     onFailure: (detail, kind) => {
+      countFailedRead(stream, kind);
       if (!isLost) {
         isLost = true;
         log('stream-lost', {stream, partition, detail});
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -1,4 +1,3 @@
-import {CONFIGURATION_READ} from '@samphireramp/accounts';
 import {
   APPEND_JOURNAL,
   DURABLE_PROGRESS,
@@ -24,7 +23,6 @@
   mergeUnregister,
 } from '@samphireramp/kernel';
 import {
-  CONFIGURATION_IN_FORCE,
   FOLLOW_HOLDER_STREAMS,
   FORGET_REQUESTS,
   REQUESTS_FORGOTTEN,
@@ -35,7 +33,6 @@
 } from '@samphireramp/dispatch';
 import {WORKER_REGISTRY_READ} from '@samphireramp/fleet';
 import {
-  type OnInvalid,
   type OnMalformed,
   decodeHosts,
   decodeJournal,
@@ -49,19 +46,18 @@
 import {
   type AppendOutcome,
   type FollowHandle,
-  type StoredRecord,
-  type StreamLog,
+  type ReadFailure,
   type StreamName,
   reachedLogEnd,
 } from '@samphireramp/stream-log';
-import type {SiteConfiguration} from '@samphireramp/jobs';
 import type {Log} from '@samphireramp/telemetry';
 import {forgetRequests} from './requestTombstones';
-import {
-  type ReportMalformed,
-  createMalformedReporter,
-} from './malformedRecords';
+import {createMalformedReporter} from './malformedRecords';
 import {applyRecords} from './applyRecords';
+import {
+  type ConfigurationStreamOptions,
+  createConfigurationStreamPlugin,
+} from './configurationStream';
 import {createReserveStreamPlugin} from './reserveStream';
 import {createListenerFactory} from './streamListener';
 import {
@@ -86,14 +82,6 @@
 const HIGH_TRAFFIC_READ_WAIT_MILLIS = 400;
 /** How long the log may keep a read of a low-traffic stream open. */
 const LOW_TRAFFIC_READ_WAIT_MILLIS = 1000;
-/**
- * Part of the greatest age of the configuration that one read may take, so that
- * a read that fails does not make the configuration outdated.
- */
-const CONFIGURATION_READ_SHARE = 0.25;
-/** Lower bound of that time, which bounds the call rate. */
-const MIN_CONFIGURATION_READ_MILLIS = 50;
-
 /** Options for following a stream with few records. */
 const LOW_TRAFFIC_OPTIONS = {
   partition: ONLY_PARTITION,
@@ -102,22 +90,16 @@
 };
 
 /** Options of `createStreamLogPlugin`. */
-export interface StreamLogPluginOptions {
-  readonly streams: StreamLog;
-  readonly decodeConfiguration: (
-    value: Buffer,
-    onInvalid: OnInvalid,
-  ) => SiteConfiguration | undefined;
-  readonly configurationKey: string;
+export interface StreamLogPluginOptions extends Omit<
+  ConfigurationStreamOptions,
+  'createListener' | 'onMalformed'
+> {
   readonly decodeWorker: DecodeWorker;
-  /**
-   * Age of the newest read of the configuration from which the host rejects calls;
-   * undefined if it never does.
-   */
-  readonly maxConfigurationAgeMillis?: number;
   readonly log: Log;
   /** Called for each malformed record, of which only some are logged. */
   readonly countMalformed?: (stream: StreamName) => void;
+  /** Called for each read that failed, of which only the first in a row is logged. */
+  readonly countFailedRead?: (stream: StreamName, kind: ReadFailure) => void;
 }
 
 /**
@@ -132,7 +114,7 @@
     const onMalformed = (stream: StreamName) => (key: string, reason: string) =>
       reportMalformed(stream, key, reason);
     const listenerFor = (stream: StreamName, partition = ONLY_PARTITION) =>
-      createListenerFactory(stream, partition, log);
+      createListenerFactory(stream, partition, log, options.countFailedRead);
 
     /** Options for following a stream that the holder writes. */
     const holderStreamOptions = {
@@ -172,18 +154,6 @@
       journal = undefined;
     }
 
-    const configuration = streams.follow(
-      {
-        stream: 'configuration',
-        ...configurationReadOptions(options.maxConfigurationAgeMillis),
-      },
-      listenerFor('configuration')(({records, ...read}) => {
-        applyConfiguration(kernel, options, records, reportMalformed);
-        if (reachedLogEnd(read)) {
-          kernel.dispatch(CONFIGURATION_READ, {sentAt: read.sentAt});
-        }
-      }),
-    );
     /** Handles of the streams that only the holder reads. */
     let holderStreams: FollowHandle[] = [];
 
@@ -245,9 +215,16 @@
     }
 
     return mergeUnregister(
-      () => [states, configuration].forEach(handle => handle.stop()),
+      () => states.stop(),
       unfollowJournal,
       unfollowHolderStreams,
+      kernel.register(
+        createConfigurationStreamPlugin({
+          ...options,
+          createListener: listenerFor('configuration'),
+          onMalformed: onMalformed('configuration'),
+        }),
+      ),
       kernel.register(
         createReserveStreamPlugin({
           streams,
@@ -318,48 +295,18 @@
   };
 }
 
-/** Options of reads that are short compared to the greatest age of the result. */
-function configurationReadOptions(maxAgeMillis = Infinity) {
-  const maxReadMillis = Math.max(
-    MIN_CONFIGURATION_READ_MILLIS,
-    maxAgeMillis * CONFIGURATION_READ_SHARE,
-  );
-  return {
-    partition: ONLY_PARTITION,
-    pauseMillis: () => Math.min(LOW_TRAFFIC_READ_PAUSE_MILLIS, maxReadMillis),
-    waitMillis: Math.min(
-      LOW_TRAFFIC_READ_WAIT_MILLIS,
-      Math.floor(maxReadMillis),
-    ),
-  };
-}
-
-function applyConfiguration(
-  kernel: Kernel,
-  {decodeConfiguration, configurationKey}: StreamLogPluginOptions,
-  records: readonly StoredRecord[],
-  reportMalformed: ReportMalformed,
-): void {
-  for (const {key, value} of records) {
-    if (key !== configurationKey) {
-      continue;
-    }
-    const configuration = decodeConfiguration(value, reason =>
-      reportMalformed('configuration', key, reason),
-    );
-    if (configuration !== undefined) {
-      kernel.dispatch(CONFIGURATION_IN_FORCE, {configuration});
-    }
-  }
-}
-
 function followWorkerRegistry(
   kernel: Kernel,
-  {streams, decodeWorker, log}: StreamLogPluginOptions,
+  {streams, decodeWorker, log, countFailedRead}: StreamLogPluginOptions,
   onMalformed: OnMalformed,
 ): FollowHandle {
   const readRegistry = createWorkerRegistryReader(decodeWorker, onMalformed);
-  const listener = createListenerFactory('workers', ONLY_PARTITION, log);
+  const listener = createListenerFactory(
+    'workers',
+    ONLY_PARTITION,
+    log,
+    countFailedRead,
+  );
   return streams.follow(
     {stream: 'workers', ...LOW_TRAFFIC_OPTIONS},
     listener(({records, isSnapshot}) => {
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -1,8 +1,5 @@
-import {
-  CONFIGURATION_IN_FORCE,
-  DISPATCH_EVENT,
-  DISPATCH_TICK,
-} from '@samphireramp/dispatch';
+import {CONFIGURATION_IN_FORCE} from '@samphireramp/configuration';
+import {DISPATCH_EVENT, DISPATCH_TICK} from '@samphireramp/dispatch';
 import {FLEET_EVENT, FLEET_TICK} from '@samphireramp/fleet';
 import {HOSTS_READ, createHostsPlugin} from '@samphireramp/hosts';
 import {
