Reads of the configuration have connections of their own

A read of the configuration waited with all other calls of a host for one of 48 connections to the store, with its time running: calls without an answer (appends take up to 2.4 s each) could keep it from ever being sent.

Evidence: configurationReads.test.ts, 'calls without an answer hold up no change': no read in 4 s before, at once now.

--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -44,6 +44,8 @@
 
 /** Maximum HTTP connections per address; further calls wait for a free one. */
 const CONNECTIONS_PER_ADDRESS = 48;
+/** Maximum connections for reads of the configuration, which never wait for others. */
+const CONFIGURATION_CONNECTIONS = 6;
 /** Maximum age of the last read of the job states for a host to be ready. */
 const MAX_READY_READ_AGE_MILLIS = 1500;
 /** Share of the grace period for which a stopping host still serves callers. */
@@ -111,6 +113,7 @@
   const httpClient = createHttpClient(CONNECTIONS_PER_ADDRESS);
   const storeLog = createStoreLog({
     client: httpClient,
+    configurationClient: createHttpClient(CONFIGURATION_CONNECTIONS),
     address: () => settings().storeAddress,
     partitions,
     limits: settings,
