Reads of the configuration are hedged

A host read the configuration by one read at a time. A connection that took over 600 ms was never made.

Now a read without an answer is sent again beside the first, after 0.8 s more than its wait at most and then each 0.7 s, six at a time at most; the first answer counts and ends the others. Each has 4 s beyond its wait, on connections of its own that may take 4 s.

--- a/packages/site-daemon/src/configurationStream.ts
+++ b/packages/site-daemon/src/configurationStream.ts
@@ -51,6 +51,7 @@
       {
         stream: 'configuration',
         partition: ONLY_PARTITION,
+        isHedged: true,
         ...readOptions(options.maxConfigurationAgeMillis),
       },
       options.createListener(({records, ...read}) => {
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -14,6 +14,7 @@
 import {
   CONFIGURATION_KEY,
   type HostSettings,
+  MAX_HEDGED_READS,
   createAdviser,
   createHttpClient,
   createStoreLog,
@@ -44,8 +45,8 @@
 
 /** Maximum HTTP connections per address; further calls wait for a free one. */
 const CONNECTIONS_PER_ADDRESS = 48;
-/** Maximum connections for reads of the configuration, which never wait for others. */
-const CONFIGURATION_CONNECTIONS = 6;
+/** Time for a connection for reads of the configuration, also over a slow way. */
+const CONFIGURATION_CONNECT_MILLIS = 4000;
 /** Maximum age of the last read of the job states for a host to be ready. */
 const MAX_READY_READ_AGE_MILLIS = 1500;
 /** Share of the grace period for which a stopping host still serves callers. */
@@ -113,7 +114,10 @@
   const httpClient = createHttpClient(CONNECTIONS_PER_ADDRESS);
   const storeLog = createStoreLog({
     client: httpClient,
-    configurationClient: createHttpClient(CONFIGURATION_CONNECTIONS),
+    configurationClient: createHttpClient(
+      MAX_HEDGED_READS,
+      CONFIGURATION_CONNECT_MILLIS,
+    ),
     address: () => settings().storeAddress,
     partitions,
     limits: settings,
--- a/packages/stream-log/src/StreamLog.ts
+++ b/packages/stream-log/src/StreamLog.ts
@@ -94,6 +94,11 @@
   readonly pauseMillis: () => number;
   /** Milliseconds for which the log may hold a read open until a record comes. */
   readonly waitMillis: number;
+  /**
+   * Whether a read without an answer is sent again beside the first, so that neither a
+   * lost answer nor a slow way holds up the next records for long.
+   */
+  readonly isHedged?: boolean;
 }
 
 /** Controls the reads of a followed partition. */
