A host refuses a call for good only by a configuration that must be in force

What callers saw: 404 or 401 by an old configuration, which is final, though the route or key had been added. Whatever kept a host behind (a full loop, a slow way, the store refusing it), it answered so by a configuration of any age; only revoke_fail_closed looked at the age, and only for known keys.

What the older configuration accepts is accepted as before, so that a host that is cut off serves on.

--- a/packages/configuration/src/admission.ts
+++ b/packages/configuration/src/admission.ts
@@ -28,6 +28,12 @@
   readonly ageMillis: number;
 }
 
+/** Up to which age a configuration decides about calls. */
+export interface AdmissionTerms extends RevocationTerms {
+  /** A change of the configuration must be in force everywhere within this time. */
+  readonly applyMillis: number;
+}
+
 /** The configuration that decided about a call. */
 export interface AdmissionBasis {
   /** Undefined if the host had no configuration. */
@@ -48,6 +54,8 @@
   | {
       readonly kind: 'rejected';
       readonly reason: RejectionReason | 'no-configuration' | 'no-route';
+      /** Whether the call would be rejected by the newest configuration, too. */
+      readonly isFinal: boolean;
       /** Name of the account, if the key is known. */
       readonly account?: string;
       /** Name of the queue, if the route is known. */
@@ -59,15 +67,17 @@
 export function admitCall(
   {configuration, ageMillis}: ConfigurationKnowledge,
   {hostName, path, keys}: IncomingCall,
-  terms: RevocationTerms,
+  terms: AdmissionTerms,
 ): Admission {
   const basis = {revision: configuration?.revision, ageMillis};
+  // A change that is older must be in force; the host may not have read it.
+  const isFinal = ageMillis < terms.applyMillis;
   if (configuration === undefined) {
-    return {kind: 'rejected', reason: 'no-configuration', basis};
+    return {kind: 'rejected', reason: 'no-configuration', isFinal, basis};
   }
   const route = findRoute(configuration, hostName, path);
   if (route === undefined) {
-    return {kind: 'rejected', reason: 'no-route', basis};
+    return {kind: 'rejected', reason: 'no-route', isFinal, basis};
   }
   const decision = decideCall({
     accounts: configuration.clientAccounts,
@@ -78,7 +88,7 @@
   if (decision.kind === 'rejected') {
     const {reason, account} = decision;
     const queue = route.policy.name;
-    return {kind: 'rejected', reason, account, queue, basis};
+    return {kind: 'rejected', reason, account, queue, isFinal, basis};
   }
   const {account} = decision;
   const {maxBodyBytes} = configuration;
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -2,6 +2,7 @@
 export {
   type Admission,
   type AdmissionBasis,
+  type AdmissionTerms,
   type ConfigurationKnowledge,
   type IncomingCall,
   admitCall,
--- a/packages/site-daemon/src/__tests__/unit/admissionReporter.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/admissionReporter.test.ts
@@ -14,7 +14,7 @@
 import {createAdmissionReporter} from '../../admissionReporter';
 import {createConfigurationObserver} from '../../configurationObserver';
 
-const TERMS = {failsClosed: false, revokeMillis: 2000};
+const TERMS = {applyMillis: 4000, failsClosed: false, revokeMillis: 2000};
 
 /** Builds a host that admits and reports calls on a clock that the test sets. */
 function buildHost() {
--- a/packages/site-daemon/src/__tests__/unit/revocation.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/revocation.test.ts
@@ -96,7 +96,11 @@
     isStopping: () => false,
     maxRecordBytes: () => 100_000,
     visibleMillis: () => 3000,
-    revocation: () => ({failsClosed, revokeMillis: REVOKE_MILLIS}),
+    admissionTerms: () => ({
+      applyMillis: Infinity,
+      failsClosed,
+      revokeMillis: REVOKE_MILLIS,
+    }),
     ...createAdmissionReporter(kernel, {log: logRejections, metrics, now}),
     onStatus: () => undefined,
     onPending: () => undefined,
--- a/packages/site-daemon/src/admissionReporter.ts
+++ b/packages/site-daemon/src/admissionReporter.ts
@@ -67,9 +67,9 @@
       const {revision, ageMillis} = admission.basis;
       const configurationMillis = roundedMillis(ageMillis);
       if (admission.kind === 'rejected') {
-        const {reason, account, queue} = admission;
+        const {reason, account, queue, isFinal} = admission;
         const url = `${hostName}${path}`.slice(0, MAX_LOGGED_CHARACTERS);
-        const call = {method, url, revision, configurationMillis};
+        const call = {method, url, isFinal, revision, configurationMillis};
         reportRejected(reason, {account, queue, ...call});
         return;
       }
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -1,6 +1,6 @@
-import type {RevocationTerms} from '@samphireramp/accounts';
 import {
   type Admission,
+  type AdmissionTerms,
   type IncomingCall,
   SITE_CONFIGURATION,
   admitCall,
@@ -42,8 +42,8 @@
   readonly maxRecordBytes: () => number;
   /** An accepted job must be known at every host within this time. */
   readonly visibleMillis: () => number;
-  /** How long keys are accepted while the configuration can't be read. */
-  readonly revocation: () => RevocationTerms;
+  /** How calls are decided while the configuration can't be read. */
+  readonly admissionTerms: () => AdmissionTerms;
   /** Called with each decision on a call. */
   readonly onAdmission: (call: IncomingCall, admission: Admission) => void;
   /** Called with each call for a job of another account. */
@@ -124,7 +124,7 @@
       const configuration = kernel.read(SITE_CONFIGURATION).get();
       const ageMillis = configurationAgeMillis(kernel, now());
       const knowledge = {configuration, ageMillis};
-      const admission = admitCall(knowledge, call, options.revocation());
+      const admission = admitCall(knowledge, call, options.admissionTerms());
       options.onAdmission(call, admission);
       return admission;
     },
--- a/packages/site-daemon/src/createSiteHost.ts
+++ b/packages/site-daemon/src/createSiteHost.ts
@@ -197,7 +197,8 @@
     maxRecordBytes: () => settings().maxRecordBytes,
     delay: sleep,
     isStopping: () => isStopping,
-    revocation: () => ({
+    admissionTerms: () => ({
+      applyMillis: settings().configurationApplyMillis,
       failsClosed: settings().revokeFailsClosed,
       revokeMillis: settings().revokeMillis,
     }),
