Jobs tell by which revision they were admitted

The holder reads requests every 10 ms and the configuration by long reads with pauses of 300 ms: it started jobs of a route or account that it did not know yet, and then answered its own callers 404 or 401 by the older configuration.

The record of a job has the revision that admitted it. A holder that reads a newer one than its own reads the configuration at once, and until then its refusals aren't final (503 with Retry-After). Hosts without the field are read as before.

--- a/packages/configuration/src/admission.ts
+++ b/packages/configuration/src/admission.ts
@@ -26,6 +26,8 @@
   readonly configuration: SiteConfiguration | undefined;
   /** Milliseconds since it was known to be the newest; Infinity if it never was. */
   readonly ageMillis: number;
+  /** The newest revision that any host is known to have decided by. */
+  readonly newestKnownRevision: number;
 }
 
 /** Up to which age a configuration decides about calls. */
@@ -65,16 +67,23 @@
 
 /** Decides by one configuration whether a host handles a call. */
 export function admitCall(
-  {configuration, ageMillis}: ConfigurationKnowledge,
+  {configuration, ageMillis, newestKnownRevision}: ConfigurationKnowledge,
   {hostName, path, keys}: IncomingCall,
   terms: AdmissionTerms,
 ): Admission {
   const basis = {revision: configuration?.revision, ageMillis};
-  // A change that is older must be in force; the host may not have read it.
-  const isFinal = ageMillis < terms.applyMillis;
   if (configuration === undefined) {
-    return {kind: 'rejected', reason: 'no-configuration', isFinal, basis};
+    return {
+      kind: 'rejected',
+      reason: 'no-configuration',
+      isFinal: false,
+      basis,
+    };
   }
+  // A change that is older must be in force; this host may not have read it.
+  const isFinal =
+    ageMillis < terms.applyMillis &&
+    configuration.revision >= newestKnownRevision;
   const route = findRoute(configuration, hostName, path);
   if (route === undefined) {
     return {kind: 'rejected', reason: 'no-route', isFinal, basis};
--- a/packages/configuration/src/configurationState.ts
+++ b/packages/configuration/src/configurationState.ts
@@ -1,7 +1,9 @@
+import type {ConfigurationKnowledge} from './admission';
 import type {ClientAccount, SiteConfiguration} from '@samphireramp/jobs';
 import {
   type StateReader,
   createCommand,
+  createEffect,
   createValueSlice,
 } from '@samphireramp/kernel';
 
@@ -19,6 +21,12 @@
   -Infinity,
 );
 
+/** The newest revision that any host is known to have decided by. */
+export const NEWEST_KNOWN_REVISION = createValueSlice(
+  'newest-known-revision',
+  -Infinity,
+);
+
 /** A new configuration of the site takes effect. */
 export const CONFIGURATION_IN_FORCE = createCommand<{
   readonly configuration: SiteConfiguration;
@@ -30,6 +38,16 @@
   readonly sentAt: number;
 }>('configuration-read');
 
+/** Another host has decided by a revision of the configuration. */
+export const REVISION_KNOWN = createCommand<{readonly revision: number}>(
+  'revision-known',
+);
+
+/** Reads the configuration at once, as a newer one is known to exist. */
+export const READ_CONFIGURATION_NOW = createEffect<{
+  readonly revision: number;
+}>('read-configuration-now');
+
 /** Returns the client accounts of the current configuration, if there is one. */
 export function clientAccountsOf(
   state: StateReader,
@@ -44,3 +62,15 @@
 ): number {
   return now - state.read(CONFIGURATION_READ_AT).get();
 }
+
+/** Returns what this host knows of the configuration. */
+export function configurationKnowledge(
+  state: StateReader,
+  now: number,
+): ConfigurationKnowledge {
+  return {
+    configuration: state.read(SITE_CONFIGURATION).get(),
+    ageMillis: configurationAgeMillis(state, now),
+    newestKnownRevision: state.read(NEWEST_KNOWN_REVISION).get(),
+  };
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -12,7 +12,11 @@
   CONFIGURATION_IN_FORCE,
   CONFIGURATION_READ,
   CONFIGURATION_READ_AT,
+  NEWEST_KNOWN_REVISION,
+  READ_CONFIGURATION_NOW,
+  REVISION_KNOWN,
   SITE_CONFIGURATION,
   clientAccountsOf,
   configurationAgeMillis,
+  configurationKnowledge,
 } from './configurationState';
--- a/packages/intake/src/Request.ts
+++ b/packages/intake/src/Request.ts
@@ -2,7 +2,12 @@
 
 /** A caller's request; it is accepted only once it is durable. */
 export type Request =
-  | {readonly kind: 'submit'; readonly job: Job}
+  | {
+      readonly kind: 'submit';
+      readonly job: Job;
+      /** Revision of the configuration that admitted the call; undefined if unknown. */
+      readonly revision?: number;
+    }
   | {
       readonly kind: 'cancel';
       readonly jobId: string;
--- a/packages/record-codec/src/requestCodec.ts
+++ b/packages/record-codec/src/requestCodec.ts
@@ -10,6 +10,8 @@
 const CANCEL_PREFIX = 'cancel.';
 const TOMBSTONE = Buffer.alloc(0);
 
+/** A job, and the revision of the configuration that admitted it. */
+const submitSchema = z.extend(jobSchema, {revision: z.optional(z.number())});
 const cancelSchema = z.object({
   receivedAt: z.optional(z.number()),
   account: z.optional(z.string()),
@@ -18,9 +20,9 @@
 /** Encodes a caller's request as a record. */
 export function encodeRequest(request: Request): LogRecord {
   return match(request)
-    .with({kind: 'submit'}, ({job}) => ({
+    .with({kind: 'submit'}, ({job, revision}) => ({
       key: JOB_PREFIX + job.id,
-      value: Buffer.from(JSON.stringify(job)),
+      value: Buffer.from(JSON.stringify({...job, revision})),
     }))
     .with({kind: 'cancel'}, ({jobId, receivedAt, account}) => ({
       key: CANCEL_PREFIX + jobId,
@@ -82,8 +84,12 @@
   onInvalid: OnInvalid,
 ): Request | undefined {
   if (key.startsWith(JOB_PREFIX)) {
-    const job = decodeJson(jobSchema, value, onInvalid);
-    return job && {kind: 'submit', job};
+    const submit = decodeJson(submitSchema, value, onInvalid);
+    if (submit === undefined) {
+      return undefined;
+    }
+    const {revision, ...job} = submit;
+    return {kind: 'submit', job, revision};
   }
   if (key.startsWith(CANCEL_PREFIX)) {
     const cancel = decodeJson(cancelSchema, value, onInvalid);
--- a/packages/site-daemon/src/__tests__/unit/admissionReporter.test.ts
+++ b/packages/site-daemon/src/__tests__/unit/admissionReporter.test.ts
@@ -1,9 +1,8 @@
 import {
   CONFIGURATION_IN_FORCE,
   CONFIGURATION_READ,
-  SITE_CONFIGURATION,
   admitCall,
-  configurationAgeMillis,
+  configurationKnowledge,
   createConfigurationPlugin,
 } from '@samphireramp/configuration';
 import {STATES_COPY} from '@samphireramp/job-states';
@@ -41,9 +40,7 @@
   };
   const receive = (path: string) => {
     const call = {method: 'GET', hostName: 'example', path, keys: []};
-    const configuration = kernel.read(SITE_CONFIGURATION).get();
-    const ageMillis = configurationAgeMillis(kernel, clock.now);
-    const knowledge = {configuration, ageMillis};
+    const knowledge = configurationKnowledge(kernel, clock.now);
     reporter.onAdmission(call, admitCall(knowledge, call, TERMS));
   };
   return {clock, lines, metrics, configure, receive};
--- a/packages/site-daemon/src/callerService.ts
+++ b/packages/site-daemon/src/callerService.ts
@@ -2,9 +2,9 @@
   type Admission,
   type AdmissionTerms,
   type IncomingCall,
-  SITE_CONFIGURATION,
   admitCall,
   configurationAgeMillis,
+  configurationKnowledge,
 } from '@samphireramp/configuration';
 import {
   ANSWER_CALL,
@@ -121,9 +121,7 @@
 
   return {
     admit: call => {
-      const configuration = kernel.read(SITE_CONFIGURATION).get();
-      const ageMillis = configurationAgeMillis(kernel, now());
-      const knowledge = {configuration, ageMillis};
+      const knowledge = configurationKnowledge(kernel, now());
       const admission = admitCall(knowledge, call, options.admissionTerms());
       options.onAdmission(call, admission);
       return admission;
@@ -135,9 +133,9 @@
             `${options.maxRecordBytes()} can be recorded: hand in fewer tasks`
         : undefined;
     },
-    submit: job => {
+    submit: (job, revision) => {
       reportIfOfOther(job.id, job.account);
-      return dispatchRequest({kind: 'submit', job});
+      return dispatchRequest({kind: 'submit', job, revision});
     },
     cancel: async (jobId, account) => {
       const receivedAt = wallClock();
--- a/packages/site-daemon/src/configurationStream.ts
+++ b/packages/site-daemon/src/configurationStream.ts
@@ -1,9 +1,10 @@
 import {
   CONFIGURATION_IN_FORCE,
   CONFIGURATION_READ,
+  READ_CONFIGURATION_NOW,
 } from '@samphireramp/configuration';
 import type {SiteConfiguration} from '@samphireramp/jobs';
-import type {Kernel, Plugin} from '@samphireramp/kernel';
+import {type Kernel, type Plugin, mergeUnregister} from '@samphireramp/kernel';
 import type {OnInvalid, OnMalformed} from '@samphireramp/record-codec';
 import {
   type StoredRecord,
@@ -61,7 +62,10 @@
         }
       }),
     );
-    return () => handle.stop();
+    return mergeUnregister(
+      () => handle.stop(),
+      kernel.registerEffect(READ_CONFIGURATION_NOW, () => handle.readNow()),
+    );
   };
 }
 
--- a/packages/site-daemon/src/streamLogPlugin.ts
+++ b/packages/site-daemon/src/streamLogPlugin.ts
@@ -15,7 +15,12 @@
   STATES_READ,
   UNFOLLOW_JOURNAL,
 } from '@samphireramp/job-states';
-import {APPEND_REQUESTS, REQUEST_APPEND_ENDED} from '@samphireramp/intake';
+import {REVISION_KNOWN} from '@samphireramp/configuration';
+import {
+  APPEND_REQUESTS,
+  REQUEST_APPEND_ENDED,
+  type Request,
+} from '@samphireramp/intake';
 import {
   type Kernel,
   type PayloadOf,
@@ -190,14 +195,16 @@
               ({records, ...read}) =>
                 applyRecords(
                   decodeRequests(records, isOver, onMalformed('requests')),
-                  (requests, hasAll) =>
-                    kernel.dispatch(REQUESTS_READ, {
+                  (requests, hasAll) => {
+                    announceRevision(kernel, requests);
+                    return kernel.dispatch(REQUESTS_READ, {
                       partition,
                       jobIds: hasAll ? jobIdsOf(records) : [],
                       completeUntil:
                         hasAll && reachedLogEnd(read) ? read.sentAt : undefined,
                       requests,
-                    }),
+                    });
+                  },
                 ),
               kind => {
                 const isRefused = kind === 'refused';
@@ -295,6 +302,18 @@
   };
 }
 
+/** Tells by which revision of the configuration other hosts have admitted jobs. */
+function announceRevision(kernel: Kernel, requests: readonly Request[]): void {
+  const revisions = requests.flatMap(request =>
+    request.kind === 'submit' && request.revision !== undefined
+      ? [request.revision]
+      : [],
+  );
+  if (revisions.length > 0) {
+    kernel.dispatch(REVISION_KNOWN, {revision: Math.max(...revisions)});
+  }
+}
+
 function followWorkerRegistry(
   kernel: Kernel,
   {streams, decodeWorker, log, countFailedRead}: StreamLogPluginOptions,
