--- a/testing/src/__tests__/unit/acknowledgementsAndOrders.test.ts
+++ b/testing/src/__tests__/unit/acknowledgementsAndOrders.test.ts
@@ -3,6 +3,7 @@
 import {
   beginNextLife,
   buildSiteOfOldWorkers,
+  delayNextPoll,
   delayOrders,
   setCutOff,
   submitTask,
@@ -36,22 +37,6 @@
   await awaitRuns(site, worker, 0);
 }
 
-/** Leaves the next poll of a worker without an answer; it is carried out late. */
-async function delayNextPoll(
-  site: ModelSite,
-  worker: ModelWorker,
-): Promise<void> {
-  let polls = 0;
-  site.faultState = {
-    ...site.faultState,
-    losesPollAnswer: id => id === worker.id && ++polls === 1,
-    orderDelayMillis: () => POLL_DELAY_MILLIS,
-  };
-  while (polls === 0) {
-    await site.run(1);
-  }
-}
-
 /** Has the next life carry out the delayed calls unheard; checks that no task runs twice. */
 async function checkNextLife(
   t: Test,
@@ -75,7 +60,7 @@
     const [site, worker] = await buildSiteOfOldWorkers();
     submitTask(site, EARLIER_JOB_ID, TASK_MILLIS);
     await awaitEnd(site, worker);
-    await delayNextPoll(site, worker);
+    await delayNextPoll(site, worker, POLL_DELAY_MILLIS);
     delayOrders(site, ORDER_DELAY_MILLIS);
     submitTask(site, LATER_JOB_ID, TASK_MILLIS);
     await site.run(ORDER_MILLIS);
@@ -92,7 +77,7 @@
     delayOrders(site, ORDER_DELAY_MILLIS);
     submitTask(site, LATER_JOB_ID, TASK_MILLIS);
     await awaitEnd(site, worker);
-    await delayNextPoll(site, worker);
+    await delayNextPoll(site, worker, POLL_DELAY_MILLIS);
     await checkNextLife(t, site, worker);
   },
 );
--- a/testing/src/__tests__/unit/crashCharges.test.ts
+++ b/testing/src/__tests__/unit/crashCharges.test.ts
@@ -1,8 +1,7 @@
 import t from 'tap';
 import {
-  awaitOrder,
-  beginNextLife,
   buildSiteOfOldWorkers,
+  restartUnderOrders,
   submitTask,
 } from './nextLifeFixture';
 
@@ -18,12 +17,7 @@
   async t => {
     const [site] = await buildSiteOfOldWorkers();
     submitTask(site, JOB_ID, TASK_MILLIS);
-    for (let run = 1; run <= RESTARTS; run++) {
-      const worker = await awaitOrder(site, run);
-      if (worker !== undefined) {
-        beginNextLife(worker);
-      }
-    }
+    await restartUnderOrders(site, RESTARTS);
     await site.run(REPORT_MILLIS);
     const lines = site.events.map(line => JSON.parse(line) as {event: string});
     t.ok(lines.some(({event}) => event === 'worker-crashed'));
--- a/testing/src/__tests__/unit/crashOfNextLife.test.ts
+++ b/testing/src/__tests__/unit/crashOfNextLife.test.ts
@@ -1,8 +1,7 @@
 import t from 'tap';
 import {
-  awaitOrder,
-  beginNextLife,
   buildSiteOfOldWorkers,
+  restartUnderOrders,
   submitTask,
 } from './nextLifeFixture';
 
@@ -16,13 +15,7 @@
   async t => {
     const [site] = await buildSiteOfOldWorkers();
     submitTask(site, JOB_ID, TASK_MILLIS);
-    for (let run = 1; run <= RESTARTS; run++) {
-      const worker = await awaitOrder(site, run);
-      // The order is on its way: the next life takes it.
-      if (worker !== undefined) {
-        beginNextLife(worker);
-      }
-    }
+    await restartUnderOrders(site, RESTARTS);
     await site.run(30_000);
     t.equal(site.readJobState(site.hosts[0], JOB_ID), 'completed');
     t.same(site.checker.violations, []);
--- a/testing/src/__tests__/unit/nextLifeFixture.ts
+++ b/testing/src/__tests__/unit/nextLifeFixture.ts
@@ -92,3 +92,33 @@
   };
   await site.run(IDLE_POLL_MILLIS);
 }
+
+/** Leaves the next poll of a worker without an answer; it is carried out later. */
+export async function delayNextPoll(
+  site: ModelSite,
+  worker: ModelWorker,
+  delayMillis: number,
+): Promise<void> {
+  let polls = 0;
+  site.faultState = {
+    ...site.faultState,
+    losesPollAnswer: id => id === worker.id && ++polls === 1,
+    orderDelayMillis: () => delayMillis,
+  };
+  while (polls === 0) {
+    await site.run(1);
+  }
+}
+
+/** Restarts a worker each time it is sent a run of the task, while that is on its way. */
+export async function restartUnderOrders(
+  site: ModelSite,
+  restarts: number,
+): Promise<void> {
+  for (let run = 1; run <= restarts; run++) {
+    const worker = await awaitOrder(site, run);
+    if (worker !== undefined) {
+      beginNextLife(worker);
+    }
+  }
+}
--- a/testing/src/__tests__/unit/unreadEnds.test.ts
+++ b/testing/src/__tests__/unit/unreadEnds.test.ts
@@ -1,8 +1,8 @@
 import t from 'tap';
-import type {ModelSite, ModelWorker} from '../../index';
 import {
   beginNextLife,
   buildSiteOfOldWorkers,
+  delayNextPoll,
   delayOrders,
   setCutOff,
   submitTask,
@@ -19,22 +19,6 @@
 const ORDER_DELAY_MILLIS = 1500;
 const POLL_DELAY_MILLIS = 6000;
 
-/** Leaves one poll of a worker without an answer; it is carried out late. */
-async function delayOnePoll(
-  site: ModelSite,
-  worker: ModelWorker,
-): Promise<void> {
-  let polls = 0;
-  site.faultState = {
-    ...site.faultState,
-    losesPollAnswer: id => id === worker.id && ++polls === 1,
-    orderDelayMillis: () => POLL_DELAY_MILLIS,
-  };
-  while (polls === 0) {
-    await site.run(1);
-  }
-}
-
 void t.test(
   'no task starts again whose end at an unheard life a poll of the earlier one acknowledged',
   async t => {
@@ -42,7 +26,7 @@
     submitTask(site, EARLIER_JOB_ID, TASK_MILLIS);
     await site.run(END_MILLIS);
     t.equal(site.readJobState(site.hosts[0], EARLIER_JOB_ID), 'completed');
-    await delayOnePoll(site, worker);
+    await delayNextPoll(site, worker, POLL_DELAY_MILLIS);
     delayOrders(site, ORDER_DELAY_MILLIS);
     submitTask(site, LATER_JOB_ID, TASK_MILLIS);
     await site.run(ORDER_MILLIS);
