--- a/packages/configuration/src/configurationState.ts
+++ b/packages/configuration/src/configurationState.ts
@@ -1,4 +1,3 @@
-import type {ConfigurationKnowledge} from './admission';
 import type {ClientAccount, SiteConfiguration} from '@samphireramp/jobs';
 import {
   type StateReader,
@@ -6,6 +5,7 @@
   createEffect,
   createValueSlice,
 } from '@samphireramp/kernel';
+import type {ConfigurationKnowledge} from './admission';
 
 /** The current configuration of the site; undefined until one is received. */
 export const SITE_CONFIGURATION = createValueSlice<
--- a/packages/site-daemon/src/admissionReporter.ts
+++ b/packages/site-daemon/src/admissionReporter.ts
@@ -1,7 +1,12 @@
 import type {Admission, IncomingCall} from '@samphireramp/configuration';
 import {STATES_COPY} from '@samphireramp/job-states';
 import type {StateReader} from '@samphireramp/kernel';
-import type {Log, Metrics} from '@samphireramp/telemetry';
+import {
+  type Log,
+  type LogFields,
+  type Metrics,
+  createLineBudget,
+} from '@samphireramp/telemetry';
 
 /** Maximum log lines about rejected calls in each interval of `WINDOW_MILLIS`. */
 const MAX_LINES_PER_WINDOW = 10;
@@ -39,20 +44,18 @@
   state: StateReader,
   {log, metrics, now}: AdmissionReporterOptions,
 ): AdmissionReporter {
-  let windowStartedAt = -Infinity;
-  let linesInWindow = 0;
+  const mayLogRejection = createLineBudget({
+    maxLines: MAX_LINES_PER_WINDOW,
+    windowMillis: WINDOW_MILLIS,
+    now,
+  });
 
   function reportRejected(
     reason: Rejection | 'other-account',
-    fields: Parameters<Log>[1] & {readonly account?: string},
+    fields: LogFields & {readonly account?: string},
   ): void {
     metrics.count('rejected_calls', {reason, account: fields.account ?? ''});
-    if (now() - windowStartedAt >= WINDOW_MILLIS) {
-      windowStartedAt = now();
-      linesInWindow = 0;
-    }
-    linesInWindow++;
-    if (linesInWindow <= MAX_LINES_PER_WINDOW) {
+    if (mayLogRejection()) {
       const storeMillis = now() - state.read(STATES_COPY).get().readAt;
       log('call-rejected', {
         reason,
--- a/packages/site-daemon/src/answerReporter.ts
+++ b/packages/site-daemon/src/answerReporter.ts
@@ -2,7 +2,12 @@
 import type {JobStatus, PendingCount} from '@samphireramp/intake';
 import {STATES_COPY} from '@samphireramp/job-states';
 import type {Kernel} from '@samphireramp/kernel';
-import type {Log, LogFields, Metrics} from '@samphireramp/telemetry';
+import {
+  type Log,
+  type LogFields,
+  type Metrics,
+  createLineBudget,
+} from '@samphireramp/telemetry';
 
 /** Maximum log lines about answers in each interval of `WINDOW_MILLIS`. */
 const MAX_LINES_PER_WINDOW = 10;
@@ -30,16 +35,14 @@
   kernel: Kernel,
   {log, metrics, now}: AnswerReporterOptions,
 ): AnswerReporter {
-  let windowStartedAt = -Infinity;
-  let linesInWindow = 0;
+  const mayLog = createLineBudget({
+    maxLines: MAX_LINES_PER_WINDOW,
+    windowMillis: WINDOW_MILLIS,
+    now,
+  });
 
   function logWithinLimit(event: string, fields: LogFields): void {
-    if (now() - windowStartedAt >= WINDOW_MILLIS) {
-      windowStartedAt = now();
-      linesInWindow = 0;
-    }
-    linesInWindow++;
-    if (linesInWindow <= MAX_LINES_PER_WINDOW) {
+    if (mayLog()) {
       log(event, {...fields, ...describeCopy(kernel, now())});
     }
   }
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -15,6 +15,7 @@
   type GatheredFields,
   splitGatheredFields,
 } from './gatheredEvents';
+export {type LineBudgetOptions, createLineBudget} from './lineBudget';
 export {
   type LineWriter,
   type LineWriterOptions,
