--- a/packages/site-daemon/src/admissionReporter.ts
+++ b/packages/site-daemon/src/admissionReporter.ts
@@ -1,27 +1,12 @@
 import type {Admission, IncomingCall} from '@samphireramp/configuration';
 import {STATES_COPY} from '@samphireramp/job-states';
 import type {StateReader} from '@samphireramp/kernel';
-import {
-  type Log,
-  type LogFields,
-  type Metrics,
-  createLineBudget,
-} from '@samphireramp/telemetry';
+import {type LogFields, createLineBudget} from '@samphireramp/telemetry';
+import type {ReporterOptions} from './ReporterOptions';
 
-/** Maximum log lines about rejected calls in each interval of `WINDOW_MILLIS`. */
-const MAX_LINES_PER_WINDOW = 10;
-const WINDOW_MILLIS = 1000;
 /** A longer path is cut off in the log. */
 const MAX_LOGGED_CHARACTERS = 100;
 
-/** Options of `createAdmissionReporter`. */
-export interface AdmissionReporterOptions {
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** Milliseconds of the monotonic clock. */
-  readonly now: () => number;
-}
-
 /** Reports decisions on calls, with the configuration that decided them. */
 export interface AdmissionReporter {
   onAdmission(call: IncomingCall, admission: Admission): void;
@@ -42,13 +27,9 @@
  */
 export function createAdmissionReporter(
   state: StateReader,
-  {log, metrics, now}: AdmissionReporterOptions,
+  {log, metrics, now}: ReporterOptions,
 ): AdmissionReporter {
-  const mayLogRejection = createLineBudget({
-    maxLines: MAX_LINES_PER_WINDOW,
-    windowMillis: WINDOW_MILLIS,
-    now,
-  });
+  const mayLogRejection = createLineBudget(now);
 
   function reportRejected(
     reason: Rejection | 'other-account',
--- a/packages/site-daemon/src/answerReporter.ts
+++ b/packages/site-daemon/src/answerReporter.ts
@@ -2,24 +2,8 @@
 import type {JobStatus, PendingCount} from '@samphireramp/intake';
 import {STATES_COPY} from '@samphireramp/job-states';
 import type {Kernel} from '@samphireramp/kernel';
-import {
-  type Log,
-  type LogFields,
-  type Metrics,
-  createLineBudget,
-} from '@samphireramp/telemetry';
-
-/** Maximum log lines about answers in each interval of `WINDOW_MILLIS`. */
-const MAX_LINES_PER_WINDOW = 10;
-const WINDOW_MILLIS = 1000;
-
-/** Options of `createAnswerReporter`. */
-export interface AnswerReporterOptions {
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** Milliseconds of the monotonic clock. */
-  readonly now: () => number;
-}
+import {type LogFields, createLineBudget} from '@samphireramp/telemetry';
+import type {ReporterOptions} from './ReporterOptions';
 
 /** Reports answers that depend on what this host knows of the states of jobs. */
 export interface AnswerReporter {
@@ -33,13 +17,9 @@
  */
 export function createAnswerReporter(
   kernel: Kernel,
-  {log, metrics, now}: AnswerReporterOptions,
+  {log, metrics, now}: ReporterOptions,
 ): AnswerReporter {
-  const mayLog = createLineBudget({
-    maxLines: MAX_LINES_PER_WINDOW,
-    windowMillis: WINDOW_MILLIS,
-    now,
-  });
+  const mayLog = createLineBudget(now);
 
   function logWithinLimit(event: string, fields: LogFields): void {
     if (mayLog()) {
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -15,7 +15,7 @@
   type GatheredFields,
   splitGatheredFields,
 } from './gatheredEvents';
-export {type LineBudgetOptions, createLineBudget} from './lineBudget';
+export {createLineBudget} from './lineBudget';
 export {
   type LineWriter,
   type LineWriterOptions,
