--- /dev/null
+++ b/review/stand-ins-2/workers.mjs
@@ -0,0 +1,310 @@
+/* global clearInterval, clearTimeout, performance, setInterval, setTimeout */
+import {createServer} from 'node:http';
+import {answerJson, readBody, sleep} from './store.mjs';
+
+const HEARTBEAT_MILLIS = 1500;
+const MAX_HOLD_MILLIS = 10_000;
+const STOP_MILLIS = 100;
+const GANG_TIMEOUT_MILLIS = 3000;
+const TICK_MILLIS = 10;
+
+/**
+ * The workers of one service, as PROTOCOL.md describes them. `describeTask` tells how
+ * long a task works and of how many members its gang is; `onEvent` receives what happens.
+ */
+export class Fleet {
+  constructor({store, service, describeTask, onEvent}) {
+    Object.assign(this, {store, service, describeTask, onEvent});
+    this.workers = [];
+    this.timer = setInterval(() => {
+      for (const worker of this.workers) {
+        worker.tick();
+      }
+    }, TICK_MILLIS);
+  }
+
+  async addWorker(id, host, options = {}) {
+    const worker = new Worker(this, id, host, options);
+    this.workers.push(worker);
+    await worker.start();
+    return worker;
+  }
+
+  /** Runs of the same run of a gang, on all workers. */
+  gangOf(task, run) {
+    const step = task.slice(0, task.lastIndexOf('.'));
+    return this.workers.flatMap(worker =>
+      worker.runs
+        .filter(
+          each =>
+            each.run === run &&
+            each.task.slice(0, each.task.lastIndexOf('.')) === step,
+        )
+        .map(each => ({worker, each})),
+    );
+  }
+
+  close() {
+    clearInterval(this.timer);
+    this.workers.forEach(worker => worker.close());
+  }
+}
+
+class Worker {
+  constructor(fleet, id, host, {rack = 'rack-0', capacity, orderFault} = {}) {
+    Object.assign(this, {fleet, id, host, rack});
+    this.capacity = capacity ?? {
+      cpu: 16_000,
+      memory_request_mb: 32_768,
+      gpu: 0,
+    };
+    /** May replace what is done with an order: `(path, body) => 'silent' | undefined`. */
+    this.orderFault = orderFault ?? (() => undefined);
+    this.sequence = 0;
+    this.port = 0;
+    this.isUp = false;
+    this.runs = [];
+  }
+
+  /** Begins a life, which knows nothing of the one before. */
+  async start() {
+    this.born = Date.now();
+    this.startedAt = performance.now();
+    this.runs = [];
+    this.ends = [];
+    this.endCount = 0;
+    this.fence = 0;
+    this.leaseUntil = 0;
+    this.lastRuns = new Map();
+    this.wakers = new Set();
+    this.state = 'ready';
+    this.server = createServer((request, response) => {
+      this.handle(request, response, this.born).catch(() => response.destroy());
+    });
+    this.server.keepAliveTimeout = 60_000;
+    await new Promise(resolve => {
+      this.server.listen(this.port, this.host, resolve);
+    });
+    this.port = this.server.address().port;
+    this.isUp = true;
+    this.writeEntry();
+    this.heartbeat = setInterval(() => this.writeEntry(), HEARTBEAT_MILLIS);
+  }
+
+  /** The process ends without notice; its port refuses connections. */
+  crash() {
+    this.fleet.onEvent('crash', this, {
+      runs: this.runs.map(({task, run}) => [task, run]),
+    });
+    this.isUp = false;
+    const lost = this.runs;
+    this.runs = [];
+    this.close();
+    for (const {task, run, members} of lost) {
+      if (members > 1) {
+        for (const {worker, each} of this.fleet.gangOf(task, run)) {
+          worker.endRun(each, 'broken');
+        }
+      }
+    }
+  }
+
+  async crashFor(millis) {
+    this.crash();
+    await sleep(millis);
+    await this.start();
+    this.fleet.onEvent('restart', this, {});
+  }
+
+  close() {
+    clearInterval(this.heartbeat);
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  clock() {
+    return Math.floor(performance.now() - this.startedAt);
+  }
+
+  writeEntry() {
+    this.fleet.store.put('keyed.servers', this.id, {
+      service: this.fleet.service,
+      address: `${this.host}:${this.port}`,
+      zone: 'zone-a',
+      version: '1',
+      slots: 8,
+      state: this.state,
+      cold_remaining_ms: 0,
+      sequence: ++this.sequence,
+      born: this.born,
+      capacity: this.capacity,
+      labels: ['a', this.rack],
+    });
+  }
+
+  async handle(request, response, born) {
+    const body = JSON.parse((await readBody(request)).toString() || '{}');
+    if (request.headers['expected-instance'] !== this.id) {
+      answerJson(response, 421, {clock_ms: this.clock()});
+      return;
+    }
+    const {url} = request;
+    if (this.orderFault(url, body) === 'silent') {
+      return;
+    }
+    const token = body.fencing_token ?? 0;
+    if (token < this.fence) {
+      answerJson(response, 409, {clock_ms: this.clock(), reason: 'fence'});
+      return;
+    }
+    this.fence = token;
+    if (url === '/api/hold') {
+      await this.hold(body, response, born);
+    } else if (url === '/api/run-start') {
+      this.startRun(body, response);
+    } else if (url === '/api/run-stop') {
+      this.stopRun(body, response);
+    } else {
+      answerJson(response, 404, {clock_ms: this.clock()});
+    }
+  }
+
+  extendLease(until) {
+    const longest = this.clock() + MAX_HOLD_MILLIS;
+    this.leaseUntil = Math.max(this.leaseUntil, Math.min(until ?? 0, longest));
+  }
+
+  async hold(
+    {ack_cursor: acknowledged, until_ms, wait_ms = 0},
+    response,
+    born,
+  ) {
+    this.extendLease(until_ms);
+    this.ends = this.ends.filter(([number]) => number > acknowledged);
+    if (this.ends.length === 0 && wait_ms > 0) {
+      await new Promise(resolve => {
+        const wake = () => {
+          clearTimeout(timer);
+          this.wakers.delete(wake);
+          resolve();
+        };
+        const timer = setTimeout(wake, wait_ms);
+        this.wakers.add(wake);
+      });
+    }
+    if (!this.isUp || this.born !== born) {
+      response.destroy();
+      return;
+    }
+    answerJson(response, 200, {
+      clock_ms: this.clock(),
+      born: this.born,
+      running: this.runs.map(({task, run, percent}) => [
+        task,
+        run,
+        '',
+        Math.floor(percent),
+        1000,
+      ]),
+      ended_runs: this.ends.slice(0, 500),
+    });
+  }
+
+  startRun({task, run, specification, until_ms}, response) {
+    const refuse = reason =>
+      answerJson(response, 409, {clock_ms: this.clock(), reason});
+    if (until_ms <= this.clock()) {
+      refuse('late');
+      return;
+    }
+    this.extendLease(until_ms);
+    const known = this.runs.find(each => each.task === task);
+    if (known?.run === run) {
+      answerJson(response, 200, {clock_ms: this.clock()});
+      return;
+    }
+    if (known !== undefined || run <= (this.lastRuns.get(task) ?? 0)) {
+      refuse('old');
+      return;
+    }
+    const {
+      workMillis,
+      members = 1,
+      outcome = 'done',
+    } = this.fleet.describeTask(task, run);
+    this.runs.push({
+      task,
+      run,
+      workMillis,
+      members,
+      outcome,
+      startedAt: performance.now(),
+      workFrom: members > 1 ? undefined : performance.now(),
+      percent: 0,
+    });
+    this.fleet.onEvent('start', this, {task, run, specification});
+    answerJson(response, 200, {clock_ms: this.clock()});
+  }
+
+  stopRun({task, run}, response) {
+    const known = this.runs.find(
+      each => each.task === task && each.run === run,
+    );
+    if (known === undefined) {
+      this.lastRuns.set(task, Math.max(run, this.lastRuns.get(task) ?? 0));
+    } else {
+      setTimeout(() => this.endRun(known, 'stopped'), STOP_MILLIS);
+    }
+    answerJson(response, 200, {clock_ms: this.clock()});
+  }
+
+  endRun(ended, how) {
+    if (!this.isUp || !this.runs.includes(ended)) {
+      return;
+    }
+    const {task, run} = ended;
+    this.runs = this.runs.filter(each => each !== ended);
+    this.lastRuns.set(task, Math.max(run, this.lastRuns.get(task) ?? 0));
+    this.ends.push([++this.endCount, task, run, how, '']);
+    this.fleet.onEvent('end', this, {task, run, how});
+    [...this.wakers].forEach(wake => wake());
+    if (ended.members > 1) {
+      const others = how === 'done' ? 'done' : 'broken';
+      for (const {worker, each} of this.fleet.gangOf(task, run)) {
+        worker.endRun(each, others);
+      }
+    }
+  }
+
+  tick() {
+    if (!this.isUp) {
+      return;
+    }
+    const now = performance.now();
+    if (this.runs.length > 0 && this.clock() > this.leaseUntil) {
+      [...this.runs].forEach(each => this.endRun(each, 'lapsed'));
+    }
+    for (const each of [...this.runs]) {
+      if (each.workFrom === undefined) {
+        const gang = this.fleet.gangOf(each.task, each.run);
+        if (gang.length === each.members) {
+          gang.forEach(({each: member}) => {
+            member.workFrom ??= now;
+          });
+        } else if (now - each.startedAt > GANG_TIMEOUT_MILLIS) {
+          this.endRun(each, 'alone');
+          continue;
+        }
+      }
+      if (each.workFrom !== undefined) {
+        each.percent = Math.min(
+          100,
+          ((now - each.workFrom) / each.workMillis) * 100,
+        );
+        if (each.percent >= 100) {
+          this.endRun(each, each.outcome);
+        }
+      }
+    }
+  }
+}
