--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -348,6 +348,13 @@
     writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
     process.exit(status);
   }
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.on(signal, () => void finish(2));
+  }
+  process.on('uncaughtException', error => {
+    record(String(error.stack));
+    void finish(2);
+  });
   try {
     const status = await play({
       record,
