--- a/review/stand-ins-2/workers.mjs
+++ b/review/stand-ins-2/workers.mjs
@@ -269,6 +269,23 @@
     answerJson(response, 200, {clock_ms: this.clock()});
   }
 
+  /** Carries out a start order that was left unanswered; false if it is refused. */
+  carryOutLate(body) {
+    if (body.fencing_token < this.fence) {
+      return false;
+    }
+    this.fence = body.fencing_token;
+    let status;
+    const response = {
+      writeHead: code => {
+        status = code;
+      },
+      end: () => undefined,
+    };
+    this.startRun(body, response);
+    return status === 200;
+  }
+
   stopRun({task, run}, response) {
     const known = this.runs.find(
       each => each.task === task && each.run === run,
