--- a/review/stand-ins-2/site.mjs
+++ b/review/stand-ins-2/site.mjs
@@ -205,21 +205,6 @@
     return true;
   }
 
-  /** The host that logged last that its holding began. */
-  findHolder() {
-    let latest;
-    for (const host of this.hosts) {
-      for (const match of host.output.matchAll(
-        /^(\S+) .*event=holding-began/gm,
-      )) {
-        if (!host.hasEnded && (latest?.at ?? '') < match[1]) {
-          latest = {at: match[1], host};
-        }
-      }
-    }
-    return latest?.host;
-  }
-
   async stop() {
     for (const host of this.hosts) {
       if (!host.hasEnded) {
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -55,8 +55,6 @@
     /** Records by topic and partition. */
     this.logs = new Map();
     this.waiting = new Set();
-    /** May replace what is done with a call: `(call) => 'refuse' | 'silent' | undefined`. */
-    this.fault = () => undefined;
     this.server = createServer((request, response) => {
       this.handle(request, response).catch(() => response.destroy());
     });
@@ -110,14 +108,6 @@
     const topic = url.searchParams.get('topic');
     const part = Number(url.searchParams.get('part') ?? 0);
     const body = await readBody(request);
-    const fault = this.fault({path: url.pathname, topic, part, request});
-    if (fault === 'silent') {
-      return;
-    }
-    if (fault === 'refuse') {
-      answerJson(response, 503, {});
-      return;
-    }
     switch (url.pathname) {
       case '/api/log-append':
         await this.handleAppend(url, topic, part, body, response);
--- a/review/stand-ins-2/workers.mjs
+++ b/review/stand-ins-2/workers.mjs
@@ -51,15 +51,13 @@
 }
 
 class Worker {
-  constructor(fleet, id, host, {rack = 'rack-0', capacity, orderFault} = {}) {
+  constructor(fleet, id, host, {rack = 'rack-0', capacity} = {}) {
     Object.assign(this, {fleet, id, host, rack});
     this.capacity = capacity ?? {
       cpu: 16_000,
       memory_request_mb: 32_768,
       gpu: 0,
     };
-    /** May replace what is done with an order: `(path, body) => 'silent' | undefined`. */
-    this.orderFault = orderFault ?? (() => undefined);
     this.sequence = 0;
     this.port = 0;
     this.isUp = false;
@@ -172,9 +170,6 @@
       return;
     }
     const {url} = request;
-    if (this.orderFault(url, body) === 'silent') {
-      return;
-    }
     const token = body.fencing_token ?? 0;
     if (token < this.fence) {
       answerJson(response, 409, {clock_ms: this.clock(), reason: 'fence'});
@@ -269,23 +264,6 @@
     answerJson(response, 200, {clock_ms: this.clock()});
   }
 
-  /** Carries out a start order that was left unanswered; false if it is refused. */
-  carryOutLate(body) {
-    if (body.fencing_token < this.fence) {
-      return false;
-    }
-    this.fence = body.fencing_token;
-    let status;
-    const response = {
-      writeHead: code => {
-        status = code;
-      },
-      end: () => undefined,
-    };
-    this.startRun(body, response);
-    return status === 200;
-  }
-
   stopRun({task, run}, response) {
     const known = this.runs.find(
       each => each.task === task && each.run === run,
