--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -18,11 +18,19 @@
 /** Five minutes of work a task: one percent takes 3 s. */
 const WORK_MILLIS = 300_000;
 const TASKS = 8;
+/** When the process that holds the site is killed, and when it starts again. */
+const KILL_AFTER_MILLIS = 34_000;
+const DOWN_MILLIS = 2000;
 /** `finish_s`: so long after the end of the traffic jobs are asked for. */
 const FINISH_MILLIS = 14_000;
 /** A job may have nothing running for less than this. */
 const IDLE_MILLIS = 3000;
-const WATCH_MILLIS = 45_000;
+const WATCH_MILLIS = 35_000;
+
+/** The host whose log says last that it holds the site. */
+function findHolder(hosts) {
+  return hosts.findLast(({output}) => output.includes('event=holding-began'));
+}
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
@@ -35,7 +43,7 @@
     const fleet = new Fleet({
       store,
       service: 'hub',
-      describeTask: () => ({workMillis: WORK_MILLIS}),
+      describeTask: () => ({workMillis: WORK_MILLIS, savesCheckpoints: true}),
       onEvent: (event, worker, {how}) => {
         if (event === 'start') {
           counts.start++;
@@ -67,13 +75,29 @@
           count: TASKS,
           cpu: 7600,
           memory_request_mb: 6400,
-          ...(hasTrouble ? {} : {estimated_ms: WORK_MILLIS}),
+          estimated_ms: WORK_MILLIS,
+          checkpointing: true,
         },
       ],
     };
     if (!(await submit(site, PATH, job, record))) {
       return 2;
     }
+    await pause(KILL_AFTER_MILLIS);
+    if (hasTrouble) {
+      const holder = findHolder(site.hosts);
+      if (holder === undefined) {
+        record('no host holds the site');
+        return 2;
+      }
+      record(`${holder.name} holds the site and is killed`);
+      holder.process.kill('SIGKILL');
+      await holder.ended;
+      await pause(DOWN_MILLIS);
+      site.startHost(holder);
+    }
+    record(`GET ${PATH}: ${await readState(site.hosts[1], PATH)}`);
+    record('the traffic ends');
     await pause(FINISH_MILLIS);
     let idleFrom;
     let breaches = 0;
--- a/review/stand-ins-2/workers.mjs
+++ b/review/stand-ins-2/workers.mjs
@@ -6,11 +6,16 @@
 const MAX_HOLD_MILLIS = 10_000;
 const STOP_MILLIS = 100;
 const GANG_TIMEOUT_MILLIS = 3000;
+/** `checkpoint_interval_s` and `restore_ms`. */
+const CHECKPOINT_INTERVAL_MILLIS = 500;
+const RESTORE_MILLIS = 250;
+const CHECKPOINT_CHARACTERS = 16;
 const TICK_MILLIS = 10;
 
 /**
  * The workers of one service, as PROTOCOL.md describes them. `describeTask` tells how
- * long a task works and of how many members its gang is; `onEvent` receives what happens.
+ * long a task works, of how many members its gang is and whether it saves checkpoints;
+ * `onEvent` receives what happens.
  */
 export class Fleet {
   constructor({store, service, describeTask, onEvent}) {
@@ -217,10 +222,10 @@
     answerJson(response, 200, {
       clock_ms: this.clock(),
       born: this.born,
-      running: this.runs.map(({task, run, percent}) => [
+      running: this.runs.map(({task, run, saved, percent}) => [
         task,
         run,
-        '',
+        saved,
         Math.floor(percent),
         1000,
       ]),
@@ -228,7 +233,10 @@
     });
   }
 
-  startRun({task, run, specification, until_ms}, response) {
+  startRun(
+    {task, run, specification, until_ms, last_checkpoint: saved = ''},
+    response,
+  ) {
     const refuse = reason =>
       answerJson(response, 409, {clock_ms: this.clock(), reason});
     if (until_ms <= this.clock()) {
@@ -249,15 +257,22 @@
       workMillis,
       members = 1,
       outcome = 'done',
+      savesCheckpoints = false,
     } = this.fleet.describeTask(task, run);
+    const now = performance.now();
+    // A checkpoint of these workers is the work done, in milliseconds.
+    const workFrom =
+      saved === '' ? now : now + RESTORE_MILLIS - Number.parseInt(saved, 16);
     this.runs.push({
       task,
       run,
       workMillis,
       members,
       outcome,
-      startedAt: performance.now(),
-      workFrom: members > 1 ? undefined : performance.now(),
+      savesCheckpoints,
+      saved,
+      startedAt: now,
+      workFrom: members > 1 ? undefined : workFrom,
       percent: 0,
     });
     this.fleet.onEvent('start', this, {task, run, specification});
@@ -281,9 +296,13 @@
       return;
     }
     const {task, run} = ended;
+    if (how === 'stopped') {
+      saveCheckpoint(ended, 0);
+    }
     this.runs = this.runs.filter(each => each !== ended);
     this.lastRuns.set(task, Math.max(run, this.lastRuns.get(task) ?? 0));
-    this.ends.push([++this.endCount, task, run, how, '']);
+    const saved = how === 'done' ? '' : ended.saved;
+    this.ends.push([++this.endCount, task, run, how, saved]);
     this.fleet.onEvent('end', this, {task, run, how});
     [...this.wakers].forEach(wake => wake());
     if (ended.members > 1) {
@@ -317,8 +336,9 @@
       if (each.workFrom !== undefined) {
         each.percent = Math.min(
           100,
-          ((now - each.workFrom) / each.workMillis) * 100,
+          (Math.max(0, now - each.workFrom) / each.workMillis) * 100,
         );
+        saveCheckpoint(each, CHECKPOINT_INTERVAL_MILLIS);
         if (each.percent >= 100) {
           this.endRun(each, each.outcome);
         }
@@ -326,3 +346,13 @@
     }
   }
 }
+
+/** Saves the work that a run has done, if it is at least so much more than is saved. */
+function saveCheckpoint(run, leastMillis) {
+  const {savesCheckpoints, saved, workFrom} = run;
+  const doneMillis = Math.floor(performance.now() - workFrom);
+  const savedMillis = saved === '' ? 0 : Number.parseInt(saved, 16);
+  if (savesCheckpoints && doneMillis > savedMillis + leastMillis) {
+    run.saved = doneMillis.toString(16).padStart(CHECKPOINT_CHARACTERS, '0');
+  }
+}
