--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -13,23 +13,26 @@
 import {Fleet} from '../stand-ins-2/workers.mjs';
 
 const WORKERS = 8;
+const WORKER_CPU = 16_000;
 const ADDRESS = '127.0.0.1';
-const PATH = '/plans/c0ffee00000000a1';
-/** Five minutes of work a task: one percent takes 3 s. */
-const WORK_MILLIS = 300_000;
-const TASKS = 8;
-/** When the process that holds the site is killed, and when it starts again. */
-const KILL_AFTER_MILLIS = 34_000;
-const DOWN_MILLIS = 2000;
+const SERVICE_PATH = '/plans/c0ffee00000000b1';
+const GANG_PATH = '/plans/c0ffee00000000b2';
+const GANG_TASKS = 24;
+const GANG_WORK_MILLIS = 4200;
+const JOBS = 10;
+const JOB_CPU = 2900;
+const JOB_TASKS = 4;
+const JOB_WORK_MILLIS = 1900;
+const JOB_INTERVAL_MILLIS = 500;
 /** `finish_s`: so long after the end of the traffic jobs are asked for. */
 const FINISH_MILLIS = 14_000;
 /** A job may have nothing running for less than this. */
 const IDLE_MILLIS = 3000;
-const WATCH_MILLIS = 35_000;
+const WATCH_MILLIS = 40_000;
 
-/** The host whose log says last that it holds the site. */
-function findHolder(hosts) {
-  return hosts.findLast(({output}) => output.includes('event=holding-began'));
+/** The job whose task a name is of. */
+function jobOf(task) {
+  return task.split('.')[0];
 }
 
 await runCase(
@@ -38,21 +41,27 @@
     const store = new Store();
     onEnd(() => store.close());
     const address = await store.listen(ADDRESS);
-    store.put('keyed.op', 'config', configuration(7, [{name: 'plans'}]));
-    const counts = {start: 0, stopped: 0, other: 0};
+    store.put(
+      'keyed.op',
+      'config',
+      configuration(7, [
+        {name: 'plans', priority: 1},
+        {name: 'stock', priority: 2},
+      ]),
+    );
     const fleet = new Fleet({
       store,
       service: 'hub',
-      describeTask: () => ({workMillis: WORK_MILLIS, savesCheckpoints: true}),
-      onEvent: (event, worker, {how}) => {
-        if (event === 'start') {
-          counts.start++;
-        } else if (how === 'stopped') {
-          counts.stopped++;
-        } else {
-          counts.other++;
+      describeTask: task => {
+        if (SERVICE_PATH.endsWith(jobOf(task))) {
+          return {workMillis: Infinity};
         }
+        return GANG_PATH.endsWith(jobOf(task))
+          ? {workMillis: GANG_WORK_MILLIS, members: GANG_TASKS}
+          : {workMillis: JOB_WORK_MILLIS};
       },
+      onEvent: (event, worker, detail) =>
+        record(`${worker.id} ${event} ${JSON.stringify(detail)}`),
     });
     onEnd(() => fleet.close());
     for (let index = 0; index < WORKERS; index++) {
@@ -68,70 +77,98 @@
       return 2;
     }
     await pause(3000);
-    const job = {
-      specification: 'a plan',
+
+    const service = {
+      specification: 'a service',
+      steps: [
+        {count: 1, cpu: 4000, memory_request_mb: 2000, long_running: true},
+      ],
+    };
+    const gang = {
+      specification: 'an all-at-once job',
+      steps: [
+        {
+          count: GANG_TASKS,
+          cpu: 4200,
+          memory_request_mb: 3000,
+          estimated_ms: GANG_WORK_MILLIS,
+          gang_scheduled: true,
+        },
+      ],
+    };
+    const batch = {
+      specification: 'batch work',
       steps: [
         {
-          count: TASKS,
-          cpu: 7600,
-          memory_request_mb: 6400,
-          estimated_ms: WORK_MILLIS,
-          checkpointing: true,
+          count: JOB_TASKS,
+          cpu: JOB_CPU,
+          memory_request_mb: 1400,
+          estimated_ms: JOB_WORK_MILLIS,
         },
       ],
     };
-    if (!(await submit(site, PATH, job, record))) {
+    if (!(await submit(site, SERVICE_PATH, service, record))) {
+      return 2;
+    }
+    await pause(1000);
+    if (hasTrouble && !(await submit(site, GANG_PATH, gang, record))) {
       return 2;
     }
-    await pause(KILL_AFTER_MILLIS);
-    if (hasTrouble) {
-      const holder = findHolder(site.hosts);
-      if (holder === undefined) {
-        record('no host holds the site');
+    await pause(1000);
+    const paths = [];
+    for (let index = 0; index < JOBS; index++) {
+      const path = `/stock/c0ffee00000001${index.toString(16).padStart(2, '0')}`;
+      if (!(await submit(site, path, batch, record))) {
         return 2;
       }
-      record(`${holder.name} holds the site and is killed`);
-      holder.process.kill('SIGKILL');
-      await holder.ended;
-      await pause(DOWN_MILLIS);
-      site.startHost(holder);
+      paths.push(path);
+      await pause(JOB_INTERVAL_MILLIS);
     }
-    record(`GET ${PATH}: ${await readState(site.hosts[1], PATH)}`);
     record('the traffic ends');
     await pause(FINISH_MILLIS);
-    let idleFrom;
-    let breaches = 0;
-    let isCounted = false;
+
+    const idleSince = new Map();
+    const broken = new Set();
     const endAt = performance.now() + WATCH_MILLIS;
-    let reportAt = 0;
     while (performance.now() < endAt) {
-      const now = performance.now();
-      const running = fleet.workers.reduce((n, w) => n + w.runs.length, 0);
-      if (now > reportAt) {
-        reportAt = now + 1000;
-        record(`${running} tasks at work; ${JSON.stringify(counts)}`);
-      }
-      if (running > 0) {
-        idleFrom = undefined;
-        isCounted = false;
-      } else {
-        idleFrom ??= now;
-        if (now - idleFrom >= IDLE_MILLIS && !isCounted) {
-          isCounted = true;
-          breaches++;
-          record('LOST: the job has nothing running, and all room is free');
+      const runs = fleet.workers.flatMap(worker => worker.runs);
+      const running = new Set(runs.map(({task}) => jobOf(task)));
+      // Only the service runs: each worker but one is empty.
+      const isSiteFree = runs.length <= 1;
+      for (const path of paths) {
+        const state = await readState(site.hosts[0], path);
+        if (
+          state === 'completed' ||
+          running.has(path.split('/').at(-1)) ||
+          !isSiteFree
+        ) {
+          idleSince.delete(path);
+          continue;
+        }
+        const now = performance.now();
+        const since = idleSince.get(path) ?? now;
+        idleSince.set(path, since);
+        if (now - since >= IDLE_MILLIS && !broken.has(path)) {
+          broken.add(path);
+          record(
+            `LOST: ${path}, ${state}, has nothing running; ` +
+              `${runs.length} task at work on ${WORKERS} workers of ${WORKER_CPU}`,
+          );
         }
       }
-      await pause(20);
+      if (idleSince.size === 0) {
+        break;
+      }
+      await pause(100);
+    }
+    for (const path of [SERVICE_PATH, ...paths]) {
+      record(`GET ${path}: ${await readState(site.hosts[1], path)}`);
     }
-    record(`GET ${PATH}: ${await readState(site.hosts[0], PATH)}`);
     for (const {output} of site.hosts) {
-      for (const line of (
-        output.match(/^.*(run-stopping|worker-avoided).*$/gm) ?? []
-      ).slice(0, 6)) {
+      for (const line of (output.match(/^.*step-waits.*$/gm) ?? []).slice(-4)) {
         record(line);
       }
     }
-    return breaches > 0 ? 1 : 0;
+    return broken.size > 0 ? 1 : 0;
   },
 );
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -3,27 +3,34 @@
 import {fileURLToPath} from 'node:url';
 import {
   Site,
-  call,
   configuration,
   pause,
   readState,
   runCase,
+  submit,
 } from '../stand-ins-2/site.mjs';
 import {Store} from '../stand-ins-2/store.mjs';
 import {Fleet} from '../stand-ins-2/workers.mjs';
 
-const WORKERS = 16;
+const WORKERS = 8;
 const ADDRESS = '127.0.0.1';
-const WORK_MILLIS = 500;
-const JOBS = 40;
-const JOB_INTERVAL_MILLIS = 200;
-/** The machine of one worker loses power after so many jobs. */
-const DARK_AFTER_JOBS = 30;
+const PATH = '/plans/c0ffee00000000a1';
+/** Five minutes of work a task: one percent takes 3 s. */
+const WORK_MILLIS = 300_000;
+const TASKS = 8;
+/** When the process that holds the site is killed, and when it starts again. */
+const KILL_AFTER_MILLIS = 34_000;
+const DOWN_MILLIS = 2000;
 /** `finish_s`: so long after the end of the traffic jobs are asked for. */
 const FINISH_MILLIS = 14_000;
 /** A job may have nothing running for less than this. */
 const IDLE_MILLIS = 3000;
-const WATCH_MILLIS = 20_000;
+const WATCH_MILLIS = 35_000;
+
+/** The host whose log says last that it holds the site. */
+function findHolder(hosts) {
+  return hosts.findLast(({output}) => output.includes('event=holding-began'));
+}
 
 await runCase(
   dirname(fileURLToPath(import.meta.url)),
@@ -31,19 +38,19 @@
     const store = new Store();
     onEnd(() => store.close());
     const address = await store.listen(ADDRESS);
-    store.put('keyed.op', 'config', configuration(7, [{name: 'checks'}]));
-    /** Ids of jobs whose task has ended `done`. */
-    const done = new Set();
+    store.put('keyed.op', 'config', configuration(7, [{name: 'plans'}]));
+    const counts = {start: 0, stopped: 0, other: 0};
     const fleet = new Fleet({
       store,
       service: 'hub',
-      describeTask: () => ({workMillis: WORK_MILLIS}),
-      onEvent: (event, worker, detail) => {
-        if (detail.url !== '/api/hold') {
-          record(`${worker.id} ${event} ${JSON.stringify(detail)}`);
-        }
-        if (detail.how === 'done') {
-          done.add(detail.task.split('.')[0]);
+      describeTask: () => ({workMillis: WORK_MILLIS, savesCheckpoints: true}),
+      onEvent: (event, worker, {how}) => {
+        if (event === 'start') {
+          counts.start++;
+        } else if (how === 'stopped') {
+          counts.stopped++;
+        } else {
+          counts.other++;
         }
       },
     });
@@ -61,77 +68,70 @@
       return 2;
     }
     await pause(3000);
-
-    const accepted = [];
-    for (let index = 0; index < JOBS; index++) {
-      const id = (0xe1_0000 + index).toString(16).padStart(16, '0');
-      const content = {
-        specification: `check ${index}`,
-        steps: [
-          {
-            count: 2,
-            cpu: 1400,
-            memory_request_mb: 2000,
-            estimated_ms: WORK_MILLIS,
-          },
-        ],
-      };
-      const path = `/checks/${id}`;
-      void call(site.hosts[index % 3].frontend, 'POST', path, {content}).then(
-        ({status}) => {
-          if (status === 200) {
-            accepted.push({id, path});
-          } else {
-            record(`POST ${path}: ${status}`);
-          }
+    const job = {
+      specification: 'a plan',
+      steps: [
+        {
+          count: TASKS,
+          cpu: 7600,
+          memory_request_mb: 6400,
+          estimated_ms: WORK_MILLIS,
+          checkpointing: true,
         },
-      );
-      if (index === DARK_AFTER_JOBS && hasTrouble) {
-        const busiest = fleet.workers.reduce((most, worker) =>
-          worker.runs.length > most.runs.length ? worker : most,
-        );
-        busiest.goDark();
+      ],
+    };
+    if (!(await submit(site, PATH, job, record))) {
+      return 2;
+    }
+    await pause(KILL_AFTER_MILLIS);
+    if (hasTrouble) {
+      const holder = findHolder(site.hosts);
+      if (holder === undefined) {
+        record('no host holds the site');
+        return 2;
       }
-      await pause(JOB_INTERVAL_MILLIS);
+      record(`${holder.name} holds the site and is killed`);
+      holder.process.kill('SIGKILL');
+      await holder.ended;
+      await pause(DOWN_MILLIS);
+      site.startHost(holder);
     }
-    record(`the traffic ends; ${accepted.length} of ${JOBS} jobs accepted`);
+    record(`GET ${PATH}: ${await readState(site.hosts[1], PATH)}`);
+    record('the traffic ends');
     await pause(FINISH_MILLIS);
-
-    const idleSince = new Map();
-    const broken = new Set();
+    let idleFrom;
+    let breaches = 0;
+    let isCounted = false;
     const endAt = performance.now() + WATCH_MILLIS;
+    let reportAt = 0;
     while (performance.now() < endAt) {
-      const running = new Set(
-        fleet.workers.flatMap(({runs}) =>
-          runs.map(({task}) => task.split('.')[0]),
-        ),
-      );
-      for (const {id, path} of accepted) {
-        const state = done.has(id)
-          ? await readState(site.hosts[0], path)
-          : 'open';
-        if (state === 'completed' || running.has(id)) {
-          idleSince.delete(id);
-          continue;
-        }
-        const now = performance.now();
-        const since = idleSince.get(id) ?? now;
-        idleSince.set(id, since);
-        if (now - since >= IDLE_MILLIS && !broken.has(id)) {
-          broken.add(id);
-          const shown = await readState(site.hosts[1], path);
-          record(`LOST: ${path} has nothing running; it is shown as ${shown}`);
-        }
+      const now = performance.now();
+      const running = fleet.workers.reduce((n, w) => n + w.runs.length, 0);
+      if (now > reportAt) {
+        reportAt = now + 1000;
+        record(`${running} tasks at work; ${JSON.stringify(counts)}`);
       }
-      if (idleSince.size === 0) {
-        break;
+      if (running > 0) {
+        idleFrom = undefined;
+        isCounted = false;
+      } else {
+        idleFrom ??= now;
+        if (now - idleFrom >= IDLE_MILLIS && !isCounted) {
+          isCounted = true;
+          breaches++;
+          record('LOST: the job has nothing running, and all room is free');
+        }
       }
-      await pause(50);
+      await pause(20);
     }
-    record(`${broken.size} jobs had nothing running for ${IDLE_MILLIS} ms`);
-    if (broken.size > 0) {
-      return 1;
+    record(`GET ${PATH}: ${await readState(site.hosts[0], PATH)}`);
+    for (const {output} of site.hosts) {
+      for (const line of (
+        output.match(/^.*(run-stopping|worker-avoided).*$/gm) ?? []
+      ).slice(0, 6)) {
+        record(line);
+      }
     }
-    return accepted.length > JOBS / 2 && idleSince.size === 0 ? 0 : 2;
+    return breaches > 0 ? 1 : 0;
   },
 );
