--- a/review/stand-ins-2/adviser.mjs
+++ b/review/adviser-2.mjs
@@ -1,6 +1,6 @@
 /* global setTimeout */
 import {createServer} from 'node:http';
-import {answerJson, readBody} from './store.mjs';
+import {answerJson, readBody} from './store-2.mjs';
 
 const DECISION_MILLIS = 10;
 
--- a/review/stand-ins-2/site.mjs
+++ b/review/site-2.mjs
@@ -13,8 +13,14 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
-const PORTS_PER_HOST = 3;
+export const ROOT = fileURLToPath(new URL('..', import.meta.url));
+/** At which the deploy file has each process serve its metrics. */
+const METRICS_PORT = 9464;
+/** Ports for communication between the hosts. */
+const INTERNAL_PORTS = 16;
+const MAX_PORT = 65_535;
+const MAX_PORT_ATTEMPTS = 50;
+const MAX_ADDRESSES = 200;
 
 /** The words of the command that the deploy file starts each host with. */
 function readCommand() {
@@ -22,21 +28,40 @@
   return /^run = "(.*)"$/m.exec(text)[1].split(' ');
 }
 
-async function findFreePorts(ip, count) {
-  const servers = await Promise.all(
-    Array.from(
-      {length: count},
-      () =>
-        new Promise((resolve, reject) => {
-          const server = createServer();
-          server.on('error', reject);
-          server.listen(0, ip, () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map(server => server.address().port);
-  servers.forEach(server => server.close());
-  return ports;
+/** Listens at a port, any for 0; undefined if it is in use. */
+function listenAt(ip, port) {
+  return new Promise(resolve => {
+    const server = createServer();
+    server.on('error', () => resolve(undefined));
+    server.listen(port, ip, () => resolve(server));
+  });
+}
+
+function closeAll(servers) {
+  servers.forEach(server => server?.close());
+}
+
+/** Two free ports, and the first of a range of free ones. */
+async function findFreePorts(ip) {
+  const single = [await listenAt(ip, 0), await listenAt(ip, 0)];
+  const ports = single.map(server => server.address().port);
+  for (let attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+    const first = await listenAt(ip, 0);
+    const {port} = first.address();
+    const range = [first];
+    if (port + INTERNAL_PORTS - 1 <= MAX_PORT) {
+      for (let offset = 1; offset < INTERNAL_PORTS; offset++) {
+        range.push(await listenAt(ip, port + offset));
+      }
+    }
+    closeAll(range);
+    if (range.length === INTERNAL_PORTS && range.every(Boolean)) {
+      closeAll(single);
+      return [...ports, port];
+    }
+  }
+  closeAll(single);
+  throw new Error('no range of free ports');
 }
 
 /** The hosts of a site: processes with the command of the deploy file. */
@@ -45,16 +70,15 @@
     Object.assign(this, {store, advice, record});
     this.folder = mkdtempSync(join(tmpdir(), 'samphireramp-review-'));
     this.hosts = [];
+    this.addresses = 0;
+    this.isStopped = false;
     // Each host has a loopback address of its own, as all serve metrics at one port.
     this.network = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`;
   }
 
   async addHost(name, zone) {
-    const ip = `${this.network}.${10 + this.hosts.length}`;
-    const [frontend, readiness, internal] = await findFreePorts(
-      ip,
-      PORTS_PER_HOST,
-    );
+    const ip = await this.findAddress();
+    const [frontend, readiness, internal] = await findFreePorts(ip);
     const host = {
       name,
       zone,
@@ -71,6 +95,19 @@
     return host;
   }
 
+  /** A loopback address of its own, at which the port of the metrics is free. */
+  async findAddress() {
+    while (this.addresses < MAX_ADDRESSES) {
+      const ip = `${this.network}.${10 + this.addresses++}`;
+      const server = await listenAt(ip, METRICS_PORT);
+      if (server !== undefined) {
+        server.close();
+        return ip;
+      }
+    }
+    throw new Error('the port of the metrics is in use');
+  }
+
   /** Writes the settings of a host, as DEPLOY.md shows them. */
   writeSettings(
     {name, zone, ip, frontend, readiness, internal, file},
@@ -89,7 +126,7 @@
         frontend: `${ip}:${frontend.port}`,
         readiness: `${ip}:${readiness.port}`,
       },
-      internal_port_range: [internal, internal + 15],
+      internal_port_range: [internal, internal + INTERNAL_PORTS - 1],
       seeds: [],
       bootstrap: true,
       counted_in_tolerance: false,
@@ -157,6 +194,9 @@
   }
 
   startHost(host) {
+    if (this.isStopped) {
+      return;
+    }
     const [program, ...words] = readCommand();
     const child = spawn(
       program === 'node' ? process.execPath : program,
@@ -206,6 +246,7 @@
   }
 
   async stop() {
+    this.isStopped = true;
     for (const host of this.hosts) {
       if (!host.hasEnded) {
         host.process.kill('SIGKILL');
@@ -344,7 +385,6 @@
     const status = await play({
       record,
       onEnd: cleanup => cleanups.push(cleanup),
-      hasTrouble: process.env.TROUBLE !== '0',
     });
     await finish(status);
   } catch (error) {
--- a/review/stand-ins-2/workers.mjs
+++ b/review/workers-2.mjs
@@ -1,6 +1,6 @@
 /* global clearInterval, clearTimeout, performance, setInterval, setTimeout */
 import {createServer} from 'node:http';
-import {answerJson, readBody, sleep} from './store.mjs';
+import {answerJson, readBody, sleep} from './store-2.mjs';
 
 const HEARTBEAT_MILLIS = 1500;
 const MAX_HOLD_MILLIS = 10_000;
