--- a/packages/dispatch/src/__tests__/unit/crashSuspects.test.ts
+++ b/packages/dispatch/src/__tests__/unit/crashSuspects.test.ts
@@ -1,9 +1,11 @@
-import {NEW_TASK, type Task} from '@samphireramp/jobs';
+import {NEW_TASK, type Task, UNATTRIBUTED_RUN} from '@samphireramp/jobs';
+import {buildStep} from '@samphireramp/testing';
 import t from 'tap';
 import {
   chooseCharged,
   isGivenUp,
   isOnlySuspect,
+  listSuspected,
   withCrash,
 } from '../../crashSuspects';
 
@@ -24,6 +26,27 @@
   t.same(chooseCharged([]), []);
 });
 
+// Guards against a member that is charged for what a task beside it did.
+void t.test(
+  'a member is charged first only for crashes under itself',
+  async t => {
+    const member = buildSuspect('gang', [UNATTRIBUTED_RUN]);
+    const guilty = buildSuspect('a', [1]);
+    t.same(chooseCharged([member, guilty]), [guilty]);
+    const fresh = buildSuspect('b', []);
+    t.same(chooseCharged([member, fresh]), [member, fresh]);
+    t.notOk(isGivenUp(buildTask([UNATTRIBUTED_RUN, 1]), true));
+    t.ok(isGivenUp(buildTask([UNATTRIBUTED_RUN, 1, 2]), true));
+  },
+);
+
+void t.test('a gang is on trial as a whole, other tasks alone', async t => {
+  const tasks = [buildTask([]), buildTask([1])];
+  t.same([...listSuspected(buildStep({isGang: true}), tasks)], [0, 1]);
+  t.same([...listSuspected(buildStep(), tasks)], [1]);
+  t.equal(listSuspected(buildStep(), [buildTask([])]).size, 0);
+});
+
 void t.test('one task or one gang is the only suspect', async t => {
   const member = buildSuspect('gang', []);
   t.ok(isOnlySuspect([member, member], false));
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -8,6 +8,7 @@
   type Task,
   reservedResources,
 } from '@samphireramp/jobs';
+import {isSuspectedTask} from './crashSuspects';
 import type {JobRow} from './DispatchState';
 import type {StepAdvice} from './adviceState';
 
@@ -234,8 +235,12 @@
 
 /** Whether a task of a step is suspected to crash its workers. */
 export function isSuspected(readyStep: ReadyStep, index: number): boolean {
-  const tasks = readyStep.occurrence.steps[readyStep.stepNumber];
-  return tasks[index].crashedRuns.length > 0;
+  return isSuspectedTask(tasksOf(readyStep)[index]);
+}
+
+/** Returns all tasks of a step, as they were when the pass began. */
+export function tasksOf({occurrence, stepNumber}: ReadyStep): readonly Task[] {
+  return occurrence.steps[stepNumber];
 }
 
 /** Returns a step with its open tasks; undefined if none can be placed now. */
--- a/packages/dispatch/src/crashFlow.ts
+++ b/packages/dispatch/src/crashFlow.ts
@@ -5,7 +5,7 @@
   findTask,
   stepKey,
   taskKey,
-  updateTasksOfRun,
+  updateTask,
 } from '@samphireramp/jobs';
 import {type ActiveTask, findActiveTask} from './activeTask';
 import {
@@ -60,7 +60,8 @@
     return;
   }
   const {row, step} = active;
-  const progress = updateTasksOfRun(row.progress, step, runId, task =>
+  // Not to the others of its gang, on whose workers it didn't run.
+  const progress = updateTask(row.progress, runId, task =>
     withCrash(task, runId.run),
   );
   const task = findTask(progress, runId) ?? active.task;
--- a/packages/dispatch/src/crashSuspects.ts
+++ b/packages/dispatch/src/crashSuspects.ts
@@ -1,4 +1,4 @@
-import type {Task} from '@samphireramp/jobs';
+import {type Step, type Task, UNATTRIBUTED_RUN} from '@samphireramp/jobs';
 
 /** Crashes after which a task is given up if it alone can have caused the last. */
 const MAX_CRASHES_ALONE = 2;
@@ -12,16 +12,45 @@
   readonly key: string;
 }
 
+/** Counts the crashes under a task itself, not those under others of its gang. */
+function countCrashes({crashedRuns}: Task): number {
+  return crashedRuns.filter(run => run !== UNATTRIBUTED_RUN).length;
+}
+
+const NO_TASKS: ReadonlySet<number> = new Set();
+
+/**
+ * Lists the tasks of a step, by index, that start on trial as they may crash their
+ * workers. A gang does as a whole, as none of its members starts without the others.
+ */
+export function listSuspected(
+  {isGang}: Step,
+  tasks: readonly Task[],
+): ReadonlySet<number> {
+  if (!tasks.some(isSuspectedTask)) {
+    return NO_TASKS;
+  }
+  const indices = [...tasks.keys()];
+  return new Set(
+    isGang ? indices : indices.filter(index => isSuspectedTask(tasks[index])),
+  );
+}
+
+/** Whether a worker crashed under a task, or under its gang, since it was cleared. */
+export function isSuspectedTask({crashedRuns}: Task): boolean {
+  return crashedRuns.length > 0;
+}
+
 /**
- * Chooses the suspects that a crash is charged to: those that were suspected most
- * often before. Without an earlier suspicion that is each of them.
+ * Chooses the suspects that a crash is charged to: those under which the most workers
+ * crashed before. Without an earlier crash that is each of them.
  */
 export function chooseCharged<Suspect extends CrashSuspect>(
   suspects: readonly Suspect[],
 ): Suspect[] {
-  const counts = suspects.map(({task}) => task.crashedRuns.length);
+  const counts = suspects.map(({task}) => countCrashes(task));
   const highest = Math.max(0, ...counts);
-  return suspects.filter(({task}) => task.crashedRuns.length === highest);
+  return suspects.filter(({task}) => countCrashes(task) === highest);
 }
 
 /**
@@ -42,7 +71,7 @@
  */
 export function isGivenUp(task: Task, isAlone: boolean): boolean {
   const limit = isAlone ? MAX_CRASHES_ALONE : MAX_CRASHES;
-  return task.crashedRuns.length >= limit;
+  return countCrashes(task) >= limit;
 }
 
 /** Returns a task with a crash under one of its runs; a run counts once. */
--- a/packages/dispatch/src/crashTrials.ts
+++ b/packages/dispatch/src/crashTrials.ts
@@ -15,7 +15,7 @@
   runKey,
   stepKey,
   taskKey,
-  updateTasksOfRun,
+  updateTask,
 } from '@samphireramp/jobs';
 import {findActiveTask} from './activeTask';
 import {setProgress} from './DispatchState';
@@ -67,11 +67,14 @@
   return Math.max(1, limit) - occupied.size;
 }
 
-/** Forgets runs that have ended, and clears tasks whose workers have survived. */
+/**
+ * Forgets runs that have ended, and clears tasks whose workers have survived; a gang
+ * only once those of all its members have.
+ */
 export function endTrials(update: Update): void {
   const trials = update.write(CRASH_TRIALS);
   const survivors: RunId[] = [];
-  const undecidedSteps = new Set<string>();
+  const survivorsByStep = new Map<string, number>();
   for (const [key, runId] of [...trials.entries()]) {
     const run = update.read(RUNS).get(key);
     const worker = run && update.read(WORKERS).get(run.incarnation);
@@ -79,13 +82,15 @@
       trials.delete(key);
     } else if (hasSurvived(run, worker)) {
       survivors.push(runId);
-    } else {
-      undecidedSteps.add(stepKey(runId));
+      const step = stepKey(runId);
+      survivorsByStep.set(step, (survivorsByStep.get(step) ?? 0) + 1);
     }
   }
   for (const runId of survivors) {
-    const isGang = findActiveTask(update, runId)?.step.isGang ?? false;
-    if (!isGang || !undecidedSteps.has(stepKey(runId))) {
+    const step = findActiveTask(update, runId)?.step;
+    const isUndecided =
+      step?.isGang && survivorsByStep.get(stepKey(runId)) !== step.count;
+    if (!isUndecided) {
       trials.delete(runKey(runId));
       clearSuspicion(update, runId);
     }
@@ -107,7 +112,7 @@
   if (active === undefined || active.task.crashedRuns.length === 0) {
     return;
   }
-  const {row, step, task} = active;
+  const {row, task} = active;
   update.emit(DISPATCH_EVENT, {
     event: 'task-cleared',
     subject: taskKey(runId),
@@ -115,7 +120,7 @@
     worker: task.worker,
     detail: `crashed-runs-${task.crashedRuns.join('-')}`,
   });
-  const progress = updateTasksOfRun(row.progress, step, runId, before => ({
+  const progress = updateTask(row.progress, runId, before => ({
     ...before,
     crashedRuns: [],
   }));
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -11,8 +11,9 @@
   freeShare,
   hasRequiredTicket,
   isNearData,
-  isSuspected,
+  tasksOf,
 } from './candidates';
+import {listSuspected} from './crashSuspects';
 import type {PlacementPass} from './PlacementPass';
 import {SPEED_CLASSES_FROM_FAST, speedClassOf} from './speedClasses';
 
@@ -30,9 +31,11 @@
   );
   const placements = packGang(startable, readyStep);
   if (placements !== undefined) {
-    for (const {index, candidate} of placements) {
+    const isOnTrial =
+      listSuspected(readyStep.step, tasksOf(readyStep)).size > 0;
+    for (const {candidate} of placements) {
       deductTasks(candidate, readyStep, 1);
-      candidate.isClosed ||= isSuspected(readyStep, index);
+      candidate.isClosed ||= isOnTrial;
     }
     return placements;
   }
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -20,6 +20,7 @@
   runKey,
 } from '@samphireramp/jobs';
 import {deleteAdviceOfJob} from './adviceState';
+import {listSuspected} from './crashSuspects';
 import {beginTrial} from './crashTrials';
 import {
   CANCELLED_JOBS,
@@ -150,15 +151,27 @@
     } else {
       adoptRun(update, {runId, incarnation: task.worker, ...described});
     }
-    if (task.crashedRuns.length > 0) {
-      beginTrial(update, runId);
-    }
   }
+  resumeTrials(update, row);
   if (isReported && progress.state === 'queued') {
     setProgress(update, row, markStarted(progress));
   }
 }
 
+/** Goes on with the trials of suspected tasks that an earlier holder placed. */
+function resumeTrials(update: Update, {job, progress}: JobRow): void {
+  for (const {number: occurrence, steps} of progress.occurrences) {
+    steps.forEach((tasks, step) => {
+      for (const index of listSuspected(job.steps[step], tasks)) {
+        const {phase, run} = tasks[index];
+        if (phase === 'placed') {
+          beginTrial(update, {jobId: job.id, occurrence, step, index, run});
+        }
+      }
+    });
+  }
+}
+
 /** Starts the due occurrences of a job. */
 export function startOccurrencesOfJob(
   update: Update,
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -7,14 +7,16 @@
   reserveRun,
 } from '@samphireramp/fleet';
 import {
-  type Progress,
-  type StepId,
+  type RunId,
+  type Task,
+  findTask,
   stepKey,
   updateStepTasks,
 } from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE} from './adviceState';
 import type {CandidateList} from './candidateList';
 import type {Candidate, Placement, ReadyStep} from './candidates';
+import {listSuspected} from './crashSuspects';
 import {beginTrial} from './crashTrials';
 import {JOBS, expectsProgress, setProgress} from './DispatchState';
 import {chooseGangPlacements} from './gangPlacement';
@@ -151,8 +153,16 @@
       : {...task, phase: 'placed', run, worker};
   });
   setProgress(update, row, progress);
+  const suspected = listSuspected(readyStep.step, tasks);
   for (const {index, candidate} of placements) {
-    reserveAndOrderRun(update, readyStep, stepId, index, candidate, progress);
+    const task = findTask(progress, {...stepId, index});
+    if (task !== undefined) {
+      const runId = {...stepId, index, run: task.run};
+      reserveAndOrderRun(update, readyStep, runId, task, candidate);
+      if (suspected.has(index)) {
+        beginTrial(update, runId);
+      }
+    }
   }
   reachTakeOverStep(update, 'step-placed');
   update.emit(DISPATCH_EVENT, {
@@ -168,19 +178,11 @@
 function reserveAndOrderRun(
   update: Update,
   readyStep: ReadyStep,
-  stepId: StepId,
-  index: number,
+  runId: RunId,
+  {checkpoint}: Task,
   {worker}: Candidate,
-  progress: Progress,
 ): void {
   const {job} = readyStep.row;
-  const task = progress.occurrences.find(
-    ({number}) => number === stepId.occurrence,
-  )?.steps[stepId.step][index];
-  if (task === undefined) {
-    return;
-  }
-  const runId = {...stepId, index, run: task.run};
   reserveRun(update, {
     runId,
     incarnation: worker.incarnation,
@@ -188,15 +190,12 @@
     reserved: readyStep.taskResources,
     expectsProgress: expectsProgress(readyStep.step),
   });
-  if (task.crashedRuns.length > 0) {
-    beginTrial(update, runId);
-  }
-  const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
+  const advice = update.read(ADVICE).get(stepKey(runId)) ?? NO_ADVICE;
   const order: StartOrder = {
     runId,
     incarnation: worker.incarnation,
     input: job.input,
-    checkpoint: task.checkpoint,
+    checkpoint,
     ticket: advice.permits.get(worker.id)?.ticket,
   };
   dispatchWhenDurable(update, START_RESERVED_RUN, order);
--- a/packages/jobs/src/Progress.ts
+++ b/packages/jobs/src/Progress.ts
@@ -8,7 +8,10 @@
   run: z.number(),
   /** Numbers of the runs that failed; in a gang, those of any of its tasks. */
   failedRuns: z.array(z.number()),
-  /** Numbers of the runs that are suspected to have crashed their workers. */
+  /**
+   * Numbers of the runs under which its worker crashed, as long as the task is
+   * suspected; `UNATTRIBUTED_RUN` for a crash under some member of its gang.
+   */
   crashedRuns: z.array(z.number()),
   /** Checkpoint from which the next run resumes; empty to start over. */
   checkpoint: z.string(),
@@ -50,6 +53,9 @@
 /** Execution state of a job. */
 export type Progress = z.infer<typeof progressSchema>;
 
+/** Stands for a run of a gang of which it isn't known whose worker crashed. */
+export const UNATTRIBUTED_RUN = 0;
+
 /** A task that has never run. */
 export const NEW_TASK: Task = {
   phase: 'open',
--- a/packages/record-codec/src/__tests__/unit/codecs.test.ts
+++ b/packages/record-codec/src/__tests__/unit/codecs.test.ts
@@ -280,3 +280,31 @@
   t.same(malformed, []);
   t.ok(records[0].key.length + records[0].value.length < 50);
 });
+
+/** Decodes the crashes under the tasks of a step from its record. */
+function decodeCrashes(taskRecords: unknown[]): number[][] | undefined {
+  const record = ['queue', 'running', 0, 0, 1, [], [[0, [taskRecords]]]];
+  const bytes = Buffer.from(JSON.stringify(record));
+  const decoded = decodeProgress('00000000000000aa', bytes);
+  return decoded?.occurrences[0].steps[0].map(({crashedRuns}) => crashedRuns);
+}
+
+// Guards against a gang that is given up for crashes that an earlier build charged to all.
+void t.test(
+  'of the crashes under a gang in earlier records no member is known',
+  async t => {
+    const member = [2, -1, [], '', [1, 2]];
+    t.same(decodeCrashes([member, member]), [[0], [0]]);
+    t.same(decodeCrashes([member]), [[1, 2]]);
+    t.same(decodeCrashes([member, 0]), [[1, 2], []]);
+    const ownCrash = [2, -1, [], '', [-1, -2]];
+    t.same(decodeCrashes([ownCrash, ownCrash]), [
+      [1, 2],
+      [1, 2],
+    ]);
+    t.same(decodeCrashes([ownCrash, member]), [
+      [1, 2],
+      [1, 2],
+    ]);
+  },
+);
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -5,6 +5,7 @@
   type Occurrence,
   type Progress,
   type Task,
+  UNATTRIBUTED_RUN,
   jobStateSchema,
 } from '@samphireramp/jobs';
 import * as z from 'zod/mini';
@@ -48,7 +49,7 @@
     z.number(), // index of the worker, or NO_WORKER
     z.array(z.number()), // failed runs
     z.string(), // checkpoint
-    z.array(z.number()), // runs that may have crashed their workers
+    z.array(z.number()), // negated numbers of runs whose worker crashed, see below
   ]),
 ]);
 
@@ -69,6 +70,9 @@
   z.optional(z.string()), // client account, if there is one
 ]);
 
+// Earlier builds wrote the crashes under a gang into all its members, as numbers that
+// aren't negated. They read records of this build, and count each crash.
+
 type TaskRecord = z.infer<typeof taskRecordSchema>;
 type ProgressRecord = z.infer<typeof progressRecordSchema>;
 
@@ -122,7 +126,7 @@
   const account = record[ACCOUNT_FIELD] ?? NO_ACCOUNT;
   const occurrences = record[6].map(([number, steps]): Occurrence => ({
     number,
-    steps: steps.map(tasks => tasks.map(task => decodeTask(task, workers))),
+    steps: steps.map(tasks => decodeTasks(tasks, workers)),
   }));
   return {
     jobId,
@@ -147,7 +151,8 @@
   }
   const index = worker === '' ? NO_WORKER : indexOf(worker, workerIndices);
   if (crashedRuns.length > 0) {
-    return [run, index, failedRuns, checkpoint, crashedRuns];
+    const negatedRuns = crashedRuns.map(crashedRun => -crashedRun);
+    return [run, index, failedRuns, checkpoint, negatedRuns];
   }
   if (failedRuns.length > 0 || checkpoint !== '') {
     return [run, index, failedRuns, checkpoint];
@@ -180,6 +185,35 @@
   );
 }
 
+/** Decodes the tasks of a step. */
+function decodeTasks(
+  records: readonly TaskRecord[],
+  workers: readonly string[],
+): Task[] {
+  const tasks = records.map(record => decodeTask(record, workers));
+  if (!isGangOfEarlierBuild(records)) {
+    return tasks;
+  }
+  // Under which of the members a worker crashed is not in the record.
+  return tasks.map(task =>
+    task.phase === 'done' ? task : {...task, crashedRuns: [UNATTRIBUTED_RUN]},
+  );
+}
+
+/** Whether the tasks of a step all have the crashes that one of them may have caused. */
+function isGangOfEarlierBuild(records: readonly TaskRecord[]): boolean {
+  if (records.length < 2) {
+    return false;
+  }
+  const [first, ...others] = records.map(record =>
+    typeof record === 'number' ? undefined : record[4],
+  );
+  return (
+    first?.some(run => run > 0) === true &&
+    others.every(other => String(other) === String(first))
+  );
+}
+
 function decodeTask(record: TaskRecord, workers: readonly string[]): Task {
   if (record === NEVER_RUN) {
     return NEW_TASK;
@@ -193,7 +227,13 @@
   }
   const [run, index, failedRuns = [], checkpoint = '', crashedRuns = []] =
     record;
-  const task = {...NEW_TASK, run, failedRuns, crashedRuns, checkpoint};
+  const task = {
+    ...NEW_TASK,
+    run,
+    failedRuns,
+    crashedRuns: crashedRuns.map(Math.abs),
+    checkpoint,
+  };
   return index === NO_WORKER
     ? task
     : {...task, phase: 'placed', worker: workers[index]};
