step-waits names the gangs for which room is kept, and since when

The line said how much is kept, but not for whom nor how long, so that one gang that keeps the site for a minute couldn't be told from several that take turns.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -13,7 +13,11 @@
 import {countFreeTrials, workersOnTrial} from './crashTrials';
 import type {StartQuota} from './placementFunctions';
 import {stepIdOf} from './readySteps';
-import type {Reservation} from './reservations';
+import {
+  RESERVATIONS,
+  type Reservation,
+  listReservedSince,
+} from './reservations';
 import {TaskAllowance} from './TaskAllowance';
 
 /**
@@ -51,6 +55,8 @@
   private readonly unfitting = new Set<string>();
   /** Computed by the first step that needs advice. */
   private knownHosts: readonly string[] | undefined;
+  /** Computed by the first reservation. */
+  private reservedSince: ReadonlyMap<string, number> | undefined;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
 
@@ -249,11 +255,16 @@
   reserve(candidate: Candidate, readyStep: ReadyStep, tasks: number): void {
     if (tasks > 0) {
       deductTasks(candidate, readyStep, tasks);
+      const step = stepKey(stepIdOf(readyStep));
+      this.reservedSince ??= listReservedSince(
+        this.update.read(RESERVATIONS).get(),
+      );
       this.reservations.push({
-        step: stepKey(stepIdOf(readyStep)),
+        step,
         incarnation: candidate.worker.incarnation,
         tasks,
         taskResources: readyStep.taskResources,
+        since: this.reservedSince.get(step) ?? this.update.now,
       });
     }
   }
--- a/packages/dispatch/src/reservations.ts
+++ b/packages/dispatch/src/reservations.ts
@@ -10,6 +10,8 @@
   readonly tasks: number;
   /** Resources of each of the tasks. */
   readonly taskResources: Resources;
+  /** When the first of the passes began that have kept resources for the step since. */
+  readonly since: number;
 }
 
 /** The reservations of the last placement pass, the most urgent steps first. */
@@ -18,6 +20,30 @@
   [],
 );
 
+/** Maximum steps that a description of reservations names. */
+const MAX_NAMED_STEPS = 3;
+
+/** Since when each step has reservations, by step key. */
+export function listReservedSince(
+  reservations: readonly Reservation[],
+): ReadonlyMap<string, number> {
+  return new Map(reservations.map(({step, since}) => [step, since]));
+}
+
+/**
+ * Describes for which steps resources are kept, and for how long they have been, as in
+ * ` for JOB.0.0 since 2100 ms`; empty if there are none.
+ */
+export function describeReservedSteps(
+  reservations: readonly Reservation[],
+  now: number,
+): string {
+  const descriptions = [...listReservedSince(reservations)]
+    .slice(0, MAX_NAMED_STEPS)
+    .map(([step, since]) => ` for ${step} since ${Math.round(now - since)} ms`);
+  return descriptions.join(' and');
+}
+
 /** Counts the tasks for which reservations hold resources. */
 export function countReservedTasks(
   reservations: readonly Reservation[],
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -22,6 +22,7 @@
   RESERVATIONS,
   type Reservation,
   countReservedTasks,
+  describeReservedSteps,
 } from './reservations';
 import {countStartsUnderWay} from './TaskAllowance';
 
@@ -136,7 +137,8 @@
     `, ${countFittingOn(permitted, readyStep)} tasks fit${openRequest}` +
     `, ${validTickets} valid tickets, ${gangsAhead} gangs ahead reserve` +
     ` ${countReservedTasks(reservationsAhead)} tasks` +
-    ` and leave ${countFittingOn(unreserved, readyStep)}`
+    ` and leave ${countFittingOn(unreserved, readyStep)}` +
+    describeReservedSteps(reservationsAhead, update.now)
   );
 }
 
