--- a/packages/accounts/src/__tests__/unit/startQuota.test.ts
+++ b/packages/accounts/src/__tests__/unit/startQuota.test.ts
@@ -30,6 +30,7 @@
         incarnation: 'worker@1',
         account,
         reserved,
+        expectedMillis: 1000,
         expectsProgress: true,
       }),
     ),
--- a/packages/accounts/src/startQuota.ts
+++ b/packages/accounts/src/startQuota.ts
@@ -2,17 +2,12 @@
 import {
   type ClientAccount,
   NO_ACCOUNT,
+  RESOURCE_NAMES,
   type Resources,
 } from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 import {type ClientAccountsOf, accountsByName} from './accountsByName';
 
-const RESOURCE_NAMES = [
-  'cpuMillis',
-  'memoryMegabytes',
-  'accelerators',
-] as const satisfies ReadonlyArray<keyof Resources>;
-
 const NO_ACCOUNTS: readonly ClientAccount[] = [];
 
 /** What accounts may still start in one placement pass. */
--- a/packages/dispatch/src/DispatchState.ts
+++ b/packages/dispatch/src/DispatchState.ts
@@ -87,6 +87,17 @@
   recordProgress(update, progress);
 }
 
+/**
+ * Returns the expected run time of a task of a step, in milliseconds, from what is
+ * expected of its work; infinite if it has no end or nothing is known.
+ */
+export function expectedRunMillis(
+  {isService}: Step,
+  expectedMillis: number,
+): number {
+  return isService || expectedMillis <= 0 ? Infinity : expectedMillis;
+}
+
 /**
  * Whether a run of a step without progress shows that its worker is stalled. In
  * a gang it doesn't, as all tasks wait for the stalled one; nor in a service,
--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -4,14 +4,22 @@
 import type {StepAdvice} from './adviceState';
 import {
   type Candidate,
+  type Placement,
   type ReadyStep,
-  countFittingTasks,
   deductTasks,
   hasRoomFor,
   meetsRequirements,
 } from './candidates';
 import {countFreeTrials, workersOnTrial} from './crashTrials';
+import type {GangPlan} from './gangPlan';
+import {KeptRoom} from './keptRoom';
 import type {StartQuota} from './placementFunctions';
+import {
+  POOL_HOLDS,
+  mayKeepRoom,
+  recordHold,
+  recordHoldSucceeded,
+} from './poolHolds';
 import {stepIdOf} from './readySteps';
 import {
   RESERVATIONS,
@@ -25,8 +33,12 @@
  * this many times the CPU that is free for them: not all of them get permits.
  */
 const AWAITED_PER_FREE_CPU = 2;
-/** Share of the site's CPU that is kept for gangs that don't fit yet. */
-const MAX_GATHERED_SHARE = 0.1;
+/** No further gangs get room kept once that is this share of the site's CPU. */
+const MAX_KEPT_SHARE = 0.1;
+/** Number of gangs for which a pass keeps room. */
+const MAX_KEPT_GANGS = 4;
+/** With less than this share of its CPU in use, a pool is taken for idle. */
+const IDLE_POOL_SHARE = 0.5;
 
 /** The workers that meet some requirements, and the demand for them. */
 interface SuitableWorkers {
@@ -50,13 +62,17 @@
   private readonly totalCpuMillis: number;
   /** Number of workers on which suspected tasks may still be placed. */
   private trialsLeft: number;
-  private gatheredCpuMillis = 0;
+  readonly keptRoom: KeptRoom;
+  private keptGangs = 0;
+  private keptCpuMillis = 0;
+  /** Pools in which room is kept. */
+  private readonly keptPools = new Set<string>();
   /** Tasks that fit on no worker: the pass only takes from what is free. */
   private readonly unfitting = new Set<string>();
   /** Computed by the first step that needs advice. */
   private knownHosts: readonly string[] | undefined;
-  /** Computed by the first reservation. */
-  private reservedSince: ReadonlyMap<string, number> | undefined;
+  /** Computed when a gang is placed or waits. */
+  private knownReservedSince: ReadonlyMap<string, number> | undefined;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
 
@@ -68,6 +84,7 @@
     candidates: readonly Candidate[],
   ) {
     this.allowance = new TaskAllowance(update);
+    this.keptRoom = new KeptRoom(update.now);
     const onTrial = workersOnTrial(update, update.now);
     this.trialsLeft = countFreeTrials(update);
     this.candidates = candidates.filter(
@@ -110,8 +127,10 @@
   }
 
   /** Counts placed tasks of a step. */
-  take({row, taskResources}: ReadyStep, tasks: number): void {
+  take(readyStep: ReadyStep, tasks: number): void {
+    const {row, taskResources} = readyStep;
     this.allowance.take(tasks);
+    this.recordGangPlaced(readyStep);
     this.quota.take(row.job.account, taskResources, tasks);
   }
 
@@ -119,7 +138,7 @@
   recordUnfitting(readyStep: ReadyStep): void {
     // A limit on one worker may be what the step lacks.
     if (readyStep.step.mostOnOneWorker === 0) {
-      this.unfitting.add(readyStep.fitKey);
+      this.unfitting.add(this.roomKey(readyStep));
     }
   }
 
@@ -128,10 +147,15 @@
     return (
       this.unfitting.size > 0 &&
       readyStep.policy.advice === undefined &&
-      this.unfitting.has(readyStep.fitKey)
+      this.unfitting.has(this.roomKey(readyStep))
     );
   }
 
+  /** Equal for steps that find the same room, limits on one worker apart. */
+  private roomKey({fitKey}: ReadyStep): string {
+    return `${this.keptRoom.lentRooms} ${fitKey}`;
+  }
+
   /** Whether a suspected task may be placed. */
   mayBeginTrial(): boolean {
     return this.trialsLeft > 0;
@@ -179,11 +203,11 @@
 
   /** Lists the suitable workers that have room for a task of a step now. */
   withRoomFor(readyStep: ReadyStep): readonly Candidate[] {
-    const {fitKey} = readyStep;
-    const known = this.roomyByNeed.get(fitKey) ?? this.suitableFor(readyStep);
-    // In a pass resources are only taken, so that none of the others has room again.
+    const key = this.roomKey(readyStep);
+    const known = this.roomyByNeed.get(key) ?? this.suitableFor(readyStep);
+    // Room is only taken, apart from loans, so that none of the others has it again.
     const roomy = known.filter(candidate => hasRoomFor(candidate, readyStep));
-    this.roomyByNeed.set(fitKey, roomy);
+    this.roomyByNeed.set(key, roomy);
     return roomy;
   }
 
@@ -251,37 +275,92 @@
     suitable.awaitedCpuMillis += readyStep.taskResources.cpuMillis * tasks;
   }
 
-  /** Keeps resources on a worker from the steps behind. */
-  reserve(candidate: Candidate, readyStep: ReadyStep, tasks: number): void {
-    if (tasks > 0) {
-      deductTasks(candidate, readyStep, tasks);
-      const step = stepKey(stepIdOf(readyStep));
-      this.reservedSince ??= listReservedSince(
-        this.update.read(RESERVATIONS).get(),
-      );
+  /** Chooses placements with the loan of room that runs of this duration leave in time. */
+  withLoan(runMillis: number, choose: () => Placement[]): Placement[] {
+    this.keptRoom.lend(runMillis);
+    const placements = choose();
+    this.keptRoom.takeBack();
+    return placements;
+  }
+
+  /**
+   * Keeps the room of a plan for a gang from the steps behind, unless gangs ahead keep
+   * much already, nobody knows when the gang will fit, or room lately was kept in vain.
+   */
+  keepRoomFor(
+    readyStep: ReadyStep,
+    createPlan: () => GangPlan | undefined,
+  ): void {
+    const {pool} = readyStep.policy;
+    if (
+      this.keptGangs >= MAX_KEPT_GANGS ||
+      this.keptCpuMillis > this.totalCpuMillis * MAX_KEPT_SHARE ||
+      !mayKeepRoom(this.update, pool)
+    ) {
+      return;
+    }
+    // A plan must not take what is kept for the gangs ahead.
+    this.keptRoom.takeBack();
+    const plan = createPlan();
+    if (plan === undefined) {
+      return;
+    }
+    const step = stepKey(stepIdOf(readyStep));
+    const since = this.reservedSince().get(step) ?? this.update.now;
+    this.keptRoom.keep(plan);
+    this.keptGangs++;
+    this.keptPools.add(pool);
+    for (const {candidate, tasksNow, kept} of plan.rooms) {
+      this.keptCpuMillis += kept.cpuMillis;
       this.reservations.push({
         step,
         incarnation: candidate.worker.incarnation,
-        tasks,
-        taskResources: readyStep.taskResources,
-        since: this.reservedSince.get(step) ?? this.update.now,
+        tasks: tasksNow,
+        resources: kept,
+        since,
+        until: plan.fitsAt,
       });
     }
   }
 
-  /**
-   * Keeps the resources that are free now for a gang that doesn't fit yet, unless
-   * more urgent ones gather a large share of the site already.
-   */
-  gather(permitted: readonly Candidate[], readyStep: ReadyStep): void {
-    const limit = this.totalCpuMillis * MAX_GATHERED_SHARE;
-    if (this.gatheredCpuMillis > limit) {
-      return;
+  private reservedSince(): ReadonlyMap<string, number> {
+    this.knownReservedSince ??= listReservedSince(
+      this.update.read(RESERVATIONS).get(),
+    );
+    return this.knownReservedSince;
+  }
+
+  private recordGangPlaced(readyStep: ReadyStep): void {
+    const {step, policy} = readyStep;
+    const key = stepKey(stepIdOf(readyStep));
+    if (step.isGang && this.reservedSince().has(key)) {
+      recordHoldSucceeded(this.update, policy.pool);
     }
-    for (const candidate of permitted) {
-      const tasks = countFittingTasks(candidate, readyStep);
-      this.reserve(candidate, readyStep, tasks);
-      this.gatheredCpuMillis += readyStep.taskResources.cpuMillis * tasks;
+  }
+
+  /** Records at the end of a pass over all steps what it kept room for. */
+  recordKeptRoom(): void {
+    this.update.write(RESERVATIONS).set(this.reservations);
+    const pools = new Set([
+      ...this.keptPools,
+      ...this.update.read(POOL_HOLDS).keys(),
+    ]);
+    for (const pool of pools) {
+      const isBlocking =
+        this.keptRoom.blockedPools.has(pool) && this.isIdle(pool);
+      recordHold(this.update, pool, isBlocking);
+    }
+  }
+
+  private isIdle(pool: string): boolean {
+    let totalCpuMillis = 0;
+    let freeCpuMillis = 0;
+    for (const {worker, cpuMillisAtStart} of this.candidates) {
+      if (worker.pool === pool) {
+        totalCpuMillis += worker.capacity.cpuMillis;
+        freeCpuMillis += Math.max(0, cpuMillisAtStart);
+      }
     }
+    return totalCpuMillis - freeCpuMillis < totalCpuMillis * IDLE_POOL_SHARE;
   }
 }
--- a/packages/dispatch/src/__tests__/unit/candidateFixture.ts
+++ b/packages/dispatch/src/__tests__/unit/candidateFixture.ts
@@ -1,5 +1,5 @@
 import type {Worker} from '@samphireramp/fleet';
-import type {Resources} from '@samphireramp/jobs';
+import {NO_RESOURCES, type Resources} from '@samphireramp/jobs';
 import type {Candidate} from '../../candidates';
 
 /** Builds a worker with free resources; `fields` replaces what a test is about. */
@@ -18,6 +18,8 @@
     isClosed: false,
     startableRuns: Infinity,
     stoppingRuns: [],
+    releases: [],
+    promised: NO_RESOURCES,
     speed: 1,
     ...fields,
   };
--- a/packages/dispatch/src/candidateList.ts
+++ b/packages/dispatch/src/candidateList.ts
@@ -4,6 +4,7 @@
   WORKERS,
   countStartableRuns,
 } from '@samphireramp/fleet';
+import {NO_RESOURCES} from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 import type {Candidate} from './candidates';
 
@@ -49,7 +50,9 @@
     speedOf: (incarnation: string) => number,
   ): Candidate {
     const {capacity, incarnation} = worker;
-    const {reserved, stoppingRuns} = state.read(RUNS).summaryOf(incarnation);
+    const {reserved, stoppingRuns, releases} = state
+      .read(RUNS)
+      .summaryOf(incarnation);
     const row = this.rowOf(worker);
     row.worker = worker;
     row.cpuMillis = capacity.cpuMillis - reserved.cpuMillis;
@@ -59,6 +62,8 @@
     row.isClosed = false;
     row.startableRuns = countStartableRuns(state, worker, now);
     row.stoppingRuns = stoppingRuns;
+    row.releases = releases;
+    row.promised = NO_RESOURCES;
     row.speed = speedOf(incarnation);
     return row;
   }
@@ -77,6 +82,8 @@
       isClosed: false,
       startableRuns: 0,
       stoppingRuns: [],
+      releases: [],
+      promised: NO_RESOURCES,
       speed: 1,
     };
     this.rows.set(worker.incarnation, row);
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -1,4 +1,8 @@
-import {type Worker, isOverCapacity} from '@samphireramp/fleet';
+import {
+  type ExpectedRelease,
+  type Worker,
+  isOverCapacity,
+} from '@samphireramp/fleet';
 import {
   type Resources,
   type Occurrence,
@@ -31,6 +35,10 @@
   startableRuns: number;
   /** Runs that it may still have, whose tasks may be placed elsewhere or be done. */
   stoppingRuns: readonly RunId[];
+  /** What its runs are expected to release, the first one first. */
+  releases: readonly ExpectedRelease[];
+  /** What gangs need of that. */
+  promised: Resources;
   /** 1 for a normal worker, 2 for one on which runs take half as long. */
   speed: number;
 }
@@ -74,7 +82,16 @@
   candidate: Candidate,
   readyStep: ReadyStep,
 ): number {
-  if (candidate.isClosed || isOverCapacity(candidate)) {
+  return countFittingTasksWith(candidate, readyStep, candidate);
+}
+
+/** Counts as `countFittingTasks` does, with `free` in place of what is left in the pass. */
+export function countFittingTasksWith(
+  candidate: Candidate,
+  readyStep: ReadyStep,
+  free: Resources,
+): number {
+  if (candidate.isClosed || isOverCapacity(free)) {
     return 0;
   }
   const {step, openTasks} = readyStep;
@@ -85,7 +102,7 @@
   return Math.max(
     0,
     Math.min(
-      countTasksWithin(candidate, candidate.worker, readyStep),
+      countTasksWithin(free, candidate.worker, readyStep),
       byLimit,
       candidate.startableRuns,
       openTasks.length,
@@ -166,20 +183,6 @@
   return required > capacity - share ? 0 : share;
 }
 
-/** Counts the open tasks of a step that would fit on a worker without runs. */
-export function countTasksOnEmptyWorker(
-  worker: Worker,
-  readyStep: ReadyStep,
-): number {
-  const {step, openTasks, placedByWorker} = readyStep;
-  const byLimit =
-    step.mostOnOneWorker === 0
-      ? Infinity
-      : step.mostOnOneWorker - (placedByWorker.get(worker.incarnation) ?? 0);
-  const byResources = countTasksWithin(worker.capacity, worker, readyStep);
-  return Math.max(0, Math.min(byResources, byLimit, openTasks.length));
-}
-
 /** Counts how often a required amount fits into the available one. */
 function countFits(available: number, required: number): number {
   return required <= 0 ? Infinity : Math.floor(available / required);
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -72,6 +72,7 @@
   DEFAULT_PLACEMENT_FUNCTIONS,
   type PlacementFunctions,
 } from './placementFunctions';
+import {POOL_HOLDS} from './poolHolds';
 import {
   onRunConfirmed,
   onRunDiscarded,
@@ -195,6 +196,7 @@
       kernel.registerSlice(PERMIT_COUNTS),
       kernel.registerSlice(SCHEDULED_PASSES),
       kernel.registerSlice(RESERVATIONS),
+      kernel.registerSlice(POOL_HOLDS),
       kernel.registerSlice(AWAITS_STARTS),
       kernel.registerSlice(TAKE_OVER_STEPS),
       kernel.registerSlice(FORGET_CHECKED_AT),
@@ -273,5 +275,6 @@
   update.write(WAITING_SINCE).clear();
   update.write(LIMITED_SINCE).clear();
   update.write(RESERVATIONS).set([]);
+  update.write(POOL_HOLDS).clear();
   update.write(TAKE_OVER_STEPS).clear();
 }
--- a/packages/dispatch/src/endedRuns.ts
+++ b/packages/dispatch/src/endedRuns.ts
@@ -91,6 +91,7 @@
         incarnation: task.worker,
         account: job.account,
         reserved: reservedResources(job.steps[runId.step]),
+        expectedMillis: Infinity,
         expectsProgress: false,
       });
     }
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -6,7 +6,6 @@
   type Placement,
   type ReadyStep,
   countFittingTasks,
-  countTasksOnEmptyWorker,
   deductTasks,
   freeShare,
   hasRequiredTicket,
@@ -14,6 +13,7 @@
   tasksOf,
 } from './candidates';
 import {listSuspected} from './crashSuspects';
+import {planChosen, planGang} from './gangPlan';
 import type {PlacementPass} from './PlacementPass';
 import {SPEED_CLASSES_FROM_FAST, speedClassOf} from './speedClasses';
 
@@ -53,9 +53,9 @@
       ...chosenWorkers,
       ...spares,
     ]);
-    for (const {candidate} of chosen) {
-      pass.reserve(candidate, readyStep, 1);
-    }
+    pass.keepRoomFor(readyStep, () =>
+      planChosen(chosen, readyStep, update.now),
+    );
     return [];
   }
   // Workers not asked about yet may have free resources sooner: without them the
@@ -70,25 +70,11 @@
       rankForGang(spreadOver(suitable, readyStep), readyStep),
     );
   }
-  if (wouldFitOnEmptyWorkers(permitted, readyStep)) {
-    // Resources that are free now are kept for the gang until the rest is free
-    // too. Otherwise other steps could take them again and again.
-    pass.gather(permitted, readyStep);
-  }
+  // Otherwise other steps could take the resources that are free now again and again.
+  pass.keepRoomFor(readyStep, () => planGang(permitted, readyStep, update.now));
   return [];
 }
 
-function wouldFitOnEmptyWorkers(
-  permitted: readonly Candidate[],
-  readyStep: ReadyStep,
-): boolean {
-  let taskCount = 0;
-  for (const {worker} of permitted) {
-    taskCount += countTasksOnEmptyWorker(worker, readyStep);
-  }
-  return taskCount >= readyStep.openTasks.length;
-}
-
 /**
  * Finds workers for all tasks of a gang, first those in `preferredIds`; undefined
  * if the tasks don't all fit. A gang runs as long as on its slowest worker, so the
--- a/packages/dispatch/src/jobFlow.ts
+++ b/packages/dispatch/src/jobFlow.ts
@@ -27,6 +27,7 @@
   END_SEEN_AT,
   JOBS,
   type JobRow,
+  expectedRunMillis,
   listActiveJobs,
   expectsProgress,
   newJobRow,
@@ -141,6 +142,7 @@
     const described = {
       account: job.account,
       reserved: reservedResources(definition),
+      expectedMillis: expectedRunMillis(definition, definition.estimateMillis),
       expectsProgress: expectsProgress(definition),
     };
     const known = update.read(RUNS).get(key);
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -2,8 +2,10 @@
 import {dispatchWhenDurable, heldTerm} from '@samphireramp/holding';
 import {
   MAY_COMMAND_WORKERS,
+  type Run,
   START_RESERVED_RUN,
   type StartOrder,
+  type Worker,
   reserveRun,
 } from '@samphireramp/fleet';
 import {
@@ -15,16 +17,20 @@
 } from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE} from './adviceState';
 import type {CandidateList} from './candidateList';
-import type {Candidate, Placement, ReadyStep} from './candidates';
+import type {Placement, ReadyStep} from './candidates';
 import {listSuspected} from './crashSuspects';
 import {beginTrial} from './crashTrials';
-import {JOBS, expectsProgress, setProgress} from './DispatchState';
+import {
+  JOBS,
+  expectedRunMillis,
+  expectsProgress,
+  setProgress,
+} from './DispatchState';
 import {chooseGangPlacements} from './gangPlacement';
 import {DISPATCH_EVENT, type PlacementScope} from './messages';
 import type {PlacementFunctions} from './placementFunctions';
 import {PlacementPass} from './PlacementPass';
-import {orderReadySteps, stepIdOf} from './readySteps';
-import {RESERVATIONS} from './reservations';
+import {orderReadySteps, rememberExpected, stepIdOf} from './readySteps';
 import {schedulePlacement} from './schedulePlacement';
 import {reachTakeOverStep} from './takeOverSteps';
 import {AWAITS_STARTS} from './TaskAllowance';
@@ -58,13 +64,14 @@
     speedOf(update, incarnation),
   );
   const pass = new PlacementPass(update, self, quota, candidates);
+  const expectedOnce = rememberExpected(expectedMillis);
   let placedSteps = 0;
   const cutSteps: ReadyStep[] = [];
   for (const readyStep of orderReadySteps(
     update,
     scope,
     wallNow,
-    expectedMillis,
+    expectedOnce,
   )) {
     const mayPlace = pass.allowance.forStep(readyStep);
     if (placedSteps >= MAX_STEPS_PER_PASS || mayPlace === 0) {
@@ -78,25 +85,17 @@
       }
       continue;
     }
-    if (pass.isUnfitting(readyStep)) {
-      continue;
-    }
-    const stepId = stepIdOf(readyStep);
-    const advice = update.read(ADVICE).get(stepKey(stepId)) ?? NO_ADVICE;
-    if (advice.notBefore > update.now) {
-      continue;
-    }
-    if (advice.permits.size === 0 && advice.openRequestId !== undefined) {
-      pass.addAwaited(readyStep, pass.tasksWithinQuota(readyStep));
-      continue;
-    }
-    const placements = readyStep.step.isGang
-      ? chooseGangPlacements(pass, readyStep, advice)
-      : chooseTaskPlacements(pass, readyStep, advice);
+    const runMillis = expectedRunMillis(
+      readyStep.step,
+      expectedOnce(update, readyStep.row.job, readyStep.stepNumber),
+    );
+    const placements = pass.withLoan(runMillis, () =>
+      choosePlacements(pass, readyStep),
+    );
     if (placements.length > 0) {
       placedSteps++;
       pass.take(readyStep, placements.length);
-      placeStep(update, readyStep, placements);
+      placeStep(update, readyStep, placements, runMillis);
     }
     const isCut = placements.length >= mayPlace;
     if (isCut && mayPlace < readyStep.openTasks.length) {
@@ -104,11 +103,38 @@
     }
   }
   if (scope === 'all') {
-    update.write(RESERVATIONS).set(pass.reservations);
+    pass.recordKeptRoom();
   }
   scheduleRest(update, pass, scope, cutSteps);
 }
 
+/** Chooses workers for the tasks of a step that can start now. */
+function choosePlacements(
+  pass: PlacementPass,
+  readyStep: ReadyStep,
+): Placement[] {
+  const {update} = pass;
+  if (pass.isUnfitting(readyStep)) {
+    return [];
+  }
+  const key = stepKey(stepIdOf(readyStep));
+  const advice = update.read(ADVICE).get(key) ?? NO_ADVICE;
+  if (advice.notBefore > update.now) {
+    return [];
+  }
+  if (advice.permits.size === 0 && advice.openRequestId !== undefined) {
+    pass.addAwaited(readyStep, pass.tasksWithinQuota(readyStep));
+    return [];
+  }
+  const placements = readyStep.step.isGang
+    ? chooseGangPlacements(pass, readyStep, advice)
+    : chooseTaskPlacements(pass, readyStep, advice);
+  if (placements.length === 0) {
+    pass.keptRoom.noteUnplaced(readyStep);
+  }
+  return placements;
+}
+
 /** Schedules the placement of tasks that a pass left open by its limits. */
 function scheduleRest(
   update: Update,
@@ -131,6 +157,7 @@
   update: Update,
   readyStep: ReadyStep,
   placements: readonly Placement[],
+  runMillis: number,
 ): void {
   const stepId = stepIdOf(readyStep);
   const {occurrence, stepNumber} = readyStep;
@@ -158,7 +185,10 @@
     const task = findTask(progress, {...stepId, index});
     if (task !== undefined) {
       const runId = {...stepId, index, run: task.run};
-      reserveAndOrderRun(update, readyStep, runId, task, candidate);
+      const expectedMillis = runMillis / candidate.speed;
+      reserveAndOrderRun(update, readyStep, runId, task, candidate.worker, {
+        expectedMillis,
+      });
       if (suspected.has(index)) {
         beginTrial(update, runId);
       }
@@ -180,7 +210,8 @@
   readyStep: ReadyStep,
   runId: RunId,
   {checkpoint}: Task,
-  {worker}: Candidate,
+  worker: Worker,
+  {expectedMillis}: Pick<Run, 'expectedMillis'>,
 ): void {
   const {job} = readyStep.row;
   reserveRun(update, {
@@ -188,6 +219,7 @@
     incarnation: worker.incarnation,
     account: job.account,
     reserved: readyStep.taskResources,
+    expectedMillis,
     expectsProgress: expectsProgress(readyStep.step),
   });
   const advice = update.read(ADVICE).get(stepKey(runId)) ?? NO_ADVICE;
--- a/packages/dispatch/src/readySteps.ts
+++ b/packages/dispatch/src/readySteps.ts
@@ -25,7 +25,8 @@
 }
 
 /**
- * Lists the ready steps of a scope in the order of placement. A pass over the urgent
+ * Lists the ready steps of a scope in the order of placement; `expectedMillis` is asked
+ * often, see `rememberExpected`. A pass over the urgent
  * steps leaves out excess ones, which come after less urgent ones of other accounts.
  */
 export function orderReadySteps(
@@ -34,12 +35,11 @@
   wallNow: number,
   expectedMillis: PlacementFunctions['expectedMillis'],
 ): readonly ReadyStep[] {
-  const expectedOnce = rememberExpected(expectedMillis);
   const urgencyByOccurrence = new Map<Occurrence, StepUrgency>();
   const urgencyOfStep = (step: ReadyStep): StepUrgency => {
     const urgency =
       urgencyByOccurrence.get(step.occurrence) ??
-      urgencyOf(state, step, wallNow, expectedOnce);
+      urgencyOf(state, step, wallNow, expectedMillis);
     urgencyByOccurrence.set(step.occurrence, urgency);
     return urgency;
   };
@@ -53,8 +53,8 @@
     : [...ordered.entitled, ...ordered.excess];
 }
 
-/** Has each expectation computed once: the state does not change while steps are ordered. */
-function rememberExpected(
+/** Has each expectation computed once, for as long as the state does not change. */
+export function rememberExpected(
   expectedMillis: PlacementFunctions['expectedMillis'],
 ): PlacementFunctions['expectedMillis'] {
   const millisByJob = new Map<Job, number[]>();
--- a/packages/dispatch/src/reservations.ts
+++ b/packages/dispatch/src/reservations.ts
@@ -1,17 +1,19 @@
 import {createValueSlice} from '@samphireramp/kernel';
 import type {Resources} from '@samphireramp/jobs';
 
-/** Resources that a pass kept free on one worker for a step that waits. */
+/** Resources that a pass kept free on one worker for a gang that waits. */
 export interface Reservation {
   /** Key of the step. */
   readonly step: string;
   /** Incarnation of the worker. */
   readonly incarnation: string;
+  /** Tasks of the gang that have room there now. */
   readonly tasks: number;
-  /** Resources of each of the tasks. */
-  readonly taskResources: Resources;
+  readonly resources: Resources;
   /** When the first of the passes began that have kept resources for the step since. */
   readonly since: number;
+  /** When the gang is expected to fit; it may be past if the gang lacks tickets only. */
+  readonly until: number;
 }
 
 /** The reservations of the last placement pass, the most urgent steps first. */
@@ -31,17 +33,22 @@
 }
 
 /**
- * Describes for which steps resources are kept, and for how long they have been, as in
- * ` for JOB.0.0 since 2100 ms`; empty if there are none.
+ * Describes for which steps resources are kept, for how long they have been and for how
+ * long they will be, as in ` for JOB.0.0 since 2100 ms for 900 ms`; empty if there are none.
  */
 export function describeReservedSteps(
   reservations: readonly Reservation[],
   now: number,
 ): string {
-  const descriptions = [...listReservedSince(reservations)]
+  const byStep = new Map(reservations.map(each => [each.step, each]));
+  return [...byStep.values()]
     .slice(0, MAX_NAMED_STEPS)
-    .map(([step, since]) => ` for ${step} since ${Math.round(now - since)} ms`);
-  return descriptions.join(' and');
+    .map(({step, since, until}) => {
+      const sinceMillis = Math.round(now - since);
+      const untilMillis = Math.max(0, Math.round(until - now));
+      return ` for ${step} since ${sinceMillis} ms for ${untilMillis} ms`;
+    })
+    .join(' and');
 }
 
 /** Counts the tasks for which reservations hold resources. */
--- a/packages/dispatch/src/runFlow.ts
+++ b/packages/dispatch/src/runFlow.ts
@@ -31,7 +31,13 @@
 import {match} from 'ts-pattern';
 import {type ActiveTask, findActiveTask} from './activeTask';
 import {delayStep, invalidateTicket} from './adviceState';
-import {JOBS, type JobRow, policyOf, setProgress} from './DispatchState';
+import {
+  JOBS,
+  type JobRow,
+  expectedRunMillis,
+  policyOf,
+  setProgress,
+} from './DispatchState';
 import {stopIncompleteGang, stopUnstartedMembers} from './gangFlow';
 import {endJob, removeDoneOccurrences} from './jobFlow';
 import {DISPATCH_EVENT} from './messages';
@@ -300,6 +306,9 @@
     incarnation,
     account: (job ?? unread)?.account ?? NO_ACCOUNT,
     reserved,
+    expectedMillis: step
+      ? expectedRunMillis(step, step.estimateMillis)
+      : Infinity,
     expectsProgress: false,
   });
   const isNeeded =
--- a/packages/dispatch/src/unreadJobs.ts
+++ b/packages/dispatch/src/unreadJobs.ts
@@ -89,6 +89,7 @@
           incarnation: task.worker,
           account: progress.account,
           reserved: wholeWorker(update, task.worker),
+          expectedMillis: Infinity,
           expectsProgress: false,
         };
         (isEnded ? adoptAsStopping : adoptRun)(update, run);
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -17,7 +17,8 @@
 } from './candidates';
 import {DISPATCH_EVENT} from './messages';
 import type {PlacementFunctions} from './placementFunctions';
-import {orderReadySteps, stepIdOf} from './readySteps';
+import {takeFrom} from './keptRoom';
+import {orderReadySteps, rememberExpected, stepIdOf} from './readySteps';
 import {
   RESERVATIONS,
   type Reservation,
@@ -56,10 +57,12 @@
   checkedAt.set(update.now);
   const sinceByStep = update.write(WAITING_SINCE);
   const readySteps = new Map(
-    orderReadySteps(update, 'all', wallNow, expectedMillis).map(readyStep => [
-      stepKey(stepIdOf(readyStep)),
-      readyStep,
-    ]),
+    orderReadySteps(
+      update,
+      'all',
+      wallNow,
+      rememberExpected(expectedMillis),
+    ).map(readyStep => [stepKey(stepIdOf(readyStep)), readyStep]),
   );
   for (const key of [...sinceByStep.keys()]) {
     if (!readySteps.has(key)) {
@@ -161,12 +164,10 @@
   const byIncarnation = new Map(
     copies.map(candidate => [candidate.worker.incarnation, candidate]),
   );
-  for (const {incarnation, tasks, taskResources} of reservations) {
+  for (const {incarnation, resources} of reservations) {
     const candidate = byIncarnation.get(incarnation);
     if (candidate !== undefined) {
-      candidate.cpuMillis -= taskResources.cpuMillis * tasks;
-      candidate.memoryMegabytes -= taskResources.memoryMegabytes * tasks;
-      candidate.accelerators -= taskResources.accelerators * tasks;
+      takeFrom(candidate, resources);
     }
   }
   return copies;
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -54,7 +54,12 @@
 /** A run that is added to those that the holder knows. */
 export type NewRun = Pick<
   Run,
-  'runId' | 'incarnation' | 'account' | 'reserved' | 'expectsProgress'
+  | 'runId'
+  | 'incarnation'
+  | 'account'
+  | 'reserved'
+  | 'expectedMillis'
+  | 'expectsProgress'
 >;
 
 /**
@@ -63,7 +68,14 @@
  */
 export function reserveRun(
   update: Update,
-  {runId, incarnation, account, reserved, expectsProgress}: NewRun,
+  {
+    runId,
+    incarnation,
+    account,
+    reserved,
+    expectedMillis,
+    expectsProgress,
+  }: NewRun,
 ): void {
   update.write(RUNS).set(runKey(runId), {
     runId,
@@ -78,6 +90,7 @@
     isReported: false,
     percentDone: 0,
     progressedAt: update.now,
+    expectedMillis,
     expectsProgress,
     checkpoint: '',
   });
--- a/packages/fleet/src/Run.ts
+++ b/packages/fleet/src/Run.ts
@@ -30,6 +30,11 @@
   readonly percentDone: number;
   /** When `percentDone` last changed or the run was confirmed. */
   readonly progressedAt: number;
+  /**
+   * Expected run time on its worker, in milliseconds; infinite if the run has no end or
+   * nothing is known of it.
+   */
+  readonly expectedMillis: number;
   /** Whether a lack of progress counts as a stall; false for a service. */
   readonly expectsProgress: boolean;
   /** The newest checkpoint reported; empty for none. */
--- a/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
+++ b/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
@@ -22,6 +22,7 @@
     isReported: false,
     percentDone: 0,
     progressedAt: 0,
+    expectedMillis: Infinity,
     expectsProgress: true,
     checkpoint: '',
     ...overrides,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,7 +10,7 @@
   isOverCapacity,
   totalResources,
 } from './FleetState';
-export type {RunTotals} from './runTotals';
+export type {ExpectedRelease, RunTotals} from './runTotals';
 export {type FleetOptions, createFleetPlugin} from './fleetPlugin';
 export {holdBackEnds, releaseEnds} from './heldBackEnds';
 export {CLOCK_DRIFT_BOUND, LEASE_MILLIS, leasesExpiredAt} from './leaseTiming';
--- a/packages/fleet/src/runTotals.ts
+++ b/packages/fleet/src/runTotals.ts
@@ -1,6 +1,18 @@
 import type {Resources, RunId} from '@samphireramp/jobs';
 import type {Run} from './Run';
 
+/** By when a run that was told to stop is expected to be gone. */
+const STOP_MILLIS = 1000;
+/** A run that has done this much is about to end. */
+const COMPLETE_PERCENT = 100;
+
+/** When a run is expected to release its resources. */
+export interface ExpectedRelease {
+  /** Time of the runtime's monotonic clock; it may have passed. */
+  readonly at: number;
+  readonly resources: Resources;
+}
+
 /** What the runs on one worker amount to. */
 export interface RunTotals {
   /** Resources that all of them reserve. */
@@ -11,6 +23,8 @@
   readonly startsUnderWay: number;
   /** Number of those whose placement the journal has not recorded yet. */
   readonly unrecordedStarts: number;
+  /** What the runs that are expected to end release, the first one first. */
+  readonly releases: readonly ExpectedRelease[];
 }
 
 /** Totals the runs on one worker. */
@@ -21,6 +35,7 @@
   let startsUnderWay = 0;
   let unrecordedStarts = 0;
   const stoppingRuns: RunId[] = [];
+  const releases: ExpectedRelease[] = [];
   for (const run of runs) {
     const {reserved, phase, runId} = run;
     cpuMillis += reserved.cpuMillis;
@@ -31,9 +46,26 @@
     if (phase === 'stopping') {
       stoppingRuns.push(runId);
     }
+    const at = expectedEndOf(run);
+    if (Number.isFinite(at)) {
+      releases.push({at, resources: reserved});
+    }
   }
+  releases.sort((a, b) => a.at - b.at);
   const reserved = {cpuMillis, memoryMegabytes, accelerators};
-  return {reserved, stoppingRuns, startsUnderWay, unrecordedStarts};
+  return {reserved, stoppingRuns, startsUnderWay, unrecordedStarts, releases};
+}
+
+/** When a run is expected to end; infinite if it isn't. */
+function expectedEndOf(run: Run): number {
+  const {startedAt, confirmedAt, lastOrderAt, percentDone, progressedAt} = run;
+  if (run.phase === 'stopping') {
+    return lastOrderAt + STOP_MILLIS;
+  }
+  const shareLeft = 1 - percentDone / COMPLETE_PERCENT;
+  return percentDone > 0
+    ? progressedAt + run.expectedMillis * shareLeft
+    : (startedAt ?? confirmedAt ?? lastOrderAt) + run.expectedMillis;
 }
 
 /** A repeated order shows that the worker is slow to answer, not this host. */
--- a/packages/jobs/src/Resources.ts
+++ b/packages/jobs/src/Resources.ts
@@ -11,6 +11,13 @@
 /** Resources that a task needs or a worker offers. */
 export type Resources = z.infer<typeof resourcesSchema>;
 
+/** The names of the resources. */
+export const RESOURCE_NAMES = [
+  'cpuMillis',
+  'memoryMegabytes',
+  'accelerators',
+] as const satisfies ReadonlyArray<keyof Resources>;
+
 /** No resources at all. */
 export const NO_RESOURCES: Resources = {
   cpuMillis: 0,
--- a/testing/src/__tests__/unit/placementRegressions.test.ts
+++ b/testing/src/__tests__/unit/placementRegressions.test.ts
@@ -53,9 +53,9 @@
 void t.test(
   'a waiting step is logged with what gangs ahead reserve',
   async t => {
-    const site = await buildSite(4);
+    const site = await buildSite(5);
     const need = {...FULL_NEED, cpuMillis: 6000};
-    submitStep(site, 'c0', URGENT, {count: 2, need: FULL_NEED});
+    submitStep(site, 'c0', URGENT, {count: 3, need: FULL_NEED});
     await site.run(300);
     submitStep(site, 'c1', ADVISED, {count: 3, need, isGang: true});
     await site.run(300);
@@ -64,7 +64,7 @@
     const waitEvents = site.events.filter(line => line.includes('step-waits'));
     t.match(
       waitEvents.find(line => line.includes('c2.0.0')),
-      /2 tasks fit, 4 valid tickets, 1 gangs ahead reserve 2 tasks and leave 0 for c1\.0\.0 since \d+ ms"/,
+      /2 tasks fit, 5 valid tickets, 1 gangs ahead reserve 2 tasks and leave 0 for c1\.0\.0 since \d+ ms for \d+ ms"/,
     );
   },
 );
