A gang that waits for the limit of its account keeps it only for what is expected to end

What callers would see: jobs of an account behind a gang that its limit leaves waiting stay queued for as long as a service of the account has the part that the gang lacks.

Change: the quota tells when a gang is expected to fit (fitsAt, in place of fitsLimit); without such a time nothing is kept, steps that end before it get the limit on loan, and the pause of gangs that yield holds here, too.

--- a/packages/accounts/src/startQuota.ts
+++ b/packages/accounts/src/startQuota.ts
@@ -1,4 +1,9 @@
-import {RUNS} from '@samphireramp/fleet';
+import {
+  type ExpectedRelease,
+  RUNS,
+  expectedEndOf,
+  postponeOverdue,
+} from '@samphireramp/fleet';
 import {
   type ClientAccount,
   NO_ACCOUNT,
@@ -14,10 +19,20 @@
 export interface AccountQuota {
   /** Of a number of tasks of an account, how many may start. */
   mostTasks(account: string, taskNeed: Resources, tasks: number): number;
-  /** Whether a number of tasks fits the limits of an account that runs nothing else. */
-  fitsLimit(account: string, taskNeed: Resources, tasks: number): boolean;
-  /** Counts tasks of an account that the pass has placed. */
+  /**
+   * When a number of tasks is expected to fit the limits of an account, on the
+   * runtime's monotonic clock; undefined if no such time is known.
+   */
+  fitsAt(
+    account: string,
+    taskNeed: Resources,
+    tasks: number,
+    now: number,
+  ): number | undefined;
+  /** Counts tasks of an account that the pass has placed, or keeps the limits for. */
   take(account: string, taskNeed: Resources, tasks: number): void;
+  /** Counts tasks no more that `take` has counted. */
+  giveBack(account: string, taskNeed: Resources, tasks: number): void;
 }
 
 /** Resources in use, which placement adds to. */
@@ -35,6 +50,7 @@
   const configured = clientAccountsOf(state);
   const accounts = accountsByName(configured ?? NO_ACCOUNTS);
   let usageByAccount: Map<string, Usage> | undefined;
+  const releasesByAccount = new Map<string, readonly ExpectedRelease[]>();
 
   function usageOf(account: string): Usage {
     usageByAccount ??= sumUsage(state);
@@ -47,6 +63,19 @@
     return usage;
   }
 
+  function releasesOf(
+    account: string,
+    now: number,
+  ): readonly ExpectedRelease[] {
+    const known = releasesByAccount.get(account);
+    if (known !== undefined) {
+      return known;
+    }
+    const releases = listReleases(state, account, now);
+    releasesByAccount.set(account, releases);
+    return releases;
+  }
+
   return {
     mostTasks: (account, taskNeed, tasks) => {
       if (configured === undefined && account !== NO_ACCOUNT) {
@@ -58,21 +87,54 @@
         ? tasks
         : countWithinLimit(limit, usageOf(account), taskNeed, tasks);
     },
-    fitsLimit: (account, taskNeed, tasks) => {
+    fitsAt: (account, taskNeed, tasks, now) => {
       const limit = accounts.get(account)?.limit;
-      return (
-        limit === undefined ||
-        countWithinLimit(limit, noUsage(), taskNeed, tasks) === tasks
-      );
+      if (limit === undefined) {
+        return now;
+      }
+      const usage = {...usageOf(account)};
+      const fits = () =>
+        countWithinLimit(limit, usage, taskNeed, tasks) === tasks;
+      if (fits()) {
+        return now;
+      }
+      for (const {at, resources} of releasesOf(account, now)) {
+        addUsage(usage, resources, -1);
+        if (fits()) {
+          return at;
+        }
+      }
+      return undefined;
     },
     take: (account, taskNeed, tasks) => {
       if (accounts.has(account)) {
         addUsage(usageOf(account), taskNeed, tasks);
       }
     },
+    giveBack: (account, taskNeed, tasks) => {
+      if (accounts.has(account)) {
+        addUsage(usageOf(account), taskNeed, -tasks);
+      }
+    },
   };
 }
 
+/** Lists what the runs of an account are expected to release, the first one first. */
+function listReleases(
+  state: StateReader,
+  account: string,
+  now: number,
+): ExpectedRelease[] {
+  return [...state.read(RUNS).values()]
+    .filter(run => run.account === account)
+    .map(run => ({
+      at: postponeOverdue(expectedEndOf(run), now),
+      resources: run.reserved,
+    }))
+    .filter(({at}) => Number.isFinite(at))
+    .sort((a, b) => a.at - b.at);
+}
+
 /** Sums what the runs of each account reserve. */
 export function sumUsage(state: StateReader): Map<string, Usage> {
   const usageByAccount = new Map<string, Usage>();
--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -12,6 +12,7 @@
 } from './candidates';
 import {countFreeTrials, workersOnTrial} from './crashTrials';
 import type {GangPlan} from './gangPlan';
+import {KeptQuota} from './keptQuota';
 import {KeptRoom} from './keptRoom';
 import type {StartQuota} from './placementFunctions';
 import {
@@ -63,6 +64,7 @@
   /** Number of workers on which suspected tasks may still be placed. */
   private trialsLeft: number;
   readonly keptRoom: KeptRoom;
+  private readonly keptQuota: KeptQuota;
   private keptGangs = 0;
   private keptCpuMillis = 0;
   /** Pools in which room is kept. */
@@ -85,6 +87,7 @@
   ) {
     this.allowance = new TaskAllowance(update);
     this.keptRoom = new KeptRoom(update.now);
+    this.keptQuota = new KeptQuota(quota, update.now);
     const onTrial = workersOnTrial(update, update.now);
     this.trialsLeft = countFreeTrials(update);
     this.candidates = candidates.filter(
@@ -115,14 +118,16 @@
     return this.quota.mostTasks(account, taskResources, openTasks.length);
   }
 
-  /**
-   * Keeps what is left of an account's limits for a gang that does not fit within them
-   * now. Otherwise smaller steps of the account behind it could take that again and again.
-   */
-  keepQuotaFor({row, openTasks, taskResources}: ReadyStep): void {
-    const {account} = row.job;
-    if (this.quota.fitsLimit(account, taskResources, openTasks.length)) {
-      this.quota.take(account, taskResources, openTasks.length);
+  /** Handles a step that the limits of its account leave waiting. */
+  onOverQuota(readyStep: ReadyStep): void {
+    const {pool} = readyStep.policy;
+    this.keptQuota.takeBack();
+    for (const keptPool of this.keptQuota.listBlockingPools(readyStep)) {
+      this.keptRoom.blockedPools.add(keptPool);
+    }
+    if (readyStep.step.isGang && mayKeepRoom(this.update, pool)) {
+      this.keptPools.add(pool);
+      this.keptQuota.keep(readyStep);
     }
   }
 
@@ -275,11 +280,20 @@
     suitable.awaitedCpuMillis += readyStep.taskResources.cpuMillis * tasks;
   }
 
-  /** Chooses placements with the loan of room that runs of this duration leave in time. */
-  withLoan(runMillis: number, choose: () => Placement[]): Placement[] {
+  /**
+   * Chooses placements for a step, with the loan of room and limits that runs of this
+   * duration leave in time.
+   */
+  withLoan(
+    readyStep: ReadyStep,
+    runMillis: number,
+    choose: () => Placement[],
+  ): Placement[] {
     this.keptRoom.lend(runMillis);
+    this.keptQuota.lend(readyStep.row.job.account, runMillis);
     const placements = choose();
     this.keptRoom.takeBack();
+    this.keptQuota.takeBack();
     return placements;
   }
 
--- a/packages/dispatch/src/__tests__/unit/waitingSteps.test.ts
+++ b/packages/dispatch/src/__tests__/unit/waitingSteps.test.ts
@@ -54,8 +54,9 @@
           need[name] === 0 ? Infinity : Math.floor(limits[name] / need[name]),
         ),
       ),
-    fitsLimit: () => true,
+    fitsAt: (_account, _taskNeed, _tasks, now) => now,
     take: () => undefined,
+    giveBack: () => undefined,
   };
 }
 
--- a/packages/dispatch/src/gangPlan.ts
+++ b/packages/dispatch/src/gangPlan.ts
@@ -1,4 +1,4 @@
-import type {ExpectedRelease} from '@samphireramp/fleet';
+import {type ExpectedRelease, postponeOverdue} from '@samphireramp/fleet';
 import {NO_RESOURCES, RESOURCE_NAMES, type Resources} from '@samphireramp/jobs';
 import {
   type Candidate,
@@ -8,9 +8,6 @@
   countFittingTasksWith,
 } from './candidates';
 
-/** A run that should have ended is expected to last for this much longer at least. */
-const MIN_OVERDUE_MILLIS = 100;
-
 /** Room on one worker that a gang waits for. */
 export interface PlannedRoom {
   readonly candidate: Candidate;
@@ -165,17 +162,10 @@
     return releases;
   }
   return releases
-    .map(({at, resources}) => ({at: releasedAt(at, now), resources}))
+    .map(({at, resources}) => ({at: postponeOverdue(at, now), resources}))
     .sort((a, b) => a.at - b.at);
 }
 
-/** A run that lasts longer than expected may well take as long again. */
-function releasedAt(expectedAt: number, now: number): number {
-  return expectedAt > now
-    ? expectedAt
-    : now + Math.max(MIN_OVERDUE_MILLIS, now - expectedAt);
-}
-
 /** Tells what a number of tasks of a gang need now so that they fit later. */
 function planRoom(
   candidate: Candidate,
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -78,18 +78,11 @@
       cutSteps.push(readyStep);
       break;
     }
-    if (pass.mostPlacements(readyStep) === 0) {
-      // Its account is at its limit; the room is for the steps of others.
-      if (readyStep.step.isGang) {
-        pass.keepQuotaFor(readyStep);
-      }
-      continue;
-    }
     const runMillis = expectedRunMillis(
       readyStep.step,
       expectedOnce(update, readyStep.row.job, readyStep.stepNumber),
     );
-    const placements = pass.withLoan(runMillis, () =>
+    const placements = pass.withLoan(readyStep, runMillis, () =>
       choosePlacements(pass, readyStep),
     );
     if (placements.length > 0) {
@@ -114,6 +107,11 @@
   readyStep: ReadyStep,
 ): Placement[] {
   const {update} = pass;
+  if (pass.mostPlacements(readyStep) === 0) {
+    // Its account is at its limit; the room is for the steps of others.
+    pass.onOverQuota(readyStep);
+    return [];
+  }
   if (pass.isUnfitting(readyStep)) {
     return [];
   }
--- a/packages/dispatch/src/placementFunctions.ts
+++ b/packages/dispatch/src/placementFunctions.ts
@@ -5,10 +5,20 @@
 export interface StartQuota {
   /** Of a number of tasks of an account, how many may start. */
   mostTasks(account: string, taskNeed: Resources, tasks: number): number;
-  /** Whether a number of tasks fits the limits of an account that runs nothing else. */
-  fitsLimit(account: string, taskNeed: Resources, tasks: number): boolean;
-  /** Counts tasks of an account that the pass has placed. */
+  /**
+   * When a number of tasks is expected to fit the limits of an account, on the
+   * runtime's monotonic clock; undefined if no such time is known.
+   */
+  fitsAt(
+    account: string,
+    taskNeed: Resources,
+    tasks: number,
+    now: number,
+  ): number | undefined;
+  /** Counts tasks of an account that the pass has placed, or keeps the limits for. */
   take(account: string, taskNeed: Resources, tasks: number): void;
+  /** Counts tasks no more that `take` has counted. */
+  giveBack(account: string, taskNeed: Resources, tasks: number): void;
 }
 
 /**
@@ -54,8 +64,9 @@
 export const DEFAULT_PLACEMENT_FUNCTIONS: PlacementFunctions = {
   createStartQuota: () => ({
     mostTasks: (_account, _taskNeed, tasks) => tasks,
-    fitsLimit: () => true,
+    fitsAt: (_account, _taskNeed, _tasks, now) => now,
     take: () => undefined,
+    giveBack: () => undefined,
   }),
   virtualDelayMillis: () => 0,
   expectedMillis: (_state, job, stepNumber) =>
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,7 +10,12 @@
   isOverCapacity,
   totalResources,
 } from './FleetState';
-export type {ExpectedRelease, RunTotals} from './runTotals';
+export {
+  type ExpectedRelease,
+  type RunTotals,
+  expectedEndOf,
+  postponeOverdue,
+} from './runTotals';
 export {type FleetOptions, createFleetPlugin} from './fleetPlugin';
 export {holdBackEnds, releaseEnds} from './heldBackEnds';
 export {CLOCK_DRIFT_BOUND, LEASE_MILLIS, leasesExpiredAt} from './leaseTiming';
--- a/packages/fleet/src/runTotals.ts
+++ b/packages/fleet/src/runTotals.ts
@@ -1,6 +1,8 @@
 import type {Resources, RunId} from '@samphireramp/jobs';
 import type {Run} from './Run';
 
+/** A run that should have ended is expected to last for this much longer at least. */
+const MIN_OVERDUE_MILLIS = 100;
 /** By when a run that was told to stop is expected to be gone. */
 const STOP_MILLIS = 1000;
 /** A run that has done this much is about to end. */
@@ -56,8 +58,8 @@
   return {reserved, stoppingRuns, startsUnderWay, unrecordedStarts, releases};
 }
 
-/** When a run is expected to end; infinite if it isn't. */
-function expectedEndOf(run: Run): number {
+/** When a run is expected to end, which may have passed; not finite if nothing is known. */
+export function expectedEndOf(run: Run): number {
   const {startedAt, confirmedAt, lastOrderAt, percentDone, progressedAt} = run;
   if (run.phase === 'stopping') {
     return lastOrderAt + STOP_MILLIS;
@@ -72,3 +74,10 @@
 function isStartUnderWay({phase, startOrders}: Run): boolean {
   return phase === 'reserved' || (phase === 'ordered' && startOrders === 1);
 }
+
+/** When a run is still expected to end: one that is overdue may well take as long again. */
+export function postponeOverdue(expectedAt: number, now: number): number {
+  return expectedAt > now
+    ? expectedAt
+    : now + Math.max(MIN_OVERDUE_MILLIS, now - expectedAt);
+}
