--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -321,7 +321,7 @@
     }
     const step = stepKey(stepIdOf(readyStep));
     const since = this.reservedSince().get(step) ?? this.update.now;
-    this.keptRoom.keep(plan);
+    this.keptRoom.keep(readyStep, plan);
     this.keptGangs++;
     this.keptPools.add(pool);
     for (const {candidate, tasksNow, kept} of plan.rooms) {
--- a/packages/dispatch/src/__tests__/unit/gangPlan.test.ts
+++ b/packages/dispatch/src/__tests__/unit/gangPlan.test.ts
@@ -59,6 +59,16 @@
   );
 }
 
+/** Keeps the planned room for a gang. */
+function keepFor(gang: ReadyStep, candidates: readonly Candidate[]): KeptRoom {
+  const keptRoom = new KeptRoom(NOW);
+  const gangPlan = planGang(candidates, gang, NOW);
+  if (gangPlan !== undefined) {
+    keptRoom.keep(gang, gangPlan);
+  }
+  return keptRoom;
+}
+
 void t.test(
   'a gang is planned where the room that it lacks comes first',
   async t => {
@@ -113,12 +123,8 @@
     buildWorker('a', 4000, release(500, 4000), release(900, 4000)),
   ];
   const gang = buildWaitingStep(2, 4000);
-  const first = planGang(workers, gang, NOW);
-  t.equal(first?.fitsAt, NOW + 500);
-  const keptRoom = new KeptRoom(NOW);
-  if (first !== undefined) {
-    keptRoom.keep(first);
-  }
+  t.equal(planGang(workers, gang, NOW)?.fitsAt, NOW + 500);
+  keepFor(gang, workers);
   t.equal(planGang(workers, gang, NOW), undefined);
 });
 
@@ -129,11 +135,7 @@
       buildWorker('a', 4000, release(500, 4000)),
       {...buildWorker('b', 4000, release(500, 4000)), speed: 0.5},
     ];
-    const keptRoom = new KeptRoom(NOW);
-    const gangPlan = planGang([worker, slow], buildWaitingStep(4, 4000), NOW);
-    if (gangPlan !== undefined) {
-      keptRoom.keep(gangPlan);
-    }
+    const keptRoom = keepFor(buildWaitingStep(4, 4000), [worker, slow]);
     t.same([worker.cpuMillis, slow.cpuMillis], [0, 0]);
     keptRoom.lend(300);
     t.same([worker.cpuMillis, slow.cpuMillis], [4000, 0]);
@@ -152,12 +154,13 @@
   'only steps that kept room would serve count as blocked',
   async t => {
     const worker = buildWorker('a', 4000, release(500, 4000));
-    const keptRoom = new KeptRoom(NOW);
-    const gangPlan = planGang([worker], buildWaitingStep(2, 4000), NOW);
-    if (gangPlan !== undefined) {
-      keptRoom.keep(gangPlan);
-    }
+    const gang = buildWaitingStep(2, 4000);
+    const keptRoom = keepFor(gang, [worker]);
+    keptRoom.noteUnplaced(gang);
     keptRoom.noteUnplaced(buildWaitingStep(1, 5000));
+    keptRoom.lend(300);
+    keptRoom.noteUnplaced(buildWaitingStep(1, 3000));
+    keptRoom.takeBack();
     t.equal(keptRoom.blockedPools.size, 0);
     keptRoom.noteUnplaced(buildWaitingStep(1, 3000));
     t.same([...keptRoom.blockedPools], ['pool']);
--- a/packages/dispatch/src/keptRoom.ts
+++ b/packages/dispatch/src/keptRoom.ts
@@ -9,6 +9,7 @@
 
 /** Room on one worker that is kept for a gang. */
 interface Room {
+  readonly gang: ReadyStep;
   readonly candidate: Candidate;
   /** The gang is expected to use it from this time on, on the monotonic clock. */
   readonly until: number;
@@ -22,16 +23,16 @@
  */
 export class KeptRoom {
   private readonly rooms: Room[] = [];
-  private readonly lent: Room[] = [];
+  private readonly lent = new Set<Room>();
   /** Pools in which a step found no room but some that is kept. */
   readonly blockedPools = new Set<string>();
 
   constructor(private readonly now: number) {}
 
-  /** Keeps the room of a plan from the steps behind. */
-  keep({fitsAt, rooms}: GangPlan): void {
+  /** Keeps the room of a plan for a gang from the steps behind. */
+  keep(gang: ReadyStep, {fitsAt, rooms}: GangPlan): void {
     for (const {candidate, kept, promised} of rooms) {
-      const room = {candidate, until: fitsAt, free: {...kept}};
+      const room = {gang, candidate, until: fitsAt, free: {...kept}};
       takeFrom(candidate, kept);
       candidate.promised = {
         cpuMillis: candidate.promised.cpuMillis + promised.cpuMillis,
@@ -50,7 +51,7 @@
 
   /** Number of rooms on loan: steps with the same number find the same room. */
   get lentRooms(): number {
-    return this.lent.length;
+    return this.lent.size;
   }
 
   /** Lends the room in which a step with the expected run time ends before its gang begins. */
@@ -59,7 +60,7 @@
       const {candidate, until, free} = room;
       if (this.now + expectedMillis / candidate.speed <= until) {
         giveBack(candidate, free);
-        this.lent.push(room);
+        this.lent.add(room);
       }
     }
   }
@@ -72,10 +73,13 @@
       }
       takeFrom(candidate, free);
     }
-    this.lent.length = 0;
+    this.lent.clear();
   }
 
-  /** Notes whether a step that was not placed would have fitted into room that is kept. */
+  /**
+   * Notes whether a step that was not placed would have fitted into room that is kept
+   * from it, before the loan to it ends.
+   */
   noteUnplaced(readyStep: ReadyStep): void {
     const {pool} = readyStep.policy;
     if (this.isEmpty || this.blockedPools.has(pool)) {
@@ -83,7 +87,9 @@
     }
     let fitting = 0;
     for (const room of this.rooms) {
-      fitting += countFittingInto(room, readyStep);
+      if (room.gang !== readyStep && !this.lent.has(room)) {
+        fitting += countFittingInto(room, readyStep);
+      }
     }
     const {step, openTasks} = readyStep;
     if (fitting >= (step.isGang ? openTasks.length : 1)) {
--- a/testing/src/__tests__/unit/waitingGangs.test.ts
+++ b/testing/src/__tests__/unit/waitingGangs.test.ts
@@ -11,6 +11,11 @@
 const WORKERS = 8;
 const CAPACITY = {cpuMillis: 16_000, memoryMegabytes: 32_000, accelerators: 0};
 const GANGS = buildPolicy({name: 'gangs', priority: 1});
+const ADVISED_GANGS = buildPolicy({
+  name: 'advised-gangs',
+  priority: 1,
+  advice: {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 1000},
+});
 const OTHERS = buildPolicy({name: 'others', priority: 2});
 /** Fits on empty workers, three tasks on each, and not beside another task. */
 const WIDE_GANG: Partial<Step> = {
@@ -45,7 +50,7 @@
   const site = buildModelSite({
     workers: WORKERS,
     capacity: CAPACITY,
-    policies: [GANGS, OTHERS],
+    policies: [GANGS, ADVISED_GANGS, OTHERS],
     script: (job, runId) => ({
       step: job.steps[runId.step],
       workMillis: actualMillis[job.id] ?? job.steps[runId.step].estimateMillis,
@@ -154,6 +159,23 @@
   },
 );
 
+// Guards against room that is kept for a gang whose tickets never come.
+void t.test(
+  'jobs are started behind a gang that fits and gets no tickets',
+  async t => {
+    const site = await buildSite();
+    submit(site, 'a5', OTHERS, {...OBSTACLE, estimateMillis: 3000});
+    await site.run(500);
+    submit(site, 'b5', ADVISED_GANGS, WIDE_GANG);
+    await site.run(500);
+    site.faultState = {...site.faultState, answersAdvice: () => false};
+    await site.run(2500);
+    const waits = await listWaits(site);
+    t.ok(Math.max(...waits) < IDLE_LIMIT_MILLIS);
+    t.equal(site.checker.countStarts('b5'), 0);
+  },
+);
+
 // Guards against a wide gang that starves behind a stream of small jobs.
 void t.test(
   'a wide gang is at work soon beside a stream of small jobs',
--- a/testing/src/site/ModelAdviser.ts
+++ b/testing/src/site/ModelAdviser.ts
@@ -5,6 +5,8 @@
 
 /** Bounds the unanswered calls of a host; further ones are answered `busy`. */
 const MAX_PENDING_CALLS = 32;
+/** After this time a caller gives up a call without an answer. */
+const SILENT_CALL_MILLIS = 1000;
 
 /**
  * Simulates the adviser, which forbids some workers to each step and issues
@@ -23,6 +25,7 @@
     private readonly adviceTermsOf: (jobId: string) => AdviceTerms | undefined,
     /** Number of consecutive workers that it forbids to each step. */
     private readonly forbiddenPerStep: number,
+    private readonly answersAdvice: () => boolean = () => true,
   ) {}
 
   /** Tells which of the given workers may run a step, with tickets for them. */
@@ -35,6 +38,12 @@
     if (terms === undefined) {
       return {kind: 'failed', detail: 'status 400'};
     }
+    if (!this.answersAdvice()) {
+      await new Promise<void>(resolve => {
+        this.timeline.after(SILENT_CALL_MILLIS, resolve);
+      });
+      return {kind: 'failed', detail: 'timeout'};
+    }
     const pending = this.pendingCalls.get(host) ?? 0;
     if (pending >= MAX_PENDING_CALLS) {
       return {kind: 'busy'};
--- a/testing/src/site/ModelSite.ts
+++ b/testing/src/site/ModelSite.ts
@@ -90,6 +90,7 @@
       this.workers,
       jobId => this.checker.jobs.get(jobId)?.job.policy.advice,
       options.forbiddenWorkersPerStep ?? 0,
+      () => this.faultState.answersAdvice(),
     );
     this.network = new ModelNetwork(
       this.clock,
--- a/testing/src/site/SiteFaultState.ts
+++ b/testing/src/site/SiteFaultState.ts
@@ -8,6 +8,8 @@
   refusesConnections(worker: string): boolean;
   /** Whether the answer to a poll is lost, and the poll executed late. */
   losesPollAnswer(worker: string): boolean;
+  /** Whether the adviser answers calls; they time out otherwise. */
+  answersAdvice(): boolean;
   /** How long an answer to a poll takes from the worker to the host. */
   pollAnswerMillis(): number;
   /** Whether the answer to an order to start or stop a run is lost. */
@@ -31,6 +33,7 @@
   canCall: () => true,
   refusesConnections: () => false,
   losesPollAnswer: () => false,
+  answersAdvice: () => true,
   pollAnswerMillis: () => 2,
   losesOrderAnswer: () => false,
   refusesOrder: () => false,
