--- a/testing/src/site/ModelWorker.ts
+++ b/testing/src/site/ModelWorker.ts
@@ -57,7 +57,8 @@
   private endCount = 0;
   /** Number of the newest end when its lease last had lapsed. */
   private lapsedEnd = 0;
-  private runs: ModelRun[] = [];
+  /** What it runs; only the worker itself changes it. */
+  runs: ModelRun[] = [];
   /** Last run that ended or was stopped, by task key; starts need a later one. */
   private readonly lastEnded = new Map<string, number>();
   /** Resolve the polls that wait for a run to end. */
--- a/testing/src/site/index.ts
+++ b/testing/src/site/index.ts
@@ -10,6 +10,7 @@
   startCrowd,
 } from './callerCrowd';
 export {changeCapacity} from './capacityFaults';
+export {IdleSiteLedger} from './IdleSiteLedger';
 export {InvariantChecker, type Invariant} from './InvariantChecker';
 export {
   buildConfiguration,
