Room for a gang is kept for whole tasks only, and expectations are used for 0.2 s

Suspected: parts of tasks were kept idle on a full site, and each pass planned up to four gangs over all runs.

Steps are given loans only if something is kept, and needs are compared by their key alone if nothing is lent.

--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -1,32 +1,17 @@
 import type {Update} from '@samphireramp/kernel';
-import {type AdviceTerms, stepKey} from '@samphireramp/jobs';
+import type {AdviceTerms} from '@samphireramp/jobs';
 import {chooseHost, hostsNearestFirst} from './adviserCalls';
 import type {StepAdvice} from './adviceState';
 import {
   type Candidate,
-  type Placement,
   type ReadyStep,
   deductTasks,
   hasRoomFor,
   meetsRequirements,
 } from './candidates';
 import {countFreeTrials, workersOnTrial} from './crashTrials';
-import type {GangPlan} from './gangPlan';
-import {KeptQuota} from './keptQuota';
-import {KeptRoom} from './keptRoom';
+import {GangReservations} from './gangReservations';
 import type {StartQuota} from './placementFunctions';
-import {
-  POOL_HOLDS,
-  mayKeepRoom,
-  recordHold,
-  recordHoldSucceeded,
-} from './poolHolds';
-import {stepIdOf} from './readySteps';
-import {
-  RESERVATIONS,
-  type Reservation,
-  listReservedSince,
-} from './reservations';
 import {TaskAllowance} from './TaskAllowance';
 
 /**
@@ -34,13 +19,6 @@
  * this many times the CPU that is free for them: not all of them get permits.
  */
 const AWAITED_PER_FREE_CPU = 2;
-/** No further gangs get room kept once that is this share of the site's CPU. */
-const MAX_KEPT_SHARE = 0.1;
-/** Number of gangs for which a pass keeps room. */
-const MAX_KEPT_GANGS = 4;
-/** With less than this share of its CPU in use, a pool is taken for idle. */
-const IDLE_POOL_SHARE = 0.5;
-
 /** The workers that meet some requirements, and the demand for them. */
 interface SuitableWorkers {
   readonly candidates: readonly Candidate[];
@@ -52,7 +30,7 @@
 
 /** One placement pass: what is still free, and what steps ahead wait for. */
 export class PlacementPass {
-  readonly reservations: Reservation[] = [];
+  readonly gangReservations: GangReservations;
   readonly allowance: TaskAllowance;
   private readonly candidates: readonly Candidate[];
   /** Computed by the first step with permits. */
@@ -60,21 +38,12 @@
   private readonly suitableByRequirement = new Map<string, SuitableWorkers>();
   /** Workers that had room when a step of the same need was last placed, by `fitKey`. */
   private readonly roomyByNeed = new Map<string, readonly Candidate[]>();
-  private readonly totalCpuMillis: number;
   /** Number of workers on which suspected tasks may still be placed. */
   private trialsLeft: number;
-  readonly keptRoom: KeptRoom;
-  private readonly keptQuota: KeptQuota;
-  private keptGangs = 0;
-  private keptCpuMillis = 0;
-  /** Pools in which room is kept. */
-  private readonly keptPools = new Set<string>();
   /** Tasks that fit on no worker: the pass only takes from what is free. */
   private readonly unfitting = new Set<string>();
   /** Computed by the first step that needs advice. */
   private knownHosts: readonly string[] | undefined;
-  /** Computed when a gang is placed or waits. */
-  private knownReservedSince: ReadonlyMap<string, number> | undefined;
   /** No host takes calls of this or a longer duration now. */
   private refusedDecisionMillis = Infinity;
 
@@ -86,16 +55,15 @@
     candidates: readonly Candidate[],
   ) {
     this.allowance = new TaskAllowance(update);
-    this.keptRoom = new KeptRoom(update.now);
-    this.keptQuota = new KeptQuota(quota, update.now);
     const onTrial = workersOnTrial(update, update.now);
     this.trialsLeft = countFreeTrials(update);
     this.candidates = candidates.filter(
       ({worker}) => !onTrial.has(worker.incarnation),
     );
-    this.totalCpuMillis = this.candidates.reduce(
-      (total, {worker}) => total + worker.capacity.cpuMillis,
-      0,
+    this.gangReservations = new GangReservations(
+      update,
+      quota,
+      this.candidates,
     );
   }
 
@@ -118,24 +86,11 @@
     return this.quota.mostTasks(account, taskResources, openTasks.length);
   }
 
-  /** Handles a step that the limits of its account leave waiting. */
-  onOverQuota(readyStep: ReadyStep): void {
-    const {pool} = readyStep.policy;
-    this.keptQuota.takeBack();
-    for (const keptPool of this.keptQuota.listBlockingPools(readyStep)) {
-      this.keptRoom.blockedPools.add(keptPool);
-    }
-    if (readyStep.step.isGang && mayKeepRoom(this.update, pool)) {
-      this.keptPools.add(pool);
-      this.keptQuota.keep(readyStep);
-    }
-  }
-
   /** Counts placed tasks of a step. */
   take(readyStep: ReadyStep, tasks: number): void {
     const {row, taskResources} = readyStep;
     this.allowance.take(tasks);
-    this.recordGangPlaced(readyStep);
+    this.gangReservations.onPlaced(readyStep);
     this.quota.take(row.job.account, taskResources, tasks);
   }
 
@@ -158,7 +113,8 @@
 
   /** Equal for steps that find the same room, limits on one worker apart. */
   private roomKey({fitKey}: ReadyStep): string {
-    return `${this.keptRoom.lentRooms} ${fitKey}`;
+    const {lentRooms} = this.gangReservations;
+    return lentRooms === 0 ? fitKey : `${lentRooms} ${fitKey}`;
   }
 
   /** Whether a suspected task may be placed. */
@@ -279,102 +235,4 @@
     const suitable = this.suitableWorkersOf(readyStep);
     suitable.awaitedCpuMillis += readyStep.taskResources.cpuMillis * tasks;
   }
-
-  /**
-   * Chooses placements for a step, with the loan of room and limits that runs of this
-   * duration leave in time.
-   */
-  withLoan(
-    readyStep: ReadyStep,
-    runMillis: number,
-    choose: () => Placement[],
-  ): Placement[] {
-    this.keptRoom.lend(runMillis);
-    this.keptQuota.lend(readyStep.row.job.account, runMillis);
-    const placements = choose();
-    this.keptRoom.takeBack();
-    this.keptQuota.takeBack();
-    return placements;
-  }
-
-  /**
-   * Keeps the room of a plan for a gang from the steps behind, unless gangs ahead keep
-   * much already, nobody knows when the gang will fit, or room lately was kept in vain.
-   */
-  keepRoomFor(
-    readyStep: ReadyStep,
-    createPlan: () => GangPlan | undefined,
-  ): void {
-    const {pool} = readyStep.policy;
-    if (
-      this.keptGangs >= MAX_KEPT_GANGS ||
-      this.keptCpuMillis > this.totalCpuMillis * MAX_KEPT_SHARE ||
-      !mayKeepRoom(this.update, pool)
-    ) {
-      return;
-    }
-    // A plan must not take what is kept for the gangs ahead.
-    this.keptRoom.takeBack();
-    const plan = createPlan();
-    if (plan === undefined) {
-      return;
-    }
-    const step = stepKey(stepIdOf(readyStep));
-    const since = this.reservedSince().get(step) ?? this.update.now;
-    this.keptRoom.keep(readyStep, plan);
-    this.keptGangs++;
-    this.keptPools.add(pool);
-    for (const {candidate, tasksNow, kept} of plan.rooms) {
-      this.keptCpuMillis += kept.cpuMillis;
-      this.reservations.push({
-        step,
-        incarnation: candidate.worker.incarnation,
-        tasks: tasksNow,
-        resources: kept,
-        since,
-        until: plan.fitsAt,
-      });
-    }
-  }
-
-  private reservedSince(): ReadonlyMap<string, number> {
-    this.knownReservedSince ??= listReservedSince(
-      this.update.read(RESERVATIONS).get(),
-    );
-    return this.knownReservedSince;
-  }
-
-  private recordGangPlaced(readyStep: ReadyStep): void {
-    const {step, policy} = readyStep;
-    const key = stepKey(stepIdOf(readyStep));
-    if (step.isGang && this.reservedSince().has(key)) {
-      recordHoldSucceeded(this.update, policy.pool);
-    }
-  }
-
-  /** Records at the end of a pass over all steps what it kept room for. */
-  recordKeptRoom(): void {
-    this.update.write(RESERVATIONS).set(this.reservations);
-    const pools = new Set([
-      ...this.keptPools,
-      ...this.update.read(POOL_HOLDS).keys(),
-    ]);
-    for (const pool of pools) {
-      const isBlocking =
-        this.keptRoom.blockedPools.has(pool) && this.isIdle(pool);
-      recordHold(this.update, pool, isBlocking);
-    }
-  }
-
-  private isIdle(pool: string): boolean {
-    let totalCpuMillis = 0;
-    let freeCpuMillis = 0;
-    for (const {worker, cpuMillisAtStart} of this.candidates) {
-      if (worker.pool === pool) {
-        totalCpuMillis += worker.capacity.cpuMillis;
-        freeCpuMillis += Math.max(0, cpuMillisAtStart);
-      }
-    }
-    return totalCpuMillis - freeCpuMillis < totalCpuMillis * IDLE_POOL_SHARE;
-  }
 }
--- a/packages/dispatch/src/__tests__/unit/candidateFixture.ts
+++ b/packages/dispatch/src/__tests__/unit/candidateFixture.ts
@@ -1,5 +1,5 @@
 import type {Worker} from '@samphireramp/fleet';
-import {NO_RESOURCES, type Resources} from '@samphireramp/jobs';
+import type {Resources} from '@samphireramp/jobs';
 import type {Candidate} from '../../candidates';
 
 /** Builds a worker with free resources; `fields` replaces what a test is about. */
@@ -19,7 +19,6 @@
     startableRuns: Infinity,
     stoppingRuns: [],
     releases: [],
-    promised: NO_RESOURCES,
     speed: 1,
     ...fields,
   };
--- a/packages/dispatch/src/candidateList.ts
+++ b/packages/dispatch/src/candidateList.ts
@@ -4,7 +4,6 @@
   WORKERS,
   countStartableRuns,
 } from '@samphireramp/fleet';
-import {NO_RESOURCES} from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 import type {Candidate} from './candidates';
 
@@ -63,7 +62,6 @@
     row.startableRuns = countStartableRuns(state, worker, now);
     row.stoppingRuns = stoppingRuns;
     row.releases = releases;
-    row.promised = NO_RESOURCES;
     row.speed = speedOf(incarnation);
     return row;
   }
@@ -83,7 +81,6 @@
       startableRuns: 0,
       stoppingRuns: [],
       releases: [],
-      promised: NO_RESOURCES,
       speed: 1,
     };
     this.rows.set(worker.incarnation, row);
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -37,8 +37,6 @@
   stoppingRuns: readonly RunId[];
   /** What its runs are expected to release, the first one first. */
   releases: readonly ExpectedRelease[];
-  /** What gangs need of that. */
-  promised: Resources;
   /** 1 for a normal worker, 2 for one on which runs take half as long. */
   speed: number;
 }
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -72,6 +72,7 @@
   DEFAULT_PLACEMENT_FUNCTIONS,
   type PlacementFunctions,
 } from './placementFunctions';
+import {EXPECTED_FITS} from './gangFits';
 import {POOL_HOLDS} from './poolHolds';
 import {
   onRunConfirmed,
@@ -197,6 +198,7 @@
       kernel.registerSlice(SCHEDULED_PASSES),
       kernel.registerSlice(RESERVATIONS),
       kernel.registerSlice(POOL_HOLDS),
+      kernel.registerSlice(EXPECTED_FITS),
       kernel.registerSlice(AWAITS_STARTS),
       kernel.registerSlice(TAKE_OVER_STEPS),
       kernel.registerSlice(FORGET_CHECKED_AT),
@@ -276,5 +278,6 @@
   update.write(LIMITED_SINCE).clear();
   update.write(RESERVATIONS).set([]);
   update.write(POOL_HOLDS).clear();
+  update.write(EXPECTED_FITS).clear();
   update.write(TAKE_OVER_STEPS).clear();
 }
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -1,3 +1,4 @@
+import {stepKey} from '@samphireramp/jobs';
 import {workersOfOpenRequest} from './adviceFlow';
 import {requestMoreAdvice, spreadOver} from './adviceNeeds';
 import type {StepAdvice} from './adviceState';
@@ -13,8 +14,10 @@
   tasksOf,
 } from './candidates';
 import {listSuspected} from './crashSuspects';
+import {expectedFitOf} from './gangFits';
 import {planChosen, planGang} from './gangPlan';
 import type {PlacementPass} from './PlacementPass';
+import {stepIdOf} from './readySteps';
 import {SPEED_CLASSES_FROM_FAST, speedClassOf} from './speedClasses';
 
 /** Chooses workers for all tasks of a gang, or keeps free resources for it. */
@@ -53,7 +56,7 @@
       ...chosenWorkers,
       ...spares,
     ]);
-    pass.keepRoomFor(readyStep, () =>
+    pass.gangReservations.keepRoomFor(readyStep, () =>
       planChosen(chosen, readyStep, update.now),
     );
     return [];
@@ -71,7 +74,13 @@
     );
   }
   // Otherwise other steps could take the resources that are free now again and again.
-  pass.keepRoomFor(readyStep, () => planGang(permitted, readyStep, update.now));
+  pass.gangReservations.keepRoomFor(readyStep, () => {
+    const key = stepKey(stepIdOf(readyStep));
+    const fitsAt = expectedFitOf(update, key, permitted, readyStep);
+    return fitsAt === undefined
+      ? undefined
+      : planGang(permitted, readyStep, fitsAt);
+  });
   return [];
 }
 
--- a/packages/dispatch/src/gangPlan.ts
+++ b/packages/dispatch/src/gangPlan.ts
@@ -12,14 +12,12 @@
 export interface PlannedRoom {
   readonly candidate: Candidate;
   /** Tasks of the gang that have room now. */
-  readonly tasksNow: number;
-  /** What must be kept of the resources that are free now. */
+  readonly tasks: number;
+  /** What is kept for them. */
   readonly kept: Resources;
-  /** What the gang needs beside of the resources that runs are expected to release. */
-  readonly promised: Resources;
 }
 
-/** Where and when a gang that doesn't fit now is expected to fit. */
+/** When a gang that doesn't start now is expected to fit, and what is kept until then. */
 export interface GangPlan {
   /** Time of the runtime's monotonic clock. */
   readonly fitsAt: number;
@@ -29,7 +27,6 @@
 /** Tasks that fit on a worker from some time on, beside those that fit before. */
 interface Gain {
   readonly at: number;
-  readonly candidate: Candidate;
   readonly tasks: number;
 }
 
@@ -39,31 +36,59 @@
 /**
  * Finds the earliest time at which all tasks of a gang are expected to fit, from what
  * is free and what the runs on the workers release; undefined if no such time is known.
- * The room that comes first is used, so that nothing is kept on the other workers.
  */
-export function planGang(
+export function expectFit(
   candidates: readonly Candidate[],
   readyStep: ReadyStep,
   now: number,
-): GangPlan | undefined {
+): number | undefined {
   const earliest = new EarliestGains(readyStep.openTasks.length);
   for (const candidate of candidates) {
-    const tasks = countFittingTasks(candidate, readyStep);
-    earliest.add({at: now, candidate, tasks});
+    earliest.add({at: now, tasks: countFittingTasks(candidate, readyStep)});
   }
   for (const candidate of candidates) {
     addLaterGains(earliest, candidate, readyStep, now);
   }
-  const {fitsAt} = earliest;
-  if (fitsAt === undefined) {
-    return undefined;
+  return earliest.fitsAt;
+}
+
+/** Plans to keep the room that there is now for tasks of a gang until the rest comes. */
+export function planGang(
+  candidates: readonly Candidate[],
+  readyStep: ReadyStep,
+  fitsAt: number,
+): GangPlan {
+  const rooms: PlannedRoom[] = [];
+  for (const candidate of candidates) {
+    const tasks = countFittingTasks(candidate, readyStep);
+    if (tasks > 0) {
+      const kept = multiply(readyStep.taskResources, tasks);
+      rooms.push({candidate, tasks, kept});
+    }
   }
-  const rooms = [...earliest.tasksByCandidate()].map(([candidate, tasks]) =>
-    planRoom(candidate, readyStep, tasks, fitsAt, now),
-  );
   return {fitsAt, rooms};
 }
 
+/** Plans a gang that fits on the chosen workers now, once it may begin there. */
+export function planChosen(
+  placements: readonly Placement[],
+  {taskResources}: ReadyStep,
+  now: number,
+): GangPlan {
+  const tasksByCandidate = new Map<Candidate, number>();
+  for (const {candidate} of placements) {
+    const before = tasksByCandidate.get(candidate) ?? 0;
+    tasksByCandidate.set(candidate, before + 1);
+  }
+  const rooms = [...tasksByCandidate].map(([candidate, tasks]) => ({
+    candidate,
+    tasks,
+    // Some of it may have been on loan.
+    kept: leastOf(candidate, multiply(taskResources, tasks)),
+  }));
+  return {fitsAt: now, rooms};
+}
+
 /** The gains that come first, as many as a number of tasks needs. */
 class EarliestGains {
   /** In the order of time. */
@@ -97,18 +122,6 @@
       this.tasks -= last.tasks;
     }
   }
-
-  /** Counts the tasks on each worker, no more than needed. */
-  tasksByCandidate(): ReadonlyMap<Candidate, number> {
-    const counts = new Map<Candidate, number>();
-    let left = this.neededTasks;
-    for (const {candidate, tasks} of this.gains) {
-      const used = Math.min(left, tasks);
-      counts.set(candidate, (counts.get(candidate) ?? 0) + used);
-      left -= used;
-    }
-    return counts;
-  }
 }
 
 /** Adds how many tasks more fit on a worker as its runs end, as far as that is early. */
@@ -119,7 +132,8 @@
   now: number,
 ): void {
   let fitting = countFittingTasks(candidate, readyStep);
-  const free = sumOf(candidate, candidate.promised, -1);
+  const {cpuMillis, memoryMegabytes, accelerators} = candidate;
+  const free = {cpuMillis, memoryMegabytes, accelerators};
   for (const {at, resources} of listReleases(candidate, now)) {
     if (at >= (earliest.fitsAt ?? Infinity)) {
       return;
@@ -127,32 +141,12 @@
     add(free, resources);
     const tasks = countFittingTasksWith(candidate, readyStep, free) - fitting;
     if (tasks > 0) {
-      earliest.add({at, candidate, tasks});
+      earliest.add({at, tasks});
       fitting += tasks;
     }
   }
 }
 
-/** Plans a gang that fits on the chosen workers now, once it may begin there. */
-export function planChosen(
-  placements: readonly Placement[],
-  {taskResources}: ReadyStep,
-  now: number,
-): GangPlan {
-  const tasksByCandidate = new Map<Candidate, number>();
-  for (const {candidate} of placements) {
-    const before = tasksByCandidate.get(candidate) ?? 0;
-    tasksByCandidate.set(candidate, before + 1);
-  }
-  const rooms = [...tasksByCandidate].map(([candidate, tasks]) => ({
-    candidate,
-    tasksNow: tasks,
-    kept: leastOf(candidate, sumOf(NO_RESOURCES, taskResources, tasks)),
-    promised: NO_RESOURCES,
-  }));
-  return {fitsAt: now, rooms};
-}
-
 /** Lists the expected releases on a worker in the order of time. */
 function listReleases(
   {releases}: Candidate,
@@ -166,32 +160,6 @@
     .sort((a, b) => a.at - b.at);
 }
 
-/** Tells what a number of tasks of a gang need now so that they fit later. */
-function planRoom(
-  candidate: Candidate,
-  readyStep: ReadyStep,
-  tasks: number,
-  fitsAt: number,
-  now: number,
-): PlannedRoom {
-  const released = sumOf(NO_RESOURCES, candidate.promised, -1);
-  for (const {at, resources} of listReleases(candidate, now)) {
-    if (at <= fitsAt) {
-      add(released, resources);
-    }
-  }
-  const kept = {...NO_RESOURCES};
-  const promised = {...NO_RESOURCES};
-  for (const name of RESOURCE_NAMES) {
-    const need = readyStep.taskResources[name] * tasks;
-    const unreleased = Math.max(0, need - released[name]);
-    kept[name] = Math.min(unreleased, Math.max(0, candidate[name]));
-    promised[name] = need - kept[name];
-  }
-  const tasksNow = Math.min(tasks, countFittingTasks(candidate, readyStep));
-  return {candidate, tasksNow, kept, promised};
-}
-
 function leastOf(a: Resources, b: Resources): Resources {
   return {
     cpuMillis: Math.min(a.cpuMillis, b.cpuMillis),
@@ -200,12 +168,12 @@
   };
 }
 
-function sumOf(a: Resources, b: Resources, factor: number): Amounts {
-  return {
-    cpuMillis: a.cpuMillis + b.cpuMillis * factor,
-    memoryMegabytes: a.memoryMegabytes + b.memoryMegabytes * factor,
-    accelerators: a.accelerators + b.accelerators * factor,
-  };
+function multiply(need: Resources, tasks: number): Resources {
+  const amounts = {...NO_RESOURCES};
+  for (const name of RESOURCE_NAMES) {
+    amounts[name] = need[name] * tasks;
+  }
+  return amounts;
 }
 
 function add(amounts: Amounts, added: Resources): void {
--- a/packages/dispatch/src/keptQuota.ts
+++ b/packages/dispatch/src/keptQuota.ts
@@ -26,6 +26,11 @@
     private readonly now: number,
   ) {}
 
+  /** Whether no limits are kept. */
+  get isEmpty(): boolean {
+    return this.shares.length === 0;
+  }
+
   /** Keeps the limits of its account for a gang, if it is known when it will fit. */
   keep({row, policy, openTasks, taskResources: taskNeed}: ReadyStep): void {
     const {account} = row.job;
--- a/packages/dispatch/src/keptRoom.ts
+++ b/packages/dispatch/src/keptRoom.ts
@@ -24,27 +24,19 @@
 export class KeptRoom {
   private readonly rooms: Room[] = [];
   private readonly lent = new Set<Room>();
-  /** Pools in which a step found no room but some that is kept. */
-  readonly blockedPools = new Set<string>();
 
   constructor(private readonly now: number) {}
 
   /** Keeps the room of a plan for a gang from the steps behind. */
   keep(gang: ReadyStep, {fitsAt, rooms}: GangPlan): void {
-    for (const {candidate, kept, promised} of rooms) {
+    for (const {candidate, kept} of rooms) {
       const room = {gang, candidate, until: fitsAt, free: {...kept}};
       takeFrom(candidate, kept);
-      candidate.promised = {
-        cpuMillis: candidate.promised.cpuMillis + promised.cpuMillis,
-        memoryMegabytes:
-          candidate.promised.memoryMegabytes + promised.memoryMegabytes,
-        accelerators: candidate.promised.accelerators + promised.accelerators,
-      };
       this.rooms.push(room);
     }
   }
 
-  /** Whether any room is kept. */
+  /** Whether no room is kept. */
   get isEmpty(): boolean {
     return this.rooms.length === 0;
   }
@@ -76,25 +68,19 @@
     this.lent.clear();
   }
 
-  /**
-   * Notes whether a step that was not placed would have fitted into room that is kept
-   * from it, before the loan to it ends.
-   */
-  noteUnplaced(readyStep: ReadyStep): void {
-    const {pool} = readyStep.policy;
-    if (this.isEmpty || this.blockedPools.has(pool)) {
-      return;
-    }
-    let fitting = 0;
+  /** Whether a step would fit into room that is kept from it, before the loan to it ends. */
+  isKeptFrom(readyStep: ReadyStep): boolean {
+    const {step, openTasks} = readyStep;
+    let tasksLeft = step.isGang ? openTasks.length : 1;
     for (const room of this.rooms) {
       if (room.gang !== readyStep && !this.lent.has(room)) {
-        fitting += countFittingInto(room, readyStep);
+        tasksLeft -= countFittingInto(room, readyStep);
+      }
+      if (tasksLeft <= 0) {
+        return true;
       }
     }
-    const {step, openTasks} = readyStep;
-    if (fitting >= (step.isGang ? openTasks.length : 1)) {
-      this.blockedPools.add(pool);
-    }
+    return false;
   }
 }
 
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -78,17 +78,20 @@
       cutSteps.push(readyStep);
       break;
     }
-    const runMillis = expectedRunMillis(
-      readyStep.step,
-      expectedOnce(update, readyStep.row.job, readyStep.stepNumber),
-    );
-    const placements = pass.withLoan(readyStep, runMillis, () =>
-      choosePlacements(pass, readyStep),
+    const expectRunMillis = () =>
+      expectedRunMillis(
+        readyStep.step,
+        expectedOnce(update, readyStep.row.job, readyStep.stepNumber),
+      );
+    const placements = pass.gangReservations.withLoan(
+      readyStep,
+      expectRunMillis,
+      () => choosePlacements(pass, readyStep),
     );
     if (placements.length > 0) {
       placedSteps++;
       pass.take(readyStep, placements.length);
-      placeStep(update, readyStep, placements, runMillis);
+      placeStep(update, readyStep, placements, expectRunMillis());
     }
     const isCut = placements.length >= mayPlace;
     if (isCut && mayPlace < readyStep.openTasks.length) {
@@ -96,7 +99,7 @@
     }
   }
   if (scope === 'all') {
-    pass.recordKeptRoom();
+    pass.gangReservations.record();
   }
   scheduleRest(update, pass, scope, cutSteps);
 }
@@ -109,7 +112,7 @@
   const {update} = pass;
   if (pass.mostPlacements(readyStep) === 0) {
     // Its account is at its limit; the room is for the steps of others.
-    pass.onOverQuota(readyStep);
+    pass.gangReservations.onOverQuota(readyStep);
     return [];
   }
   if (pass.isUnfitting(readyStep)) {
@@ -128,7 +131,7 @@
     ? chooseGangPlacements(pass, readyStep, advice)
     : chooseTaskPlacements(pass, readyStep, advice);
   if (placements.length === 0) {
-    pass.keptRoom.noteUnplaced(readyStep);
+    pass.gangReservations.onUnplaced(readyStep);
   }
   return placements;
 }
