--- a/packages/dispatch/src/crashTrials.ts
+++ b/packages/dispatch/src/crashTrials.ts
@@ -74,7 +74,7 @@
 export function endTrials(update: Update): void {
   const trials = update.write(CRASH_TRIALS);
   const survivors: RunId[] = [];
-  const survivorsByStep = new Map<string, number>();
+  const survivorsOfGang = new Map<string, number>();
   for (const [key, runId] of [...trials.entries()]) {
     const run = update.read(RUNS).get(key);
     const worker = run && update.read(WORKERS).get(run.incarnation);
@@ -82,14 +82,14 @@
       trials.delete(key);
     } else if (hasSurvived(run, worker)) {
       survivors.push(runId);
-      const step = stepKey(runId);
-      survivorsByStep.set(step, (survivorsByStep.get(step) ?? 0) + 1);
+      const gang = gangRunKey(runId);
+      survivorsOfGang.set(gang, (survivorsOfGang.get(gang) ?? 0) + 1);
     }
   }
   for (const runId of survivors) {
     const step = findActiveTask(update, runId)?.step;
     const isUndecided =
-      step?.isGang && survivorsByStep.get(stepKey(runId)) !== step.count;
+      step?.isGang && survivorsOfGang.get(gangRunKey(runId)) !== step.count;
     if (!isUndecided) {
       trials.delete(runKey(runId));
       clearSuspicion(update, runId);
@@ -97,6 +97,11 @@
   }
 }
 
+/** Key that the members of one run of a gang share. */
+function gangRunKey(runId: RunId): string {
+  return `${stepKey(runId)}#${runId.run}`;
+}
+
 /** Whether a worker has answered at a time by which the run would have crashed it. */
 function hasSurvived(run: Run, worker: Worker): boolean {
   const {startedAt, confirmedAt, isReported} = run;
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -202,18 +202,17 @@
 
 /** Whether the tasks of a step all have the crashes that one of them may have caused. */
 function isGangOfEarlierBuild(records: readonly TaskRecord[]): boolean {
-  if (records.length < 2) {
-    return false;
-  }
-  const [first, ...others] = records.map(record =>
-    typeof record === 'number' ? undefined : record[4],
-  );
+  const crashedRuns = records.length > 1 ? crashesOf(records[0]) : undefined;
   return (
-    first?.some(run => run > 0) === true &&
-    others.every(other => String(other) === String(first))
+    crashedRuns?.some(run => run > 0) === true &&
+    records.every(other => String(crashesOf(other)) === String(crashedRuns))
   );
 }
 
+function crashesOf(record: TaskRecord): readonly number[] | undefined {
+  return typeof record === 'number' ? undefined : record[4];
+}
+
 function decodeTask(record: TaskRecord, workers: readonly string[]): Task {
   if (record === NEVER_RUN) {
     return NEW_TASK;
