What gangs wait for is computed only when a gang has room to keep

The expected ends of all runs on a worker were listed and sorted at each change of one of them, and each waiting gang went over them every 0.2 s, also on a site where it had room for no task. Both are done on demand now; gangPlan.test.ts counts it.

--- a/packages/dispatch/src/__tests__/unit/candidateFixture.ts
+++ b/packages/dispatch/src/__tests__/unit/candidateFixture.ts
@@ -18,7 +18,7 @@
     isClosed: false,
     startableRuns: Infinity,
     stoppingRuns: [],
-    releases: [],
+    listReleases: () => [],
     speed: 1,
     ...fields,
   };
--- a/packages/dispatch/src/__tests__/unit/gangPlan.test.ts
+++ b/packages/dispatch/src/__tests__/unit/gangPlan.test.ts
@@ -25,7 +25,7 @@
 ): Candidate {
   const free = {cpuMillis: freeCpuMillis, memoryMegabytes: 0, accelerators: 0};
   const worker = {id, capacity: CAPACITY, pool: 'pool', labels: []};
-  return buildCandidate(worker, free, {releases});
+  return buildCandidate(worker, free, {listReleases: () => releases});
 }
 
 /** Builds a waiting step of tasks that need the given CPU. */
@@ -52,9 +52,11 @@
 /** Keeps the planned room for a gang. */
 function keepFor(gang: ReadyStep, candidates: readonly Candidate[]): KeptRoom {
   const keptRoom = new KeptRoom(NOW);
-  const fitsAt = expectFit(candidates, gang, NOW);
-  if (fitsAt !== undefined) {
-    keptRoom.keep(gang, planGang(candidates, gang, fitsAt));
+  const gangPlan = planGang(candidates, gang, () =>
+    expectFit(candidates, gang, NOW),
+  );
+  if (gangPlan !== undefined) {
+    keptRoom.keep(gang, gangPlan);
   }
   return keptRoom;
 }
@@ -73,17 +75,37 @@
 
 void t.test('room is kept for whole tasks only', async t => {
   const workers = [buildWorker('a', 5000), buildWorker('b', 3000)];
-  const {rooms} = planGang(workers, buildWaitingStep(2, 4000), NOW);
+  const gang = buildWaitingStep(2, 4000);
+  const gangPlan = planGang(workers, gang, () => NOW);
   t.same(
-    rooms.map(({candidate, tasks, kept}) => [
+    gangPlan?.rooms.map(({candidate, tasks, kept}) => [
       candidate.worker.id,
       tasks,
       kept.cpuMillis,
     ]),
     [['a', 1, 4000]],
   );
+  t.equal(
+    planGang(workers, gang, () => undefined),
+    undefined,
+  );
 });
 
+// Guards against gangs that fill the loop of the holder on a full site.
+void t.test(
+  'no time is asked for while a gang has room for no task',
+  async t => {
+    let asked = 0;
+    const plan = planGang(
+      [buildWorker('a', 3000)],
+      buildWaitingStep(2, 4000),
+      () => asked++,
+    );
+    t.equal(plan, undefined);
+    t.equal(asked, 0);
+  },
+);
+
 void t.test('a run that is overdue may take as long again', async t => {
   const gang = buildWaitingStep(2, 4000);
   for (const [overdueMillis, inMillis] of [
--- a/packages/dispatch/src/candidateList.ts
+++ b/packages/dispatch/src/candidateList.ts
@@ -49,7 +49,7 @@
     speedOf: (incarnation: string) => number,
   ): Candidate {
     const {capacity, incarnation} = worker;
-    const {reserved, stoppingRuns, releases} = state
+    const {reserved, stoppingRuns, listReleases} = state
       .read(RUNS)
       .summaryOf(incarnation);
     const row = this.rowOf(worker);
@@ -61,7 +61,7 @@
     row.isClosed = false;
     row.startableRuns = countStartableRuns(state, worker, now);
     row.stoppingRuns = stoppingRuns;
-    row.releases = releases;
+    row.listReleases = listReleases;
     row.speed = speedOf(incarnation);
     return row;
   }
@@ -80,7 +80,7 @@
       isClosed: false,
       startableRuns: 0,
       stoppingRuns: [],
-      releases: [],
+      listReleases: () => [],
       speed: 1,
     };
     this.rows.set(worker.incarnation, row);
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -35,8 +35,8 @@
   startableRuns: number;
   /** Runs that it may still have, whose tasks may be placed elsewhere or be done. */
   stoppingRuns: readonly RunId[];
-  /** What its runs are expected to release, the first one first. */
-  releases: readonly ExpectedRelease[];
+  /** Lists what its runs are expected to release, the first one first. */
+  listReleases: () => readonly ExpectedRelease[];
   /** 1 for a normal worker, 2 for one on which runs take half as long. */
   speed: number;
 }
--- a/packages/dispatch/src/gangFits.ts
+++ b/packages/dispatch/src/gangFits.ts
@@ -1,6 +1,8 @@
+import {stepKey} from '@samphireramp/jobs';
 import {createTableSlice, type Update} from '@samphireramp/kernel';
 import type {Candidate, ReadyStep} from './candidates';
 import {expectFit} from './gangPlan';
+import {stepIdOf} from './readySteps';
 
 /**
  * For so long a pass uses what an earlier one expected: on a full site there are many
@@ -24,10 +26,10 @@
  */
 export function expectedFitOf(
   update: Update,
-  key: string,
   candidates: readonly Candidate[],
   readyStep: ReadyStep,
 ): number | undefined {
+  const key = stepKey(stepIdOf(readyStep));
   const known = update.read(EXPECTED_FITS).get(key);
   if (known !== undefined && isValid(known, update.now)) {
     return known.fitsAt;
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -1,4 +1,3 @@
-import {stepKey} from '@samphireramp/jobs';
 import {workersOfOpenRequest} from './adviceFlow';
 import {requestMoreAdvice, spreadOver} from './adviceNeeds';
 import type {StepAdvice} from './adviceState';
@@ -17,7 +16,6 @@
 import {expectedFitOf} from './gangFits';
 import {planChosen, planGang} from './gangPlan';
 import type {PlacementPass} from './PlacementPass';
-import {stepIdOf} from './readySteps';
 import {SPEED_CLASSES_FROM_FAST, speedClassOf} from './speedClasses';
 
 /** Chooses workers for all tasks of a gang, or keeps free resources for it. */
@@ -74,13 +72,11 @@
     );
   }
   // Otherwise other steps could take the resources that are free now again and again.
-  pass.gangReservations.keepRoomFor(readyStep, () => {
-    const key = stepKey(stepIdOf(readyStep));
-    const fitsAt = expectedFitOf(update, key, permitted, readyStep);
-    return fitsAt === undefined
-      ? undefined
-      : planGang(permitted, readyStep, fitsAt);
-  });
+  pass.gangReservations.keepRoomFor(readyStep, () =>
+    planGang(permitted, readyStep, () =>
+      expectedFitOf(update, permitted, readyStep),
+    ),
+  );
   return [];
 }
 
--- a/packages/dispatch/src/gangPlan.ts
+++ b/packages/dispatch/src/gangPlan.ts
@@ -52,12 +52,15 @@
   return earliest.fitsAt;
 }
 
-/** Plans to keep the room that there is now for tasks of a gang until the rest comes. */
+/**
+ * Plans to keep the room that there is now for tasks of a gang until the rest comes;
+ * undefined if there is none, or no time is known.
+ */
 export function planGang(
   candidates: readonly Candidate[],
   readyStep: ReadyStep,
-  fitsAt: number,
-): GangPlan {
+  expectedFit: () => number | undefined,
+): GangPlan | undefined {
   const rooms: PlannedRoom[] = [];
   for (const candidate of candidates) {
     const tasks = countFittingTasks(candidate, readyStep);
@@ -66,7 +69,8 @@
       rooms.push({candidate, tasks, kept});
     }
   }
-  return {fitsAt, rooms};
+  const fitsAt = rooms.length > 0 ? expectedFit() : undefined;
+  return fitsAt === undefined ? undefined : {fitsAt, rooms};
 }
 
 /** Plans a gang that fits on the chosen workers now, once it may begin there. */
@@ -134,7 +138,7 @@
   let fitting = countFittingTasks(candidate, readyStep);
   const {cpuMillis, memoryMegabytes, accelerators} = candidate;
   const free = {cpuMillis, memoryMegabytes, accelerators};
-  for (const {at, resources} of listReleases(candidate, now)) {
+  for (const {at, resources} of listPendingReleases(candidate, now)) {
     if (at >= (earliest.fitsAt ?? Infinity)) {
       return;
     }
@@ -148,10 +152,11 @@
 }
 
 /** Lists the expected releases on a worker in the order of time. */
-function listReleases(
-  {releases}: Candidate,
+function listPendingReleases(
+  candidate: Candidate,
   now: number,
 ): readonly ExpectedRelease[] {
+  const releases = candidate.listReleases();
   if (releases.length === 0 || releases[0].at > now) {
     return releases;
   }
--- a/packages/dispatch/src/keptRoom.ts
+++ b/packages/dispatch/src/keptRoom.ts
@@ -24,6 +24,8 @@
 export class KeptRoom {
   private readonly rooms: Room[] = [];
   private readonly lent = new Set<Room>();
+  /** No room is lent for longer than this, in milliseconds on a worker of normal speed. */
+  private longestLoanMillis = 0;
 
   constructor(private readonly now: number) {}
 
@@ -33,6 +35,10 @@
       const room = {gang, candidate, until: fitsAt, free: {...kept}};
       takeFrom(candidate, kept);
       this.rooms.push(room);
+      this.longestLoanMillis = Math.max(
+        this.longestLoanMillis,
+        (fitsAt - this.now) * candidate.speed,
+      );
     }
   }
 
@@ -48,6 +54,9 @@
 
   /** Lends the room in which a step with the expected run time ends before its gang begins. */
   lend(expectedMillis: number): void {
+    if (expectedMillis > this.longestLoanMillis) {
+      return;
+    }
     for (const room of this.rooms) {
       const {candidate, until, free} = room;
       if (this.now + expectedMillis / candidate.speed <= until) {
--- a/packages/fleet/src/runTotals.ts
+++ b/packages/fleet/src/runTotals.ts
@@ -25,8 +25,11 @@
   readonly startsUnderWay: number;
   /** Number of those whose placement the journal has not recorded yet. */
   readonly unrecordedStarts: number;
-  /** What the runs that are expected to end release, the first one first. */
-  readonly releases: readonly ExpectedRelease[];
+  /**
+   * Lists what the runs that are expected to end release, the first one first. Runs
+   * change often, and few passes ask.
+   */
+  listReleases(): readonly ExpectedRelease[];
 }
 
 /** Totals the runs on one worker. */
@@ -37,7 +40,6 @@
   let startsUnderWay = 0;
   let unrecordedStarts = 0;
   const stoppingRuns: RunId[] = [];
-  const releases: ExpectedRelease[] = [];
   for (const run of runs) {
     const {reserved, phase, runId} = run;
     cpuMillis += reserved.cpuMillis;
@@ -48,14 +50,22 @@
     if (phase === 'stopping') {
       stoppingRuns.push(runId);
     }
-    const at = expectedEndOf(run);
-    if (Number.isFinite(at)) {
-      releases.push({at, resources: reserved});
-    }
   }
-  releases.sort((a, b) => a.at - b.at);
   const reserved = {cpuMillis, memoryMegabytes, accelerators};
-  return {reserved, stoppingRuns, startsUnderWay, unrecordedStarts, releases};
+  return {
+    reserved,
+    stoppingRuns,
+    startsUnderWay,
+    unrecordedStarts,
+    listReleases: () => listReleases(runs),
+  };
+}
+
+function listReleases(runs: readonly Run[]): ExpectedRelease[] {
+  return runs
+    .map(run => ({at: expectedEndOf(run), resources: run.reserved}))
+    .filter(({at}) => Number.isFinite(at))
+    .sort((a, b) => a.at - b.at);
 }
 
 /** When a run is expected to end, which may have passed; not finite if nothing is known. */
