Room that is kept for a gang is lent only while half of the pool is free

Suspected: on a busy site what runs on loan outlasts its estimate and delays the gang. Whether steps wait beside kept room is asked only then, too.

waitingGangs and accountGangs pass.

--- a/packages/dispatch/src/gangReservations.ts
+++ b/packages/dispatch/src/gangReservations.ts
@@ -35,6 +35,8 @@
   private readonly keptPools = new Set<string>();
   /** Pools whose gangs keep a step from what it would fit into. */
   private readonly blockingPools = new Set<string>();
+  /** Whether most of a pool was free when the pass began, as far as it was asked for. */
+  private readonly idleByPool = new Map<string, boolean>();
   /** Computed when a gang is placed or waits. */
   private knownReservedSince: ReadonlyMap<string, number> | undefined;
 
@@ -69,7 +71,10 @@
       return choose();
     }
     const runMillis = expectRunMillis();
-    this.keptRoom.lend(runMillis);
+    // In a busy pool a gang would wait for each run that outlasts its estimate.
+    if (this.isIdle(readyStep.policy.pool)) {
+      this.keptRoom.lend(runMillis);
+    }
     this.keptQuota.lend(readyStep.row.job.account, runMillis);
     const placements = choose();
     this.keptRoom.takeBack();
@@ -118,7 +123,12 @@
   /** Handles a step that no worker has room for, or that lacks advice. */
   onUnplaced(readyStep: ReadyStep): void {
     const {pool} = readyStep.policy;
-    if (!this.blockingPools.has(pool) && this.keptRoom.isKeptFrom(readyStep)) {
+    if (
+      !this.keptRoom.isEmpty &&
+      !this.blockingPools.has(pool) &&
+      this.isIdle(pool) &&
+      this.keptRoom.isKeptFrom(readyStep)
+    ) {
       this.blockingPools.add(pool);
     }
   }
@@ -166,6 +176,16 @@
   }
 
   private isIdle(pool: string): boolean {
+    const known = this.idleByPool.get(pool);
+    if (known !== undefined) {
+      return known;
+    }
+    const isIdle = this.findIdle(pool);
+    this.idleByPool.set(pool, isIdle);
+    return isIdle;
+  }
+
+  private findIdle(pool: string): boolean {
     let totalCpuMillis = 0;
     let freeCpuMillis = 0;
     for (const {worker, cpuMillisAtStart} of this.candidates) {
