Reservations of gangs, read once more: one word for each thing, no state that can be derived

Mechanism in place of cases: room is cut to what is free where it is reserved, for both ways to plan.

Names: reservation and backfill in place of kept room, hold, share and loan; the event gangs-yield is reservations-paused, with its duration in millis; step-waits says "(since 2100 ms, for 900 ms more)".

Behaviour of plays: as before, but that a gang which fits only by backfill and lacks tickets counts with its whole need against the tenth.

--- a/packages/accounts/src/startQuota.ts
+++ b/packages/accounts/src/startQuota.ts
@@ -1,14 +1,15 @@
 import {
   type ExpectedRelease,
   RUNS,
-  expectedEndOf,
-  postponeOverdue,
+  listExpectedReleases,
 } from '@samphireramp/fleet';
 import {
   type ClientAccount,
   NO_ACCOUNT,
+  NO_RESOURCES,
   RESOURCE_NAMES,
   type Resources,
+  addResources,
 } from '@samphireramp/jobs';
 import type {StateReader} from '@samphireramp/kernel';
 import {type ClientAccountsOf, accountsByName} from './accountsByName';
@@ -35,9 +36,6 @@
   giveBack(account: string, taskNeed: Resources, tasks: number): void;
 }
 
-/** Resources in use, which placement adds to. */
-type Usage = Record<keyof Resources, number>;
-
 /**
  * Creates the quota of one placement pass. The use of each account is the sum of
  * what its runs reserve, including runs without an answer and runs being stopped,
@@ -49,16 +47,16 @@
 ): AccountQuota {
   const configured = clientAccountsOf(state);
   const accounts = accountsByName(configured ?? NO_ACCOUNTS);
-  let usageByAccount: Map<string, Usage> | undefined;
+  let usageByAccount: Map<string, Resources> | undefined;
   const releasesByAccount = new Map<string, readonly ExpectedRelease[]>();
 
-  function usageOf(account: string): Usage {
+  function usageOf(account: string): Resources {
     usageByAccount ??= sumUsage(state);
     const known = usageByAccount.get(account);
     if (known !== undefined) {
       return known;
     }
-    const usage = noUsage();
+    const usage = {...NO_RESOURCES};
     usageByAccount.set(account, usage);
     return usage;
   }
@@ -71,7 +69,11 @@
     if (known !== undefined) {
       return known;
     }
-    const releases = listReleases(state, account, now);
+    const runs = [...state.read(RUNS).values()];
+    const releases = listExpectedReleases(
+      runs.filter(run => run.account === account),
+      now,
+    );
     releasesByAccount.set(account, releases);
     return releases;
   }
@@ -99,7 +101,7 @@
         return now;
       }
       for (const {at, resources} of releasesOf(account, now)) {
-        addUsage(usage, resources, -1);
+        addResources(usage, resources, -1);
         if (fits()) {
           return at;
         }
@@ -108,43 +110,27 @@
     },
     take: (account, taskNeed, tasks) => {
       if (accounts.has(account)) {
-        addUsage(usageOf(account), taskNeed, tasks);
+        addResources(usageOf(account), taskNeed, tasks);
       }
     },
     giveBack: (account, taskNeed, tasks) => {
       if (accounts.has(account)) {
-        addUsage(usageOf(account), taskNeed, -tasks);
+        addResources(usageOf(account), taskNeed, -tasks);
       }
     },
   };
 }
 
-/** Lists what the runs of an account are expected to release, the first one first. */
-function listReleases(
-  state: StateReader,
-  account: string,
-  now: number,
-): ExpectedRelease[] {
-  return [...state.read(RUNS).values()]
-    .filter(run => run.account === account)
-    .map(run => ({
-      at: postponeOverdue(expectedEndOf(run), now),
-      resources: run.reserved,
-    }))
-    .filter(({at}) => Number.isFinite(at))
-    .sort((a, b) => a.at - b.at);
-}
-
 /** Sums what the runs of each account reserve. */
-export function sumUsage(state: StateReader): Map<string, Usage> {
-  const usageByAccount = new Map<string, Usage>();
+export function sumUsage(state: StateReader): Map<string, Resources> {
+  const usageByAccount = new Map<string, Resources>();
   for (const {account, reserved} of state.read(RUNS).values()) {
     let usage = usageByAccount.get(account);
     if (usage === undefined) {
-      usage = noUsage();
+      usage = {...NO_RESOURCES};
       usageByAccount.set(account, usage);
     }
-    addUsage(usage, reserved, 1);
+    addResources(usage, reserved);
   }
   return usageByAccount;
 }
@@ -177,13 +163,3 @@
 function isLimited(limit: Resources): boolean {
   return RESOURCE_NAMES.some(name => limit[name] > 0);
 }
-
-function noUsage(): Usage {
-  return {cpuMillis: 0, memoryMegabytes: 0, accelerators: 0};
-}
-
-function addUsage(usage: Usage, need: Resources, tasks: number): void {
-  for (const name of RESOURCE_NAMES) {
-    usage[name] += need[name] * tasks;
-  }
-}
--- a/packages/dispatch/src/PlacementPass.ts
+++ b/packages/dispatch/src/PlacementPass.ts
@@ -113,8 +113,8 @@
 
   /** Equal for steps that find the same room, limits on one worker apart. */
   private roomKey({fitKey}: ReadyStep): string {
-    const {lentRooms} = this.gangReservations;
-    return lentRooms === 0 ? fitKey : `${lentRooms} ${fitKey}`;
+    const {backfillableRooms} = this.gangReservations;
+    return backfillableRooms === 0 ? fitKey : `${backfillableRooms} ${fitKey}`;
   }
 
   /** Whether a suspected task may be placed. */
@@ -166,7 +166,7 @@
   withRoomFor(readyStep: ReadyStep): readonly Candidate[] {
     const key = this.roomKey(readyStep);
     const known = this.roomyByNeed.get(key) ?? this.suitableFor(readyStep);
-    // Room is only taken, apart from loans, so that none of the others has it again.
+    // Room is only taken, apart from backfill, so that none of the others has it again.
     const roomy = known.filter(candidate => hasRoomFor(candidate, readyStep));
     this.roomyByNeed.set(key, roomy);
     return roomy;
--- a/packages/dispatch/src/__tests__/unit/gangPlan.test.ts
+++ b/packages/dispatch/src/__tests__/unit/gangPlan.test.ts
@@ -1,11 +1,11 @@
 import type {ExpectedRelease} from '@samphireramp/fleet';
 import {NO_RESOURCES, type Resources} from '@samphireramp/jobs';
-import {buildJob, buildPolicy, buildStep} from '@samphireramp/testing';
+import {buildStep} from '@samphireramp/testing';
 import t from 'tap';
 import type {Candidate, ReadyStep} from '../../candidates';
 import {expectFit, planGang} from '../../gangPlan';
-import {KeptRoom} from '../../keptRoom';
-import {buildCandidate} from './candidateFixture';
+import {RoomReservations} from '../../roomReservations';
+import {buildCandidate, buildOpenStep} from './candidateFixture';
 
 const NOW = 10_000;
 const CAPACITY = {cpuMillis: 8000, memoryMegabytes: 8000, accelerators: 0};
@@ -31,16 +31,7 @@
 /** Builds a waiting step of tasks that need the given CPU. */
 function buildWaitingStep(tasks: number, cpuMillis: number): ReadyStep {
   const need = buildNeed(cpuMillis);
-  const step = buildStep({count: tasks, isGang: tasks > 1, need});
-  return {
-    row: {job: buildJob('job', [step])},
-    policy: buildPolicy({priority: 0}),
-    step,
-    openTasks: Array.from({length: tasks}, (_, index) => index),
-    placedByWorker: new Map(),
-    taskResources: need,
-    fitKey: '',
-  } as unknown as ReadyStep;
+  return buildOpenStep(buildStep({count: tasks, isGang: tasks > 1, need}));
 }
 
 /** Returns in how long a gang is expected to fit. */
@@ -49,16 +40,19 @@
   return fitsAt === undefined ? undefined : fitsAt - NOW;
 }
 
-/** Keeps the planned room for a gang. */
-function keepFor(gang: ReadyStep, candidates: readonly Candidate[]): KeptRoom {
-  const keptRoom = new KeptRoom(NOW);
-  const gangPlan = planGang(candidates, gang, () =>
+/** Reserves the planned room for a gang. */
+function reserveFor(
+  gang: ReadyStep,
+  candidates: readonly Candidate[],
+): RoomReservations {
+  const rooms = new RoomReservations(NOW);
+  const plan = planGang(candidates, gang, () =>
     expectFit(candidates, gang, NOW),
   );
-  if (gangPlan !== undefined) {
-    keptRoom.keep(gang, gangPlan);
+  if (plan !== undefined) {
+    rooms.reserve(gang, plan);
   }
-  return keptRoom;
+  return rooms;
 }
 
 void t.test('a gang fits once the room that comes first is there', async t => {
@@ -73,17 +67,17 @@
   t.equal(expectInMillis(workers, buildWaitingStep(4, 4000)), undefined);
 });
 
-void t.test('room is kept for whole tasks only', async t => {
+void t.test('room is reserved for whole tasks only', async t => {
   const workers = [buildWorker('a', 5000), buildWorker('b', 3000)];
   const gang = buildWaitingStep(2, 4000);
-  const gangPlan = planGang(workers, gang, () => NOW);
+  const plan = planGang(workers, gang, () => NOW);
+  t.same([...(plan?.tasksByCandidate ?? [])], [[workers[0], 1]]);
+  if (plan !== undefined) {
+    new RoomReservations(NOW).reserve(gang, plan);
+  }
   t.same(
-    gangPlan?.rooms.map(({candidate, tasks, kept}) => [
-      candidate.worker.id,
-      tasks,
-      kept.cpuMillis,
-    ]),
-    [['a', 1, 4000]],
+    workers.map(({cpuMillis}) => cpuMillis),
+    [1000, 3000],
   );
   t.equal(
     planGang(workers, gang, () => undefined),
@@ -106,51 +100,40 @@
   },
 );
 
-void t.test('a run that is overdue may take as long again', async t => {
-  const gang = buildWaitingStep(2, 4000);
-  for (const [overdueMillis, inMillis] of [
-    [10, 100],
-    [700, 700],
-  ]) {
-    const workers = [buildWorker('a', 4000, release(-overdueMillis, 4000))];
-    t.equal(expectInMillis(workers, gang), inMillis);
-  }
-});
-
 void t.test(
-  'kept room is lent to steps that end before it is used, and taken back',
+  'reserved room is free for steps that end before it is used',
   async t => {
     const [worker, slow] = [
       buildWorker('a', 4000, release(500, 4000)),
       {...buildWorker('b', 4000, release(500, 4000)), speed: 0.5},
     ];
-    const keptRoom = keepFor(buildWaitingStep(4, 4000), [worker, slow]);
+    const rooms = reserveFor(buildWaitingStep(4, 4000), [worker, slow]);
     t.same([worker.cpuMillis, slow.cpuMillis], [0, 0]);
-    keptRoom.lend(300);
+    rooms.beginBackfill(300);
     t.same([worker.cpuMillis, slow.cpuMillis], [4000, 0]);
     worker.cpuMillis -= 1000;
-    keptRoom.takeBack();
+    rooms.endBackfill();
     t.equal(worker.cpuMillis, 0);
-    keptRoom.lend(600);
+    rooms.beginBackfill(600);
     t.equal(worker.cpuMillis, 0);
-    keptRoom.takeBack();
-    keptRoom.lend(100);
+    rooms.endBackfill();
+    rooms.beginBackfill(100);
     t.equal(worker.cpuMillis, 3000, 'what is left of it');
   },
 );
 
 void t.test(
-  'only steps that kept room would serve count as blocked',
+  'only steps that reserved room would serve count as blocked',
   async t => {
     const worker = buildWorker('a', 4000, release(500, 4000));
     const gang = buildWaitingStep(2, 4000);
-    const keptRoom = keepFor(gang, [worker]);
-    t.notOk(keptRoom.isKeptFrom(gang));
-    t.notOk(keptRoom.isKeptFrom(buildWaitingStep(1, 5000)));
+    const rooms = reserveFor(gang, [worker]);
+    t.notOk(rooms.isBlocking(gang));
+    t.notOk(rooms.isBlocking(buildWaitingStep(1, 5000)));
     const blocked = buildWaitingStep(1, 3000);
-    keptRoom.lend(300);
-    t.notOk(keptRoom.isKeptFrom(blocked));
-    keptRoom.takeBack();
-    t.ok(keptRoom.isKeptFrom(blocked));
+    rooms.beginBackfill(300);
+    t.notOk(rooms.isBlocking(blocked));
+    rooms.endBackfill();
+    t.ok(rooms.isBlocking(blocked));
   },
 );
--- a/packages/dispatch/src/__tests__/unit/waitingGang.test.ts
+++ b/packages/dispatch/src/__tests__/unit/waitingGang.test.ts
@@ -1,8 +1,8 @@
-import {buildJob, buildPolicy, buildStep} from '@samphireramp/testing';
+import {buildStep} from '@samphireramp/testing';
 import t from 'tap';
 import type {ReadyStep} from '../../candidates';
 import {packGang} from '../../gangPlacement';
-import {buildCandidate} from './candidateFixture';
+import {buildCandidate, buildOpenStep} from './candidateFixture';
 
 const CAPACITY = {cpuMillis: 4000, memoryMegabytes: 4000, accelerators: 0};
 const WORKER_COUNT = 30;
@@ -27,15 +27,9 @@
 
 function buildGang(tasks: number): ReadyStep {
   const need = {cpuMillis: 1000, memoryMegabytes: 1000, accelerators: 0};
-  const step = buildStep({count: tasks, isGang: true, dataRack: 'rack', need});
-  return {
-    row: {job: buildJob('job', [step])},
-    policy: buildPolicy({priority: 0}),
-    step,
-    openTasks: Array.from({length: tasks}, (_, index) => index),
-    placedByWorker: new Map(),
-    taskResources: need,
-  } as unknown as ReadyStep;
+  return buildOpenStep(
+    buildStep({count: tasks, isGang: true, dataRack: 'rack', need}),
+  );
 }
 
 // Guards against passes that sort all workers for each gang that waits for room.
--- a/packages/dispatch/src/candidates.ts
+++ b/packages/dispatch/src/candidates.ts
@@ -1,8 +1,4 @@
-import {
-  type ExpectedRelease,
-  type Worker,
-  isOverCapacity,
-} from '@samphireramp/fleet';
+import {type RunTotals, type Worker, isOverCapacity} from '@samphireramp/fleet';
 import {
   type Resources,
   type Occurrence,
@@ -10,6 +6,7 @@
   type RunId,
   type Step,
   type Task,
+  addResources,
   reservedResources,
 } from '@samphireramp/jobs';
 import {isSuspectedTask} from './crashSuspects';
@@ -36,7 +33,7 @@
   /** Runs that it may still have, whose tasks may be placed elsewhere or be done. */
   stoppingRuns: readonly RunId[];
   /** Lists what its runs are expected to release, the first one first. */
-  listReleases: () => readonly ExpectedRelease[];
+  listReleases: RunTotals['listReleases'];
   /** 1 for a normal worker, 2 for one on which runs take half as long. */
   speed: number;
 }
@@ -202,10 +199,7 @@
   readyStep: ReadyStep,
   taskCount: number,
 ): void {
-  candidate.cpuMillis -= readyStep.taskResources.cpuMillis * taskCount;
-  candidate.memoryMegabytes -=
-    readyStep.taskResources.memoryMegabytes * taskCount;
-  candidate.accelerators -= readyStep.taskResources.accelerators * taskCount;
+  addResources(candidate, readyStep.taskResources, -taskCount);
   candidate.startableRuns -= taskCount;
 }
 
--- a/packages/dispatch/src/crashSuspects.ts
+++ b/packages/dispatch/src/crashSuspects.ts
@@ -4,6 +4,7 @@
 const MAX_CRASHES_ALONE = 2;
 /** Crashes after which a task is given up in any case. */
 const MAX_CRASHES = 3;
+const NO_TASKS: ReadonlySet<number> = new Set();
 
 /** What is known of a task that may have crashed a worker. */
 export interface CrashSuspect {
@@ -17,8 +18,6 @@
   return crashedRuns.filter(run => run !== UNATTRIBUTED_RUN).length;
 }
 
-const NO_TASKS: ReadonlySet<number> = new Set();
-
 /**
  * Lists the tasks of a step, by index, that start on trial as they may crash their
  * workers. A gang does as a whole, as none of its members starts without the others.
--- a/packages/dispatch/src/dispatchPlugin.ts
+++ b/packages/dispatch/src/dispatchPlugin.ts
@@ -72,8 +72,8 @@
   DEFAULT_PLACEMENT_FUNCTIONS,
   type PlacementFunctions,
 } from './placementFunctions';
-import {EXPECTED_FITS} from './gangFits';
-import {POOL_HOLDS} from './poolHolds';
+import {EXPECTED_FITS} from './expectedFits';
+import {RESERVATION_PAUSES} from './reservationPauses';
 import {
   onRunConfirmed,
   onRunDiscarded,
@@ -197,7 +197,7 @@
       kernel.registerSlice(PERMIT_COUNTS),
       kernel.registerSlice(SCHEDULED_PASSES),
       kernel.registerSlice(RESERVATIONS),
-      kernel.registerSlice(POOL_HOLDS),
+      kernel.registerSlice(RESERVATION_PAUSES),
       kernel.registerSlice(EXPECTED_FITS),
       kernel.registerSlice(AWAITS_STARTS),
       kernel.registerSlice(TAKE_OVER_STEPS),
@@ -277,7 +277,7 @@
   update.write(WAITING_SINCE).clear();
   update.write(LIMITED_SINCE).clear();
   update.write(RESERVATIONS).set([]);
-  update.write(POOL_HOLDS).clear();
+  update.write(RESERVATION_PAUSES).clear();
   update.write(EXPECTED_FITS).clear();
   update.write(TAKE_OVER_STEPS).clear();
 }
--- a/packages/dispatch/src/gangPlacement.ts
+++ b/packages/dispatch/src/gangPlacement.ts
@@ -13,12 +13,12 @@
   tasksOf,
 } from './candidates';
 import {listSuspected} from './crashSuspects';
-import {expectedFitOf} from './gangFits';
+import {expectedFitOf} from './expectedFits';
 import {planChosen, planGang} from './gangPlan';
 import type {PlacementPass} from './PlacementPass';
 import {SPEED_CLASSES_FROM_FAST, speedClassOf} from './speedClasses';
 
-/** Chooses workers for all tasks of a gang, or keeps free resources for it. */
+/** Chooses workers for all tasks of a gang, or reserves free resources for it. */
 export function chooseGangPlacements(
   pass: PlacementPass,
   readyStep: ReadyStep,
@@ -47,15 +47,15 @@
   ]);
   const chosen = packGang(permitted, readyStep, withTicket);
   if (chosen !== undefined) {
-    // The gang fits but lacks tickets: its resources are kept until they come.
+    // The gang fits but lacks tickets: its resources are reserved until they come.
     const chosenWorkers = new Set(chosen.map(({candidate}) => candidate));
     const spares = permitted.filter(each => !chosenWorkers.has(each));
     requestMoreAdvice(pass, readyStep, advice, tasks, () => [
       ...chosenWorkers,
       ...spares,
     ]);
-    pass.gangReservations.keepRoomFor(readyStep, () =>
-      planChosen(chosen, readyStep, update.now),
+    pass.gangReservations.reserveRoom(readyStep, () =>
+      planChosen(chosen, update.now),
     );
     return [];
   }
@@ -72,7 +72,7 @@
     );
   }
   // Otherwise other steps could take the resources that are free now again and again.
-  pass.gangReservations.keepRoomFor(readyStep, () =>
+  pass.gangReservations.reserveRoom(readyStep, () =>
     planGang(permitted, readyStep, () =>
       expectedFitOf(update, permitted, readyStep),
     ),
--- a/packages/dispatch/src/gangPlan.ts
+++ b/packages/dispatch/src/gangPlan.ts
@@ -1,5 +1,4 @@
-import {type ExpectedRelease, postponeOverdue} from '@samphireramp/fleet';
-import {NO_RESOURCES, RESOURCE_NAMES, type Resources} from '@samphireramp/jobs';
+import {addResources} from '@samphireramp/jobs';
 import {
   type Candidate,
   type Placement,
@@ -8,20 +7,12 @@
   countFittingTasksWith,
 } from './candidates';
 
-/** Room on one worker that a gang waits for. */
-export interface PlannedRoom {
-  readonly candidate: Candidate;
-  /** Tasks of the gang that have room now. */
-  readonly tasks: number;
-  /** What is kept for them. */
-  readonly kept: Resources;
-}
-
-/** When a gang that doesn't start now is expected to fit, and what is kept until then. */
+/** When a gang that doesn't start now is expected to fit, and where it has room already. */
 export interface GangPlan {
   /** Time of the runtime's monotonic clock. */
   readonly fitsAt: number;
-  readonly rooms: readonly PlannedRoom[];
+  /** Tasks of the gang that have room now, by worker. */
+  readonly tasksByCandidate: ReadonlyMap<Candidate, number>;
 }
 
 /** Tasks that fit on a worker from some time on, beside those that fit before. */
@@ -30,9 +21,6 @@
   readonly tasks: number;
 }
 
-/** Resources that can be counted up and down. */
-type Amounts = Record<keyof Resources, number>;
-
 /**
  * Finds the earliest time at which all tasks of a gang are expected to fit, from what
  * is free and what the runs on the workers release; undefined if no such time is known.
@@ -53,7 +41,7 @@
 }
 
 /**
- * Plans to keep the room that there is now for tasks of a gang until the rest comes;
+ * Plans to reserve the room that there is now for tasks of a gang until the rest comes;
  * undefined if there is none, or no time is known.
  */
 export function planGang(
@@ -61,22 +49,20 @@
   readyStep: ReadyStep,
   expectedFit: () => number | undefined,
 ): GangPlan | undefined {
-  const rooms: PlannedRoom[] = [];
+  const tasksByCandidate = new Map<Candidate, number>();
   for (const candidate of candidates) {
     const tasks = countFittingTasks(candidate, readyStep);
     if (tasks > 0) {
-      const kept = multiply(readyStep.taskResources, tasks);
-      rooms.push({candidate, tasks, kept});
+      tasksByCandidate.set(candidate, tasks);
     }
   }
-  const fitsAt = rooms.length > 0 ? expectedFit() : undefined;
-  return fitsAt === undefined ? undefined : {fitsAt, rooms};
+  const fitsAt = tasksByCandidate.size > 0 ? expectedFit() : undefined;
+  return fitsAt === undefined ? undefined : {fitsAt, tasksByCandidate};
 }
 
 /** Plans a gang that fits on the chosen workers now, once it may begin there. */
 export function planChosen(
   placements: readonly Placement[],
-  {taskResources}: ReadyStep,
   now: number,
 ): GangPlan {
   const tasksByCandidate = new Map<Candidate, number>();
@@ -84,13 +70,7 @@
     const before = tasksByCandidate.get(candidate) ?? 0;
     tasksByCandidate.set(candidate, before + 1);
   }
-  const rooms = [...tasksByCandidate].map(([candidate, tasks]) => ({
-    candidate,
-    tasks,
-    // Some of it may have been on loan.
-    kept: leastOf(candidate, multiply(taskResources, tasks)),
-  }));
-  return {fitsAt: now, rooms};
+  return {fitsAt: now, tasksByCandidate};
 }
 
 /** The gains that come first, as many as a number of tasks needs. */
@@ -138,11 +118,11 @@
   let fitting = countFittingTasks(candidate, readyStep);
   const {cpuMillis, memoryMegabytes, accelerators} = candidate;
   const free = {cpuMillis, memoryMegabytes, accelerators};
-  for (const {at, resources} of listPendingReleases(candidate, now)) {
+  for (const {at, resources} of candidate.listReleases(now)) {
     if (at >= (earliest.fitsAt ?? Infinity)) {
       return;
     }
-    add(free, resources);
+    addResources(free, resources);
     const tasks = countFittingTasksWith(candidate, readyStep, free) - fitting;
     if (tasks > 0) {
       earliest.add({at, tasks});
@@ -150,39 +130,3 @@
     }
   }
 }
-
-/** Lists the expected releases on a worker in the order of time. */
-function listPendingReleases(
-  candidate: Candidate,
-  now: number,
-): readonly ExpectedRelease[] {
-  const releases = candidate.listReleases();
-  if (releases.length === 0 || releases[0].at > now) {
-    return releases;
-  }
-  return releases
-    .map(({at, resources}) => ({at: postponeOverdue(at, now), resources}))
-    .sort((a, b) => a.at - b.at);
-}
-
-function leastOf(a: Resources, b: Resources): Resources {
-  return {
-    cpuMillis: Math.min(a.cpuMillis, b.cpuMillis),
-    memoryMegabytes: Math.min(a.memoryMegabytes, b.memoryMegabytes),
-    accelerators: Math.min(a.accelerators, b.accelerators),
-  };
-}
-
-function multiply(need: Resources, tasks: number): Resources {
-  const amounts = {...NO_RESOURCES};
-  for (const name of RESOURCE_NAMES) {
-    amounts[name] = need[name] * tasks;
-  }
-  return amounts;
-}
-
-function add(amounts: Amounts, added: Resources): void {
-  for (const name of RESOURCE_NAMES) {
-    amounts[name] += added[name];
-  }
-}
--- a/packages/dispatch/src/gangReservations.ts
+++ b/packages/dispatch/src/gangReservations.ts
@@ -1,41 +1,39 @@
 import {stepKey} from '@samphireramp/jobs';
 import type {Update} from '@samphireramp/kernel';
 import type {Candidate, Placement, ReadyStep} from './candidates';
-import {forgetExpectedFits} from './gangFits';
+import {forgetExpectedFits} from './expectedFits';
 import type {GangPlan} from './gangPlan';
-import {KeptQuota} from './keptQuota';
-import {KeptRoom} from './keptRoom';
 import type {StartQuota} from './placementFunctions';
-import {
-  POOL_HOLDS,
-  mayKeepRoom,
-  recordHold,
-  recordHoldSucceeded,
-} from './poolHolds';
+import {QuotaReservations} from './quotaReservations';
 import {stepIdOf} from './readySteps';
+import {
+  RESERVATION_PAUSES,
+  mayReserve,
+  recordBlocking,
+  recordReservationUsed,
+} from './reservationPauses';
 import {
   RESERVATIONS,
   type Reservation,
   listReservedSince,
 } from './reservations';
+import {RoomReservations} from './roomReservations';
 
-/** No further gangs get room kept once that is this share of the site's CPU. */
-const MAX_KEPT_SHARE = 0.1;
+/** No further gangs get room reserved once that is this share of the site's CPU. */
+const MAX_RESERVED_SHARE = 0.1;
 /** With less than this share of its CPU in use, a pool is taken for idle. */
 const IDLE_POOL_SHARE = 0.5;
 
-/** What one placement pass keeps for gangs that wait: room, and limits of accounts. */
+/** What one placement pass reserves for gangs that wait: room, and limits of accounts. */
 export class GangReservations {
   private readonly reservations: Reservation[] = [];
-  private readonly keptRoom: KeptRoom;
-  private readonly keptQuota: KeptQuota;
+  private readonly rooms: RoomReservations;
+  private readonly quotas: QuotaReservations;
   private readonly totalCpuMillis: number;
-  private keptCpuMillis = 0;
-  /** Pools of the gangs for which something is kept. */
-  private readonly keptPools = new Set<string>();
-  /** Pools whose gangs keep a step from what it would fit into. */
-  private readonly blockingPools = new Set<string>();
-  /** Whether most of a pool was free when the pass began, as far as it was asked for. */
+  private reservedCpuMillis = 0;
+  /** Idle pools in which reservations leave a step waiting. */
+  private readonly blockedPools = new Set<string>();
+  /** Whether pools were idle when the pass began, as far as that was asked. */
   private readonly idleByPool = new Map<string, boolean>();
   /** Computed when a gang is placed or waits. */
   private knownReservedSince: ReadonlyMap<string, number> | undefined;
@@ -45,77 +43,78 @@
     quota: StartQuota,
     private readonly candidates: readonly Candidate[],
   ) {
-    this.keptRoom = new KeptRoom(update.now);
-    this.keptQuota = new KeptQuota(quota, update.now);
+    this.rooms = new RoomReservations(update.now);
+    this.quotas = new QuotaReservations(quota, update.now);
     this.totalCpuMillis = candidates.reduce(
       (total, {worker}) => total + worker.capacity.cpuMillis,
       0,
     );
   }
 
-  /** Number of rooms on loan: steps of a need with the same number find the same room. */
-  get lentRooms(): number {
-    return this.keptRoom.lentRooms;
+  /** Number of rooms open for backfill: a need finds the same room for the same number. */
+  get backfillableRooms(): number {
+    return this.rooms.backfillableRooms;
   }
 
   /**
-   * Chooses placements for a step, with the loan of room and limits that runs of this
-   * duration leave in time.
+   * Chooses placements for a step, which may use what is reserved if its runs are
+   * expected to end before the gangs begin.
    */
-  withLoan(
+  withBackfill(
     readyStep: ReadyStep,
     expectRunMillis: () => number,
     choose: () => Placement[],
   ): Placement[] {
-    if (this.keptRoom.isEmpty && this.keptQuota.isEmpty) {
+    if (this.rooms.isEmpty && this.quotas.isEmpty) {
       return choose();
     }
     const runMillis = expectRunMillis();
     // In a busy pool a gang would wait for each run that outlasts its estimate.
     if (this.isIdle(readyStep.policy.pool)) {
-      this.keptRoom.lend(runMillis);
+      this.rooms.beginBackfill(runMillis);
     }
-    this.keptQuota.lend(readyStep.row.job.account, runMillis);
+    this.quotas.beginBackfill(readyStep.row.job.account, runMillis);
     const placements = choose();
-    this.keptRoom.takeBack();
-    this.keptQuota.takeBack();
+    this.rooms.endBackfill();
+    this.quotas.endBackfill();
     return placements;
   }
 
   /**
-   * Keeps the room of a plan for a gang from the steps behind, unless gangs ahead keep
-   * much already, nobody knows when the gang will fit, or room lately was kept in vain.
+   * Reserves the room of a plan for a gang, unless gangs ahead have much already, nobody
+   * knows when the gang will fit, or reservations in its pool are paused.
    */
-  keepRoomFor(
+  reserveRoom(
     readyStep: ReadyStep,
     createPlan: () => GangPlan | undefined,
   ): void {
-    const {pool} = readyStep.policy;
+    const {taskResources, policy} = readyStep;
     if (
-      this.keptCpuMillis > this.totalCpuMillis * MAX_KEPT_SHARE ||
-      !mayKeepRoom(this.update, pool)
+      this.reservedCpuMillis > this.totalCpuMillis * MAX_RESERVED_SHARE ||
+      !mayReserve(this.update, policy.pool)
     ) {
       return;
     }
-    // A plan must not take what is kept for the gangs ahead.
-    this.keptRoom.takeBack();
+    // What is reserved for the gangs ahead must not be planned.
+    this.rooms.endBackfill();
     const plan = createPlan();
     if (plan === undefined) {
       return;
     }
-    this.keptRoom.keep(readyStep, plan);
-    this.keptPools.add(pool);
+    this.rooms.reserve(readyStep, plan);
     const step = stepKey(stepIdOf(readyStep));
     const since = this.reservedSince().get(step) ?? this.update.now;
-    for (const {candidate, tasks, kept} of plan.rooms) {
-      this.keptCpuMillis += kept.cpuMillis;
+    const until = plan.fitsAt;
+    for (const [{worker}, tasks] of plan.tasksByCandidate) {
+      const {incarnation} = worker;
+      this.reservedCpuMillis += taskResources.cpuMillis * tasks;
       this.reservations.push({
         step,
-        incarnation: candidate.worker.incarnation,
+        incarnation,
         tasks,
-        resources: kept,
+        taskResources,
         since,
-        until: plan.fitsAt,
+        until,
       });
     }
   }
@@ -124,25 +123,26 @@
   onUnplaced(readyStep: ReadyStep): void {
     const {pool} = readyStep.policy;
     if (
-      !this.keptRoom.isEmpty &&
-      !this.blockingPools.has(pool) &&
+      !this.rooms.isEmpty &&
+      !this.blockedPools.has(pool) &&
       this.isIdle(pool) &&
-      this.keptRoom.isKeptFrom(readyStep)
+      this.rooms.isBlocking(readyStep)
     ) {
-      this.blockingPools.add(pool);
+      this.blockedPools.add(pool);
     }
   }
 
   /** Handles a step that the limits of its account leave waiting. */
   onOverQuota(readyStep: ReadyStep): void {
     const {pool} = readyStep.policy;
-    this.keptQuota.takeBack();
-    for (const blockingPool of this.keptQuota.listBlockingPools(readyStep)) {
-      this.blockingPools.add(blockingPool);
+    this.quotas.endBackfill();
+    for (const blockedPool of this.quotas.listBlockingPools(readyStep)) {
+      if (this.isIdle(blockedPool)) {
+        this.blockedPools.add(blockedPool);
+      }
     }
-    if (readyStep.step.isGang && mayKeepRoom(this.update, pool)) {
-      this.keptPools.add(pool);
-      this.keptQuota.keep(readyStep);
+    if (readyStep.step.isGang && mayReserve(this.update, pool)) {
+      this.quotas.reserve(readyStep);
     }
   }
 
@@ -150,21 +150,18 @@
   onPlaced(readyStep: ReadyStep): void {
     const key = stepKey(stepIdOf(readyStep));
     if (readyStep.step.isGang && this.reservedSince().has(key)) {
-      recordHoldSucceeded(this.update, readyStep.policy.pool);
+      recordReservationUsed(this.update, readyStep.policy.pool);
     }
   }
 
-  /** Records at the end of a pass over all steps what it has kept. */
+  /** Records at the end of a pass over all steps what it has reserved. */
   record(): void {
-    this.update.write(RESERVATIONS).set(this.reservations);
-    forgetExpectedFits(this.update);
-    const pools = new Set([
-      ...this.keptPools,
-      ...this.update.read(POOL_HOLDS).keys(),
-    ]);
-    for (const pool of pools) {
-      const isBlocking = this.blockingPools.has(pool) && this.isIdle(pool);
-      recordHold(this.update, pool, isBlocking);
+    const {update, blockedPools} = this;
+    update.write(RESERVATIONS).set(this.reservations);
+    forgetExpectedFits(update);
+    const known = update.read(RESERVATION_PAUSES).keys();
+    for (const pool of new Set([...blockedPools, ...known])) {
+      recordBlocking(update, pool, blockedPools.has(pool));
     }
   }
 
@@ -176,24 +173,22 @@
   }
 
   private isIdle(pool: string): boolean {
-    const known = this.idleByPool.get(pool);
-    if (known !== undefined) {
-      return known;
-    }
-    const isIdle = this.findIdle(pool);
+    const isIdle =
+      this.idleByPool.get(pool) ?? isPoolIdle(this.candidates, pool);
     this.idleByPool.set(pool, isIdle);
     return isIdle;
   }
+}
 
-  private findIdle(pool: string): boolean {
-    let totalCpuMillis = 0;
-    let freeCpuMillis = 0;
-    for (const {worker, cpuMillisAtStart} of this.candidates) {
-      if (worker.pool === pool) {
-        totalCpuMillis += worker.capacity.cpuMillis;
-        freeCpuMillis += Math.max(0, cpuMillisAtStart);
-      }
+/** Whether little of the CPU of a pool was in use when the pass began. */
+function isPoolIdle(candidates: readonly Candidate[], pool: string): boolean {
+  let totalCpuMillis = 0;
+  let freeCpuMillis = 0;
+  for (const {worker, cpuMillisAtStart} of candidates) {
+    if (worker.pool === pool) {
+      totalCpuMillis += worker.capacity.cpuMillis;
+      freeCpuMillis += Math.max(0, cpuMillisAtStart);
     }
-    return totalCpuMillis - freeCpuMillis < totalCpuMillis * IDLE_POOL_SHARE;
   }
+  return totalCpuMillis - freeCpuMillis < totalCpuMillis * IDLE_POOL_SHARE;
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -2,10 +2,8 @@
 import {dispatchWhenDurable, heldTerm} from '@samphireramp/holding';
 import {
   MAY_COMMAND_WORKERS,
-  type Run,
   START_RESERVED_RUN,
   type StartOrder,
-  type Worker,
   reserveRun,
 } from '@samphireramp/fleet';
 import {
@@ -17,7 +15,12 @@
 } from '@samphireramp/jobs';
 import {ADVICE, NO_ADVICE} from './adviceState';
 import type {CandidateList} from './candidateList';
-import type {Placement, ReadyStep} from './candidates';
+import {
+  type Candidate,
+  type Placement,
+  type ReadyStep,
+  tasksOf,
+} from './candidates';
 import {listSuspected} from './crashSuspects';
 import {beginTrial} from './crashTrials';
 import {
@@ -83,7 +86,7 @@
         readyStep.step,
         expectedOnce(update, readyStep.row.job, readyStep.stepNumber),
       );
-    const placements = pass.gangReservations.withLoan(
+    const placements = pass.gangReservations.withBackfill(
       readyStep,
       expectRunMillis,
       () => choosePlacements(pass, readyStep),
@@ -161,8 +164,7 @@
   runMillis: number,
 ): void {
   const stepId = stepIdOf(readyStep);
-  const {occurrence, stepNumber} = readyStep;
-  const tasks = occurrence.steps[stepNumber];
+  const tasks = tasksOf(readyStep);
   // An earlier step of this pass may have changed the progress of the job.
   const row = update.read(JOBS).get(stepId.jobId) ?? readyStep.row;
   const incarnationByIndex = new Map(
@@ -186,10 +188,7 @@
     const task = findTask(progress, {...stepId, index});
     if (task !== undefined) {
       const runId = {...stepId, index, run: task.run};
-      const expectedMillis = runMillis / candidate.speed;
-      reserveAndOrderRun(update, readyStep, runId, task, candidate.worker, {
-        expectedMillis,
-      });
+      reserveAndOrderRun(update, readyStep, runId, task, candidate, runMillis);
       if (suspected.has(index)) {
         beginTrial(update, runId);
       }
@@ -211,8 +210,8 @@
   readyStep: ReadyStep,
   runId: RunId,
   {checkpoint}: Task,
-  worker: Worker,
-  {expectedMillis}: Pick<Run, 'expectedMillis'>,
+  {worker, speed}: Candidate,
+  runMillis: number,
 ): void {
   const {job} = readyStep.row;
   reserveRun(update, {
@@ -220,7 +219,7 @@
     incarnation: worker.incarnation,
     account: job.account,
     reserved: readyStep.taskResources,
-    expectedMillis,
+    expectedMillis: runMillis / speed,
     expectsProgress: expectsProgress(readyStep.step),
   });
   const advice = update.read(ADVICE).get(stepKey(runId)) ?? NO_ADVICE;
--- a/packages/dispatch/src/reservations.ts
+++ b/packages/dispatch/src/reservations.ts
@@ -9,7 +9,8 @@
   readonly incarnation: string;
   /** Tasks of the gang that have room there now. */
   readonly tasks: number;
-  readonly resources: Resources;
+  /** Resources of each of the tasks. */
+  readonly taskResources: Resources;
   /** When the first of the passes began that have kept resources for the step since. */
   readonly since: number;
   /** When the gang is expected to fit; it may be past if the gang lacks tickets only. */
@@ -33,8 +34,8 @@
 }
 
 /**
- * Describes for which steps resources are kept, for how long they have been and for how
- * long they will be, as in ` for JOB.0.0 since 2100 ms for 900 ms`; empty if there are none.
+ * Describes for which steps resources are reserved, since when and until when, as in
+ * ` for JOB.0.0 (since 2100 ms, for 900 ms more)`; empty if there are none.
  */
 export function describeReservedSteps(
   reservations: readonly Reservation[],
@@ -45,8 +46,8 @@
     .slice(0, MAX_NAMED_STEPS)
     .map(({step, since, until}) => {
       const sinceMillis = Math.round(now - since);
-      const untilMillis = Math.max(0, Math.round(until - now));
-      return ` for ${step} since ${sinceMillis} ms for ${untilMillis} ms`;
+      const moreMillis = Math.max(0, Math.round(until - now));
+      return ` for ${step} (since ${sinceMillis} ms, for ${moreMillis} ms more)`;
     })
     .join(' and');
 }
--- a/packages/dispatch/src/waitingSteps.ts
+++ b/packages/dispatch/src/waitingSteps.ts
@@ -3,7 +3,7 @@
   createTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
-import {stepKey} from '@samphireramp/jobs';
+import {addResources, stepKey} from '@samphireramp/jobs';
 import {AccountWaits, describeLimits, forgetLimitsExcept} from './accountWaits';
 import {ADVICE, NO_ADVICE} from './adviceState';
 import {listCandidates} from './candidateList';
@@ -17,7 +17,6 @@
 } from './candidates';
 import {DISPATCH_EVENT} from './messages';
 import type {PlacementFunctions} from './placementFunctions';
-import {takeFrom} from './keptRoom';
 import {orderReadySteps, rememberExpected, stepIdOf} from './readySteps';
 import {
   RESERVATIONS,
@@ -164,10 +163,10 @@
   const byIncarnation = new Map(
     copies.map(candidate => [candidate.worker.incarnation, candidate]),
   );
-  for (const {incarnation, resources} of reservations) {
+  for (const {incarnation, tasks, taskResources} of reservations) {
     const candidate = byIncarnation.get(incarnation);
     if (candidate !== undefined) {
-      takeFrom(candidate, resources);
+      addResources(candidate, taskResources, -tasks);
     }
   }
   return copies;
--- a/packages/fleet/src/FleetState.ts
+++ b/packages/fleet/src/FleetState.ts
@@ -5,7 +5,12 @@
   createSummarizedTableSlice,
   createValueSlice,
 } from '@samphireramp/kernel';
-import {type Resources, NO_RESOURCES, runKey} from '@samphireramp/jobs';
+import {
+  type Resources,
+  NO_RESOURCES,
+  addResources,
+  runKey,
+} from '@samphireramp/jobs';
 import type {Run} from './Run';
 import {totalRuns} from './runTotals';
 import type {Worker, WorkerRecord} from './Worker';
@@ -35,11 +40,9 @@
   {capacity, incarnation}: Worker,
 ): Resources {
   const {reserved} = state.read(RUNS).summaryOf(incarnation);
-  return {
-    cpuMillis: capacity.cpuMillis - reserved.cpuMillis,
-    memoryMegabytes: capacity.memoryMegabytes - reserved.memoryMegabytes,
-    accelerators: capacity.accelerators - reserved.accelerators,
-  };
+  const free = {...capacity};
+  addResources(free, reserved, -1);
+  return free;
 }
 
 /** Whether free resources are negative: runs reserve more than there is. */
--- a/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
+++ b/packages/fleet/src/__tests__/unit/workerCrashes.test.ts
@@ -1,34 +1,12 @@
-import {NO_RESOURCES} from '@samphireramp/jobs';
 import t from 'tap';
-import type {Run} from '../../Run';
 import type {Worker} from '../../Worker';
 import {CRASH_SUSPICION_MILLIS, findCrashSuspects} from '../../workerCrashes';
+import {buildRun} from './runFixture';
 
 /** When the last poll was answered, in the cases below. */
 const ANSWERED_AT = 10_000;
 const WORKER = {answeredAt: ANSWERED_AT} as Worker;
 
-function buildRun(index: number, overrides: Partial<Run>): Run {
-  return {
-    runId: {jobId: 'a', occurrence: 0, step: 0, index, run: 1},
-    incarnation: 'worker@1',
-    account: '',
-    reserved: NO_RESOURCES,
-    phase: 'running',
-    lastOrderAt: 0,
-    startOrders: 1,
-    confirmedAt: 0,
-    startedAt: 0,
-    isReported: false,
-    percentDone: 0,
-    progressedAt: 0,
-    expectedMillis: Infinity,
-    expectsProgress: true,
-    checkpoint: '',
-    ...overrides,
-  };
-}
-
 void t.test('only runs that began last are suspected of a crash', async t => {
   const earlier = ANSWERED_AT - CRASH_SUSPICION_MILLIS - 1;
   const runs = [
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,8 +13,7 @@
 export {
   type ExpectedRelease,
   type RunTotals,
-  expectedEndOf,
-  postponeOverdue,
+  listExpectedReleases,
 } from './runTotals';
 export {type FleetOptions, createFleetPlugin} from './fleetPlugin';
 export {holdBackEnds, releaseEnds} from './heldBackEnds';
--- a/packages/fleet/src/runTotals.ts
+++ b/packages/fleet/src/runTotals.ts
@@ -10,7 +10,7 @@
 
 /** When a run is expected to release its resources. */
 export interface ExpectedRelease {
-  /** Time of the runtime's monotonic clock; it may have passed. */
+  /** Time of the runtime's monotonic clock, in the future. */
   readonly at: number;
   readonly resources: Resources;
 }
@@ -25,11 +25,8 @@
   readonly startsUnderWay: number;
   /** Number of those whose placement the journal has not recorded yet. */
   readonly unrecordedStarts: number;
-  /**
-   * Lists what the runs that are expected to end release, the first one first. Runs
-   * change often, and few passes ask.
-   */
-  listReleases(): readonly ExpectedRelease[];
+  /** Lists what they are expected to release, on demand: they change often. */
+  listReleases(now: number): readonly ExpectedRelease[];
 }
 
 /** Totals the runs on one worker. */
@@ -57,19 +54,26 @@
     stoppingRuns,
     startsUnderWay,
     unrecordedStarts,
-    listReleases: () => listReleases(runs),
+    listReleases: now => listExpectedReleases(runs, now),
   };
 }
 
-function listReleases(runs: readonly Run[]): ExpectedRelease[] {
+/** Lists what runs are expected to release, the first one first. */
+export function listExpectedReleases(
+  runs: readonly Run[],
+  now: number,
+): ExpectedRelease[] {
   return runs
-    .map(run => ({at: expectedEndOf(run), resources: run.reserved}))
+    .map(run => ({
+      at: postponeOverdue(expectedEndOf(run), now),
+      resources: run.reserved,
+    }))
     .filter(({at}) => Number.isFinite(at))
     .sort((a, b) => a.at - b.at);
 }
 
 /** When a run is expected to end, which may have passed; not finite if nothing is known. */
-export function expectedEndOf(run: Run): number {
+function expectedEndOf(run: Run): number {
   const {startedAt, confirmedAt, lastOrderAt, percentDone, progressedAt} = run;
   if (run.phase === 'stopping') {
     return lastOrderAt + STOP_MILLIS;
@@ -86,7 +90,7 @@
 }
 
 /** When a run is still expected to end: one that is overdue may well take as long again. */
-export function postponeOverdue(expectedAt: number, now: number): number {
+function postponeOverdue(expectedAt: number, now: number): number {
   return expectedAt > now
     ? expectedAt
     : now + Math.max(MIN_OVERDUE_MILLIS, now - expectedAt);
--- a/packages/jobs/src/Resources.ts
+++ b/packages/jobs/src/Resources.ts
@@ -24,3 +24,14 @@
   memoryMegabytes: 0,
   accelerators: 0,
 };
+
+/** Adds a multiple of some resources to others, in place; a negative one deducts them. */
+export function addResources(
+  resources: Resources,
+  added: Resources,
+  times = 1,
+): void {
+  resources.cpuMillis += added.cpuMillis * times;
+  resources.memoryMegabytes += added.memoryMegabytes * times;
+  resources.accelerators += added.accelerators * times;
+}
--- a/packages/record-codec/src/progressCodec.ts
+++ b/packages/record-codec/src/progressCodec.ts
@@ -49,7 +49,9 @@
     z.number(), // index of the worker, or NO_WORKER
     z.array(z.number()), // failed runs
     z.string(), // checkpoint
-    z.array(z.number()), // negated numbers of runs whose worker crashed, see below
+    // Negated numbers of the runs whose worker crashed. Earlier builds, which read
+    // these and count them, wrote the crashes of a gang into all its members, not negated.
+    z.array(z.number()),
   ]),
 ]);
 
@@ -70,9 +72,6 @@
   z.optional(z.string()), // client account, if there is one
 ]);
 
-// Earlier builds wrote the crashes under a gang into all its members, as numbers that
-// aren't negated. They read records of this build, and count each crash.
-
 type TaskRecord = z.infer<typeof taskRecordSchema>;
 type ProgressRecord = z.infer<typeof progressRecordSchema>;
 
--- a/packages/site-daemon/src/accountUsage.ts
+++ b/packages/site-daemon/src/accountUsage.ts
@@ -5,6 +5,7 @@
   type Job,
   NO_ACCOUNT,
   NO_RESOURCES,
+  addResources,
   type Resources,
   occurrenceDueAt,
 } from '@samphireramp/jobs';
@@ -78,9 +79,7 @@
   for (const {account, reserved} of runs) {
     if (account !== NO_ACCOUNT) {
       const {running} = totalsOf(account);
-      running.cpuMillis += reserved.cpuMillis;
-      running.memoryMegabytes += reserved.memoryMegabytes;
-      running.accelerators += reserved.accelerators;
+      addResources(running, reserved);
       runningCpuMillis += reserved.cpuMillis;
     }
   }
--- a/testing/src/__tests__/unit/accountGangs.test.ts
+++ b/testing/src/__tests__/unit/accountGangs.test.ts
@@ -1,52 +1,33 @@
-import type {QueuePolicy, Step} from '@samphireramp/jobs';
+import type {Step} from '@samphireramp/jobs';
 import t from 'tap';
+import {type ModelSite, buildAccount} from '../../index';
 import {
-  type ModelSite,
-  buildAccount,
-  buildJob,
-  buildModelSite,
-  buildPolicy,
-  buildStep,
-} from '../../index';
+  GANGS,
+  IDLE_LIMIT_MILLIS,
+  OTHERS,
+  buildGangSite,
+  submitStep,
+} from './gangQueueFixture';
 
 const ACCOUNT = 'account';
-const GANGS = buildPolicy({name: 'gangs', priority: 1});
-const OTHERS = buildPolicy({name: 'others', priority: 2});
 /** Tasks that the account may run at a time; a gang needs all of them. */
 const LIMIT_TASKS = 3;
 const GANG: Partial<Step> = {count: LIMIT_TASKS, isGang: true};
 const SMALL_JOB: Partial<Step> = {estimateMillis: 900};
-/** The rule: a job has nothing running for less than this while most of the site is free. */
-const IDLE_LIMIT_MILLIS = 3000;
-
-/** Builds a mostly empty site; runs of the jobs named take another time than estimated. */
-async function buildSite(
+/** Builds a mostly empty site on which the account has its limit. */
+function buildSite(
   actualMillis: Readonly<Record<string, number>> = {},
 ): Promise<ModelSite> {
-  const site = buildModelSite({
-    workers: 6,
-    policies: [GANGS, OTHERS],
-    accounts: [buildAccount(ACCOUNT, {cpuMillis: LIMIT_TASKS * 1000})],
-    script: (job, runId) => ({
-      step: job.steps[runId.step],
-      workMillis: actualMillis[job.id] ?? job.steps[runId.step].estimateMillis,
-      fails: () => false,
-    }),
-  });
-  await site.run(1500);
-  return site;
+  const limit = {cpuMillis: LIMIT_TASKS * 1000};
+  const accounts = [buildAccount(ACCOUNT, limit)];
+  return buildGangSite({workers: 6, accounts}, actualMillis);
 }
 
 /** Submits a job of the account with one step of small tasks. */
 function submit(
-  site: ModelSite,
-  id: string,
-  policy: QueuePolicy,
-  step: Partial<Step>,
+  ...[site, id, policy, step]: Parameters<typeof submitStep>
 ): void {
-  const receivedAt = site.clock.now;
-  const options = {policy, account: ACCOUNT, receivedAt};
-  void site.submit(site.hosts[0], buildJob(id, [buildStep(step)], options));
+  submitStep(site, id, policy, step, {account: ACCOUNT});
 }
 
 /** Submits small jobs, each once the one before has run; returns the longest wait. */
--- a/testing/src/__tests__/unit/placementRegressions.test.ts
+++ b/testing/src/__tests__/unit/placementRegressions.test.ts
@@ -64,7 +64,7 @@
     const waitEvents = site.events.filter(line => line.includes('step-waits'));
     t.match(
       waitEvents.find(line => line.includes('c2.0.0')),
-      /2 tasks fit, 5 valid tickets, 1 gangs ahead reserve 2 tasks and leave 0 for c1\.0\.0 since \d+ ms for \d+ ms"/,
+      /2 tasks fit, 5 valid tickets, 1 gangs ahead reserve 2 tasks and leave 0 for c1\.0\.0 \(since \d+ ms, for \d+ ms more\)"/,
     );
   },
 );
--- a/testing/src/__tests__/unit/waitingGangs.test.ts
+++ b/testing/src/__tests__/unit/waitingGangs.test.ts
@@ -1,22 +1,17 @@
-import type {QueuePolicy, Step} from '@samphireramp/jobs';
+import type {Step} from '@samphireramp/jobs';
 import t from 'tap';
+import type {ModelSite} from '../../index';
 import {
-  type ModelSite,
-  buildJob,
-  buildModelSite,
-  buildPolicy,
-  buildStep,
-} from '../../index';
+  ADVISED_GANGS,
+  GANGS,
+  IDLE_LIMIT_MILLIS,
+  OTHERS,
+  buildGangSite,
+  submitStep as submit,
+} from './gangQueueFixture';
 
 const WORKERS = 8;
 const CAPACITY = {cpuMillis: 16_000, memoryMegabytes: 32_000, accelerators: 0};
-const GANGS = buildPolicy({name: 'gangs', priority: 1});
-const ADVISED_GANGS = buildPolicy({
-  name: 'advised-gangs',
-  priority: 1,
-  advice: {decisionMillis: 10, perWorkerMillis: 1, validityMillis: 1000},
-});
-const OTHERS = buildPolicy({name: 'others', priority: 2});
 /** Fits on empty workers, three tasks on each, and not beside another task. */
 const WIDE_GANG: Partial<Step> = {
   count: 24,
@@ -38,39 +33,13 @@
   count: 1,
   estimateMillis: 60_000,
 };
-/** The rule: a job has nothing running for less than this while most of the site is free. */
-const IDLE_LIMIT_MILLIS = 3000;
 const GANG_LIMIT_MILLIS = 5000;
 const STEP_MILLIS = 50;
 
-/** Builds a site of empty workers; tasks of the jobs named take longer than estimated. */
-async function buildSite(
+function buildSite(
   actualMillis: Readonly<Record<string, number>> = {},
 ): Promise<ModelSite> {
-  const site = buildModelSite({
-    workers: WORKERS,
-    capacity: CAPACITY,
-    policies: [GANGS, ADVISED_GANGS, OTHERS],
-    script: (job, runId) => ({
-      step: job.steps[runId.step],
-      workMillis: actualMillis[job.id] ?? job.steps[runId.step].estimateMillis,
-      fails: () => false,
-    }),
-  });
-  await site.run(2000);
-  return site;
-}
-
-/** Submits a job of one step. */
-function submit(
-  site: ModelSite,
-  id: string,
-  policy: QueuePolicy,
-  step: Partial<Step>,
-): void {
-  const receivedAt = site.clock.now;
-  const job = buildJob(id, [buildStep(step)], {policy, receivedAt});
-  void site.submit(site.hosts[0], job);
+  return buildGangSite({workers: WORKERS, capacity: CAPACITY}, actualMillis);
 }
 
 /** Submits ten small jobs, one each half second, and returns their longest waits. */
@@ -176,6 +145,20 @@
   },
 );
 
+// Guards against gangs that keep the site in turn.
+void t.test('jobs are started behind several gangs that wait', async t => {
+  const site = await buildSite({a6: 60_000, a7: Infinity});
+  submit(site, 'a6', OTHERS, {...OBSTACLE, estimateMillis: 1000});
+  submit(site, 'a7', OTHERS, {...OBSTACLE, isService: true});
+  await site.run(500);
+  submit(site, 'b6', GANGS, {...WIDE_GANG, count: 23});
+  submit(site, 'b7', GANGS, {...WIDE_GANG, count: 23});
+  submit(site, 'b8', GANGS, WIDE_GANG);
+  await site.run(500);
+  const step = {...LONG_JOB, estimateMillis: 8000};
+  t.ok(Math.max(...(await listWaits(site, step))) < IDLE_LIMIT_MILLIS);
+});
+
 // Guards against a wide gang that starves behind a stream of small jobs.
 void t.test(
   'a wide gang is at work soon beside a stream of small jobs',
--- a/testing/src/site/IdleSiteLedger.ts
+++ b/testing/src/site/IdleSiteLedger.ts
@@ -1,5 +1,10 @@
 import type {JobStatus} from '@samphireramp/intake';
-import {type Job, RESOURCE_NAMES, type Resources} from '@samphireramp/jobs';
+import {
+  type Job,
+  RESOURCE_NAMES,
+  type Resources,
+  addResources,
+} from '@samphireramp/jobs';
 import {sumReserved} from './ModelCapacity';
 import type {ModelWorker} from './ModelWorker';
 
@@ -85,11 +90,7 @@
 
 /** Returns the resources of a worker that none of its runs reserves. */
 function freeResources({capacity, runs}: ModelWorker): Resources {
-  const total = capacity.current();
-  const reserved = sumReserved(runs.map(run => run.script.step));
-  return {
-    cpuMillis: total.cpuMillis - reserved.cpuMillis,
-    memoryMegabytes: total.memoryMegabytes - reserved.memoryMegabytes,
-    accelerators: total.accelerators - reserved.accelerators,
-  };
+  const free = {...capacity.current()};
+  addResources(free, sumReserved(runs.map(run => run.script.step)), -1);
+  return free;
 }
